Workspace skeleton: clock, identities, outcomes, checked documents

Cause: nothing existed; every later module needs one set of names and one reader that reports all faults of a file at once. Ruled out: decoding settings straight into data classes, since the TOML library then stops at its first fault. Change: Maven workspace of eight packages, ktlint and explicit API mode; common holds clock, identities, outcomes, document reader, log, metrics.

--- /dev/null
+++ b/agent/src/main/kotlin/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.almondjunction.agent
+
+internal const val PLACEHOLDER: Int = 1
--- /dev/null
+++ b/bench/src/main/kotlin/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.almondjunction.bench
+
+internal const val PLACEHOLDER: Int = 1
--- /dev/null
+++ b/bench/src/test/kotlin/PlaceholderTest.kt
@@ -0,0 +1,8 @@
+package org.almondjunction.bench
+
+import kotlin.test.Test
+
+class PlaceholderTest {
+    @Test
+    fun runs() = Unit
+}
--- /dev/null
+++ b/common/src/main/kotlin/DocumentReader.kt
@@ -0,0 +1,179 @@
+package org.almondjunction.common
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+
+/**
+ * Reads a TOML document key by key and collects every fault instead of stopping at the first.
+ *
+ * A getter that finds a fault records it and returns a harmless value; [read] discards the result when any fault was recorded.
+ */
+public class DocumentReader private constructor(
+    private val file: String,
+    private val table: DocumentNode.Table,
+    private val faults: MutableList<Fault>,
+) {
+    private val known = mutableSetOf<String>()
+
+    /** Records [message] as a fault at [key]. */
+    public fun fault(
+        key: String,
+        message: String,
+    ) {
+        faults += Fault(file, (table.entries[key]?.line ?: table.line).takeIf { it > 0 }, path(key), message)
+    }
+
+    /** Reads a string; without [default] the key is required. */
+    public fun string(
+        key: String,
+        default: String? = null,
+    ): String = scalar(key, default, "a string") { it as? String } ?: ""
+
+    /** Reads a whole number within [range]; without [default] the key is required. */
+    public fun long(
+        key: String,
+        default: Long? = null,
+        range: LongRange = 0..Long.MAX_VALUE,
+    ): Long {
+        val value =
+            scalar(key, default, "a whole number") { (it as? Number)?.takeUnless { number -> number is Double }?.toLong() }
+                ?: return range.first
+        if (value !in range) fault(key, "Found $value; expected a whole number from ${range.first} to ${range.last}.")
+        return value
+    }
+
+    /** Reads a whole number within [range]; without [default] the key is required. */
+    public fun int(
+        key: String,
+        default: Int? = null,
+        range: IntRange = 0..Int.MAX_VALUE,
+    ): Int = long(key, default?.toLong(), range.first.toLong()..range.last.toLong()).toInt()
+
+    /** Reads a number within [range]; without [default] the key is required. */
+    public fun double(
+        key: String,
+        default: Double? = null,
+        range: ClosedFloatingPointRange<Double>,
+    ): Double {
+        val value = scalar(key, default, "a number") { (it as? Number)?.toDouble() } ?: return range.start
+        if (value !in range) fault(key, "Found $value; expected a number from ${range.start} to ${range.endInclusive}.")
+        return value
+    }
+
+    /** Reads a Boolean; without [default] the key is required. */
+    public fun boolean(
+        key: String,
+        default: Boolean? = null,
+    ): Boolean = scalar(key, default, "true or false") { it as? Boolean } ?: false
+
+    /** Reads an address written as an IP number and a port; without [default] the key is required. */
+    public fun address(
+        key: String,
+        default: Address? = null,
+    ): Address {
+        val text = string(key, default?.toString())
+        return Address.parse(text) ?: UNREADABLE_ADDRESS.also {
+            if (key in
+                table.entries
+            ) {
+                fault(key, "Found \"$text\"; expected an IP number and a port from 1 to 65535, such as \"127.0.0.1:8080\".")
+            }
+        }
+    }
+
+    /** Reads an array of strings; a missing key is an empty list. */
+    public fun strings(key: String): List<String> {
+        known += key
+        return when (val node = table.entries[key]) {
+            null -> emptyList()
+            is DocumentNode.Sequence -> node.values.map { it as? String ?: "".also { fault(key, "Found a value that is not a string.") } }
+            is DocumentNode.Scalar, is DocumentNode.Table, is DocumentNode.Tables ->
+                emptyList<String>().also {
+                    fault(key, "Expected an array of strings.")
+                }
+        }
+    }
+
+    /** Reads the array of tables at [key] with [read] for each element; a missing key is an empty list. */
+    public fun <T> tables(
+        key: String,
+        read: DocumentReader.() -> T,
+    ): List<T> {
+        known += key
+        return when (val node = table.entries[key]) {
+            null -> emptyList()
+            is DocumentNode.Tables -> node.elements.map { nested(it, read) }
+            is DocumentNode.Scalar, is DocumentNode.Sequence, is DocumentNode.Table ->
+                emptyList<T>().also { fault(key, "Expected an array of tables, written as [[${path(key)}]].") }
+        }
+    }
+
+    /** Reads the table at [key] with [read]; a missing table is read as empty. */
+    public fun <T> table(
+        key: String,
+        read: DocumentReader.() -> T,
+    ): T {
+        known += key
+        return when (val node = table.entries[key]) {
+            is DocumentNode.Table -> nested(node, read)
+            null -> nested(DocumentNode.Table(path(key), table.line, emptyMap()), read)
+            is DocumentNode.Scalar, is DocumentNode.Sequence, is DocumentNode.Tables -> {
+                fault(key, "Expected a table, written as [${path(key)}].")
+                nested(DocumentNode.Table(path(key), node.line, emptyMap()), read)
+            }
+        }
+    }
+
+    private fun <T> nested(
+        node: DocumentNode.Table,
+        read: DocumentReader.() -> T,
+    ): T = DocumentReader(file, node, faults).run { read().also { reportUnknownKeys() } }
+
+    private fun <T : Any> scalar(
+        key: String,
+        default: T?,
+        expected: String,
+        convert: (Any?) -> T?,
+    ): T? {
+        known += key
+        val node = table.entries[key]
+        if (node == null) {
+            if (default == null) fault(key, "The key is missing; expected $expected.")
+            return default
+        }
+        val value = (node as? DocumentNode.Scalar)?.value
+        return convert(value) ?: default.also { fault(key, "Found ${describe(node)}; expected $expected.") }
+    }
+
+    private fun describe(node: DocumentNode): String =
+        when (node) {
+            is DocumentNode.Scalar -> if (node.value is String) "\"${node.value}\"" else node.value.toString()
+            is DocumentNode.Sequence -> "an array"
+            is DocumentNode.Table -> "a table"
+            is DocumentNode.Tables -> "an array of tables"
+        }
+
+    private fun reportUnknownKeys() {
+        (table.entries.keys - known).forEach { fault(it, "The key is unknown; expected one of ${known.sorted().joinToString()}.") }
+    }
+
+    private fun path(key: String) = if (table.path.isEmpty()) key else "${table.path}.$key"
+
+    public companion object {
+        private val UNREADABLE_ADDRESS = Address("0.0.0.0", 1)
+
+        /** Reads [text] with [read]; the error holds every fault found, in the order of reading. */
+        public fun <T> read(
+            file: String,
+            text: String,
+            read: DocumentReader.() -> T,
+        ): Result<T, List<Fault>> {
+            val root = DocumentNode.parse(file, text).getOrElse { return Err(listOf(it)) }
+            val faults = mutableListOf<Fault>()
+            val value = DocumentReader(file, root, faults).run { read().also { reportUnknownKeys() } }
+            return if (faults.isEmpty()) Ok(value) else Err(faults)
+        }
+    }
+}
--- /dev/null
+++ b/common/src/main/kotlin/Metrics.kt
@@ -0,0 +1,73 @@
+package org.almondjunction.common
+
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.Timer
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+
+/** Counters, timers and gauges of one process, exported as Prometheus text. */
+public class Metrics {
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val counters = ConcurrentHashMap<Pair<String, String>, Counter>()
+    private val timers = ConcurrentHashMap<String, Timer>()
+
+    /** Adds [amount] to the counter [name]; [reason] becomes its label. */
+    public fun count(
+        name: MetricName,
+        reason: String = "none",
+        amount: Double = 1.0,
+    ) {
+        counters
+            .computeIfAbsent(
+                name.label to reason,
+            ) { registry.counter("almondjunction.${name.label}", "reason", reason) }
+            .increment(amount)
+    }
+
+    /** Records [durationMs] in the histogram [name]. */
+    public fun record(
+        name: MetricName,
+        durationMs: Long,
+    ) {
+        timers
+            .computeIfAbsent(name.label) { Timer.builder("almondjunction.$it").publishPercentileHistogram().register(registry) }
+            .record(durationMs, TimeUnit.MILLISECONDS)
+    }
+
+    /** Registers a gauge that reads [value] at each export. */
+    public fun gauge(
+        name: MetricName,
+        value: () -> Number,
+    ) {
+        registry.gauge("almondjunction.${name.label}", this) { value().toDouble() }
+    }
+
+    /** Returns all metrics in the Prometheus text format. */
+    public fun export(): String = registry.scrape()
+}
+
+/** Every metric of the product. */
+public enum class MetricName(
+    public val label: String,
+) {
+    REQUESTS("requests"),
+    REFUSALS("refusals"),
+    UNKNOWN_OUTCOMES("unknown.outcomes"),
+    RETRIES("retries"),
+    RECONNECTIONS("reconnections"),
+    PROTOCOL_ERRORS("protocol.errors"),
+    PLATFORM_CALLS("platform.calls"),
+    PLATFORM_FAILURES("platform.failures"),
+    CROSS_REGION_BYTES("cross.region.bytes"),
+    CONTROL_BYTES("control.bytes"),
+    ORDERS("orders"),
+    TIME_TO_FIRST_TOKEN("time.to.first.token"),
+    TIME_BETWEEN_TOKENS("time.between.tokens"),
+    MEMORY_RESERVED_MB("memory.reserved.megabytes"),
+    MODELS_RESIDENT("models.resident"),
+    REQUESTS_WAITING("requests.waiting"),
+    STATE_SEQUENCE("state.sequence"),
+    ACCELERATOR_IDLE_MS("accelerator.idle.milliseconds"),
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.almondjunction.decisions
+
+internal const val PLACEHOLDER: Int = 1
--- /dev/null
+++ b/entry/src/main/kotlin/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.almondjunction.entry
+
+internal const val PLACEHOLDER: Int = 1
--- /dev/null
+++ b/entry/src/test/kotlin/PlaceholderTest.kt
@@ -0,0 +1,8 @@
+package org.almondjunction.entry
+
+import kotlin.test.Test
+
+class PlaceholderTest {
+    @Test
+    fun runs() = Unit
+}
--- /dev/null
+++ b/protocol/src/main/kotlin/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.almondjunction.protocol
+
+internal const val PLACEHOLDER: Int = 1
--- /dev/null
+++ b/standins/src/main/kotlin/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.almondjunction.standins
+
+internal const val PLACEHOLDER: Int = 1
