--- /dev/null
+++ b/agent/src/main/kotlin/ActiveRequest.kt
@@ -0,0 +1,149 @@
+package org.almondjunction.agent
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.launch
+import org.almondjunction.common.RequestId
+import org.almondjunction.protocol.Connection
+import org.almondjunction.protocol.Message
+import org.almondjunction.protocol.Work
+import java.io.ByteArrayOutputStream
+
+/**
+ * A request on its way through an agent, with everything of its answer so far.
+ *
+ * The answer can be sent again from any offset on another connection, until the request is forgotten.
+ */
+internal class ActiveRequest(
+    val id: RequestId,
+    val work: Work,
+    val priority: Int,
+    val deadlineMs: Long,
+    private val scope: CoroutineScope,
+) : AnswerSink {
+    private val lock = Any()
+    private val bytes = ExposedStream()
+    private var head: Message.Head? = null
+    private var terminal: Message.AboutRequest? = null
+    private var sender: Job? = null
+    private var signal = Channel<Unit>(Channel.CONFLATED)
+
+    @Volatile
+    private var acknowledged = 0L
+
+    /** Coroutine that runs the request; null while it waits. */
+    @Volatile
+    var runner: Job? = null
+
+    /** Connection on which the answer is sent; null while there is none. */
+    @Volatile
+    var connection: Connection? = null
+        private set
+
+    /** Whether the request has ended. */
+    val ended: Boolean get() = synchronized(lock) { terminal != null }
+
+    /** Bytes of the answer so far. */
+    val length: Long get() = synchronized(lock) { bytes.size().toLong() }
+
+    override fun head(
+        status: Int,
+        contentType: String?,
+    ) = change { if (head == null) head = Message.Head(id, status, contentType) }
+
+    override fun append(bytes: ByteArray) = change { this.bytes.write(bytes) }
+
+    /** Ends the request with [message], unless it has ended. */
+    fun finish(message: Message.AboutRequest) = change { if (terminal == null) terminal = message }
+
+    private fun change(block: () -> Unit) {
+        synchronized(lock) { block() }
+        signal.trySend(Unit)
+    }
+
+    /** Sends the answer from [offset] on over [connection], in place of any connection before. */
+    fun attach(
+        connection: Connection,
+        offset: Long,
+    ) {
+        sender?.cancel()
+        this.connection = connection
+        acknowledged = maxOf(acknowledged, offset)
+        val wake = Channel<Unit>(Channel.CONFLATED).also { it.trySend(Unit) }
+        signal = wake
+        sender = scope.launch { send(connection, offset, wake) }
+    }
+
+    /** Notes that the entry host has passed the answer on up to [offset]. */
+    fun acknowledge(offset: Long) {
+        acknowledged = maxOf(acknowledged, offset)
+        signal.trySend(Unit)
+    }
+
+    /** Notes that [lost] has ended; returns whether the answer went over it. */
+    fun detach(lost: Connection): Boolean {
+        if (connection !== lost) return false
+        sender?.cancel()
+        connection = null
+        return true
+    }
+
+    private suspend fun send(
+        connection: Connection,
+        offset: Long,
+        wake: Channel<Unit>,
+    ) {
+        var position = offset
+        var headSent = false
+        for (unit in wake) {
+            if (position - acknowledged >= WINDOW_BYTES) continue
+            val part = next(position, headSent)
+            part.head?.let { if (!connection.send(it)) return }
+            headSent = headSent || part.head != null
+            if (part.bytes.isNotEmpty()) {
+                if (!connection.send(Message.Chunk(id, position, part.bytes))) return
+                position += part.bytes.size
+                wake.trySend(Unit)
+            } else if (part.terminal != null) {
+                connection.send(part.terminal)
+                return
+            }
+        }
+    }
+
+    private class Part(
+        val head: Message.Head?,
+        val bytes: ByteArray,
+        val terminal: Message.AboutRequest?,
+    )
+
+    private fun next(
+        position: Long,
+        headSent: Boolean,
+    ): Part =
+        synchronized(lock) {
+            Part(
+                head = head.takeUnless { headSent },
+                bytes = bytes.slice(position.toInt(), MAXIMUM_CHUNK_BYTES),
+                terminal = terminal,
+            )
+        }
+
+    /** Gives access to a part of the content without copying all of it. */
+    private class ExposedStream : ByteArrayOutputStream(INITIAL_BYTES) {
+        fun slice(
+            from: Int,
+            maximum: Int,
+        ): ByteArray = if (from >= count) EMPTY else buf.copyOfRange(from, minOf(count, from + maximum))
+    }
+
+    private companion object {
+        const val MAXIMUM_CHUNK_BYTES = 64 * 1024
+
+        /** Bytes that are sent beyond what the entry host has acknowledged. */
+        const val WINDOW_BYTES = 256 * 1024
+        const val INITIAL_BYTES = 512
+        val EMPTY = ByteArray(0)
+    }
+}
--- a/agent/src/main/kotlin/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.almondjunction.agent
-
-internal const val PLACEHOLDER: Int = 1
--- /dev/null
+++ b/agent/src/main/kotlin/RequestServer.kt
@@ -0,0 +1,234 @@
+package org.almondjunction.agent
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.almondjunction.common.Clock
+import org.almondjunction.common.EventLog
+import org.almondjunction.common.LogFields
+import org.almondjunction.common.MetricName
+import org.almondjunction.common.Metrics
+import org.almondjunction.common.RefusalReason
+import org.almondjunction.common.RequestId
+import org.almondjunction.common.TargetId
+import org.almondjunction.common.UnknownReason
+import org.almondjunction.decisions.PLAIN_SERVICE
+import org.almondjunction.decisions.RequestRecord
+import org.almondjunction.decisions.RequestRegistry
+import org.almondjunction.decisions.RightKey
+import org.almondjunction.decisions.TargetEffect
+import org.almondjunction.decisions.TargetEvent
+import org.almondjunction.decisions.TransitGuard
+import org.almondjunction.decisions.WaitingRequest
+import org.almondjunction.protocol.Connection
+import org.almondjunction.protocol.Message
+import org.almondjunction.protocol.Work
+import java.util.concurrent.ConcurrentHashMap
+
+/** Takes requests from entry hosts, runs them when the controller says so, and sends their answers. */
+internal class RequestServer(
+    private val target: TargetId,
+    private val incarnation: String,
+    private val controller: TargetController,
+    private val backend: Backend,
+    private val clock: Clock,
+    private val metrics: Metrics,
+    private val scope: CoroutineScope,
+    private val onGiveBack: (List<RightKey>) -> Unit,
+) : TargetActions {
+    private val registry = RequestRegistry()
+    private val active = ConcurrentHashMap<RequestId, ActiveRequest>()
+    private val guards = ConcurrentHashMap<Connection, TransitGuard>()
+
+    /** Whether a request waits, runs, or has an answer that was not yet sent whole. */
+    val busy: Boolean get() = active.values.any { !it.ended }
+
+    suspend fun onMessage(
+        connection: Connection,
+        message: Message,
+    ) {
+        when (message) {
+            is Message.Hello -> greet(connection, message)
+            is Message.Ping -> connection.send(Message.Pong(message.sentMs))
+            is Message.Start -> start(connection, message)
+            is Message.Resume -> resume(connection, message)
+            is Message.Acknowledge -> active[message.id]?.acknowledge(message.offset)
+            is Message.Withdraw -> withdraw(connection, message.id)
+            is Message.Cancel -> controller.submit(TargetEvent.Withdrawn(message.id))
+            else -> {
+                metrics.count(MetricName.PROTOCOL_ERRORS, "unexpected")
+                connection.close()
+            }
+        }
+    }
+
+    private suspend fun greet(
+        connection: Connection,
+        hello: Message.Hello,
+    ) {
+        if (hello.protocolVersion != Message.PROTOCOL_VERSION) {
+            metrics.count(MetricName.PROTOCOL_ERRORS, "version")
+            return connection.close()
+        }
+        guards[connection] = TransitGuard()
+        connection.send(Message.Hello(target.value, incarnation))
+    }
+
+    private suspend fun start(
+        connection: Connection,
+        message: Message.Start,
+    ) {
+        val guard = guards[connection] ?: return connection.close()
+        val nowMs = clock.nowMs()
+        val fresh = guard.isFresh(message.sentMs, nowMs)
+        val record = synchronized(registry) { if (fresh) registry.arrive(message.id, nowMs) else registry.find(message.id) }
+        when {
+            record == RequestRecord.REFUSED -> connection.send(Message.Refused(message.id, RefusalReason.CANCELLED))
+            record == RequestRecord.KNOWN -> active[message.id]?.attach(connection, 0) ?: connection.send(lost(message.id))
+            fresh -> admit(connection, message, nowMs)
+            else -> refuseUnseen(connection, message.id, RefusalReason.DEADLINE_PASSED)
+        }
+    }
+
+    private fun admit(
+        connection: Connection,
+        message: Message.Start,
+        nowMs: Long,
+    ) {
+        val request = ActiveRequest(message.id, message.work, message.priority, nowMs + message.timeLeftMs, scope)
+        active[message.id] = request
+        request.attach(connection, 0)
+        val (model, adapter) =
+            when (val work = message.work) {
+                is Work.Completion -> work.model to work.adapter
+                is Work.PlainCall -> PLAIN_SERVICE.model to null
+            }
+        controller.submit(TargetEvent.Arrived(WaitingRequest(message.id, model, adapter, message.priority, nowMs, request.deadlineMs)))
+    }
+
+    private suspend fun resume(
+        connection: Connection,
+        message: Message.Resume,
+    ) {
+        active[message.id]?.let { return it.attach(connection, message.offset) }
+        when (synchronized(registry) { registry.find(message.id) }) {
+            RequestRecord.NEW, RequestRecord.REFUSED -> refuseUnseen(connection, message.id, RefusalReason.NO_TARGET)
+            RequestRecord.KNOWN -> connection.send(lost(message.id))
+        }
+    }
+
+    private suspend fun withdraw(
+        connection: Connection,
+        id: RequestId,
+    ) {
+        val request = active[id]
+        when {
+            request?.runner != null -> connection.send(Message.Running(id))
+            request != null -> controller.submit(TargetEvent.Withdrawn(id))
+            synchronized(registry) { registry.find(id) } == RequestRecord.KNOWN -> connection.send(lost(id))
+            else -> refuseUnseen(connection, id, RefusalReason.DEADLINE_PASSED)
+        }
+    }
+
+    private suspend fun refuseUnseen(
+        connection: Connection,
+        id: RequestId,
+        reason: RefusalReason,
+    ) {
+        synchronized(registry) { registry.refuse(id, clock.nowMs()) }
+        connection.send(Message.Refused(id, reason))
+    }
+
+    private fun lost(id: RequestId) = Message.Failed(id, UnknownReason.TARGET_LOST)
+
+    suspend fun onClosed(connection: Connection) {
+        guards.remove(connection)
+        val detached = active.values.filter { it.detach(connection) }
+        if (detached.isEmpty()) return
+        delay(RESUME_WINDOW_MS)
+        detached.filter { it.connection == null && !it.ended }.forEach { controller.submit(TargetEvent.Withdrawn(it.id)) }
+    }
+
+    override fun dispatch(effect: TargetEffect.Dispatch) {
+        val request = active[effect.id] ?: return controller.submit(TargetEvent.Finished(effect.id))
+        val job = scope.launch(start = CoroutineStart.LAZY) { run(request, effect) }
+        request.runner = job
+        job.start()
+    }
+
+    private suspend fun run(
+        request: ActiveRequest,
+        effect: TargetEffect.Dispatch,
+    ) {
+        val result =
+            withTimeoutOrNull(request.deadlineMs - clock.nowMs()) {
+                backend.run(request.id, request.work, effect.resident, request.priority, request)
+            }
+        when (result) {
+            BackendResult.Complete -> end(request, Message.End(request.id, request.length), "complete")
+            BackendResult.NotTaken -> refuse(TargetEffect.Refuse(request.id, RefusalReason.NO_TARGET))
+            is BackendResult.Broken -> end(request, Message.Failed(request.id, result.reason), result.reason.code)
+            null -> {
+                end(request, Message.Failed(request.id, UnknownReason.TARGET_SILENT), UnknownReason.TARGET_SILENT.code)
+                backend.cancel(request.id)
+            }
+        }
+        controller.submit(TargetEvent.Finished(request.id))
+    }
+
+    override fun refuse(effect: TargetEffect.Refuse) {
+        synchronized(registry) { registry.refuse(effect.id, clock.nowMs()) }
+        metrics.count(MetricName.REFUSALS, effect.reason.code)
+        val request = active[effect.id] ?: return
+        conclude(request, Message.Refused(effect.id, effect.reason, effect.expectedWaitMs), "not-run", effect.reason.code)
+    }
+
+    override fun interrupt(effect: TargetEffect.Interrupt) {
+        val request = active[effect.id] ?: return
+        if (request.ended) return
+        end(request, Message.Failed(effect.id, UnknownReason.INTERRUPTED), UnknownReason.INTERRUPTED.code)
+        scope.launch {
+            request.runner?.cancel()
+            backend.cancel(effect.id)
+            controller.submit(TargetEvent.Finished(effect.id))
+        }
+    }
+
+    override fun giveBack(rights: List<RightKey>) = onGiveBack(rights)
+
+    /** Ends every request in progress with an explicit error. */
+    fun interruptAll() = active.values.filterNot { it.ended }.forEach { interrupt(TargetEffect.Interrupt(it.id)) }
+
+    private fun end(
+        request: ActiveRequest,
+        message: Message.AboutRequest,
+        reason: String,
+    ) {
+        synchronized(registry) { registry.end(request.id, clock.nowMs()) }
+        conclude(request, message, if (message is Message.End) "served" else "unknown", reason)
+    }
+
+    private fun conclude(
+        request: ActiveRequest,
+        message: Message.AboutRequest,
+        outcome: String,
+        reason: String,
+    ) {
+        request.finish(message)
+        EventLog.info("request ended", LogFields(request.id, target, outcome, reason))
+        scope.launch {
+            delay(ANSWER_RETENTION_MS)
+            active.remove(request.id)
+        }
+    }
+
+    private companion object {
+        /** Time in which an entry host may ask for the rest of an answer after its connection was lost. */
+        const val RESUME_WINDOW_MS = 10_000L
+
+        /** Time for which a complete answer is kept. */
+        const val ANSWER_RETENTION_MS = 15_000L
+    }
+}
--- a/bench/src/main/kotlin/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.almondjunction.bench
-
-internal const val PLACEHOLDER: Int = 1
--- /dev/null
+++ b/decisions/src/main/kotlin/ArrivalHistory.kt
@@ -0,0 +1,32 @@
+package org.almondjunction.decisions
+
+/**
+ * Arrivals of one model in this season.
+ *
+ * @property gapCounts idle gaps seen, counted by [bucketOf] their length
+ */
+public data class ArrivalHistory(
+    val lastArrivalMs: Long,
+    val gapCounts: List<Double> = List(BUCKETS) { 0.0 },
+) {
+    /** Returns the history after one more arrival. */
+    public fun arrive(nowMs: Long): ArrivalHistory {
+        val bucket = bucketOf(nowMs - lastArrivalMs)
+        return ArrivalHistory(nowMs, gapCounts.mapIndexed { index, count -> count * FORGETTING + if (index == bucket) 1.0 else 0.0 })
+    }
+
+    public companion object {
+        /** Number of buckets; each is twice as long as the one before. */
+        public const val BUCKETS: Int = 24
+
+        private const val FIRST_BUCKET_MS = 1_000L
+        private const val FORGETTING = 0.98
+
+        /** Returns the bucket of a gap. */
+        public fun bucketOf(gapMs: Long): Int =
+            (Long.SIZE_BITS - (gapMs / FIRST_BUCKET_MS).coerceAtLeast(0).countLeadingZeroBits()).coerceAtMost(BUCKETS - 1)
+
+        /** Returns the upper bound of [bucket], in milliseconds. */
+        public fun upperBoundMs(bucket: Int): Long = FIRST_BUCKET_MS shl bucket
+    }
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/Catalogue.kt
@@ -0,0 +1,48 @@
+package org.almondjunction.decisions
+
+import kotlinx.serialization.Serializable
+import org.almondjunction.common.AdapterId
+import org.almondjunction.common.HostId
+import org.almondjunction.common.ModelId
+import org.almondjunction.common.TicketNumber
+
+/**
+ * What is offered after a number of accepted tickets.
+ *
+ * @property sequence number of tickets applied; orders all states of the catalogue
+ * @property lastNumber number of the last ticket applied
+ * @property retiredHosts hosts stated to be switched off for good
+ */
+@Serializable
+public data class Catalogue(
+    val sequence: Long = 0,
+    val lastNumber: TicketNumber = TicketNumber(0),
+    val offers: Map<ModelId, ModelOffer> = emptyMap(),
+    val retiredHosts: Set<HostId> = emptySet(),
+) {
+    /** Returns the catalogue after [ticket], which must be the next one accepted. */
+    public fun apply(ticket: Ticket): Catalogue =
+        Catalogue(
+            sequence = sequence + 1,
+            lastNumber = ticket.number,
+            offers = offers + ticket.models.associateBy { it.model } - ticket.withdrawn.toSet(),
+            retiredHosts = retiredHosts + ticket.retiredHosts,
+        )
+
+    /** Resolves the name that a caller gives as `model`, which may name an adapter; null when it is not offered. */
+    public fun resolve(name: String): Offered? {
+        offers[ModelId(name)]?.let { return Offered(it, adapter = null) }
+        val base = adapterBases[AdapterId(name)] ?: return null
+        return Offered(base, base.adapters.first { it.adapter.value == name })
+    }
+
+    private val adapterBases: Map<AdapterId, ModelOffer> by lazy {
+        offers.values.flatMap { offer -> offer.adapters.map { it.adapter to offer } }.toMap()
+    }
+}
+
+/** A model, alone or with one of its adapters. */
+public data class Offered(
+    val offer: ModelOffer,
+    val adapter: AdapterOffer?,
+)
--- /dev/null
+++ b/decisions/src/main/kotlin/ClusterView.kt
@@ -0,0 +1,144 @@
+package org.almondjunction.decisions
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.almondjunction.common.HostId
+import org.almondjunction.common.ModelId
+import org.almondjunction.common.TargetId
+
+/**
+ * An object as it was read from the platform's service.
+ *
+ * @property version version of this object; the condition of a later replacement
+ */
+@Serializable
+public data class StoredObject(
+    val key: String,
+    val version: Long,
+    val value: String,
+)
+
+/**
+ * A change of the accepted state, from the platform's service or from another entry host.
+ *
+ * @property revision revision of the platform's service after the change
+ * @property objects objects below [StoreKeys.WATCHED_PREFIX] with their new content
+ * @property catalogue catalogue that belongs to the head among [objects], or a later one
+ * @property fleet the platform's list of hosts, if it is newer than [fleetVersion]
+ */
+@Serializable
+public data class StateChange(
+    val revision: Long,
+    val objects: List<StoredObject> = emptyList(),
+    val catalogue: Catalogue? = null,
+    val fleet: Fleet? = null,
+    val fleetVersion: Long = 0,
+)
+
+/**
+ * The accepted state as one process knows it. Every field only moves forward.
+ *
+ * @property hostOfLostTarget last known host of each target that the platform no longer lists
+ */
+public data class ClusterView(
+    val revision: Long = 0,
+    val catalogue: Catalogue = Catalogue(),
+    val head: TicketHead = TicketHead(),
+    val headVersion: Long = 0,
+    val shards: Map<Int, VersionedShard> = emptyMap(),
+    val members: Members = Members(),
+    val membersVersion: Long = 0,
+    val fleet: Fleet = Fleet(),
+    val fleetVersion: Long = 0,
+    val hostOfLostTarget: Map<TargetId, HostId> = emptyMap(),
+) {
+    /** Whether any state has been received. */
+    public val ready: Boolean get() = revision > 0
+
+    /** Rights of each model, by rank. */
+    public val rightsByModel: Map<ModelId, List<Right>> by lazy {
+        shards.values
+            .flatMap { it.shard.rights }
+            .groupBy { it.model }
+            .mapValues { (_, rights) -> rights.sortedBy { it.rank } }
+    }
+
+    /** Rights of each target. */
+    public val rightsByTarget: Map<TargetId, List<Right>> by lazy { shards.values.flatMap { it.shard.rights }.groupBy { it.target } }
+
+    /** Returns the rights to [model] that are valid under this state. */
+    public fun validRights(model: ModelId): List<Right> {
+        val offer = catalogue.offers[model] ?: return emptyList()
+        return rightsByModel[model].orEmpty().filter { !it.recalled && it.rank < offer.replicas }
+    }
+
+    /** Returns this view after [change]; what is older than this view is left out. */
+    public fun apply(change: StateChange): ClusterView {
+        val newHead = change.objects.firstOrNull { it.key == StoreKeys.HEAD && it.version > headVersion }
+        val newMembers = change.objects.firstOrNull { it.key == StoreKeys.MEMBERS && it.version > membersVersion }
+        val newShards =
+            change.objects.mapNotNull { it.toShard() }.filter { (index, shard) ->
+                shard.version > (shards[index]?.version ?: 0)
+            }
+        val newFleet = change.fleet?.takeIf { change.fleetVersion > fleetVersion || fleetVersion == 0L }
+        return copy(
+            revision = maxOf(revision, change.revision),
+            catalogue = change.catalogue?.takeIf { it.sequence > catalogue.sequence } ?: catalogue,
+            head = newHead?.let { Json.decodeFromString<TicketHead>(it.value) } ?: head,
+            headVersion = newHead?.version ?: headVersion,
+            shards = if (newShards.isEmpty()) shards else shards + newShards,
+            members = newMembers?.let { Json.decodeFromString<Members>(it.value) } ?: members,
+            membersVersion = newMembers?.version ?: membersVersion,
+            fleet = newFleet ?: fleet,
+            fleetVersion = if (newFleet == null) fleetVersion else change.fleetVersion,
+            hostOfLostTarget = newFleet?.let { lostTargets(it) } ?: hostOfLostTarget,
+        )
+    }
+
+    private fun lostTargets(newFleet: Fleet): Map<TargetId, HostId> =
+        (hostOfLostTarget + fleet.targets.mapValues { it.value.host }).filterKeys { it !in newFleet.targets }
+
+    private fun StoredObject.toShard(): Pair<Int, VersionedShard>? {
+        val index = key.removePrefix(RIGHTS_PREFIX).takeIf { it != key }?.toIntOrNull() ?: return null
+        return index to VersionedShard(version, Json.decodeFromString(value))
+    }
+
+    /** Returns everything that this view holds as one change, for a process that knows nothing. */
+    public fun toChange(): StateChange = changeSince(ClusterView())
+
+    /** Returns what a process that holds [known] lacks. */
+    public fun changeSince(known: ClusterView): StateChange =
+        StateChange(
+            revision = revision,
+            objects =
+                listOfNotNull(
+                    headObject().takeIf { headVersion > known.headVersion },
+                    membersObject().takeIf { membersVersion > known.membersVersion },
+                ) + shardObjects(known),
+            catalogue = catalogue.takeIf { it.sequence > known.catalogue.sequence },
+            fleet = fleet.takeIf { fleetVersion > known.fleetVersion },
+            fleetVersion = fleetVersion,
+        )
+
+    private fun headObject() = StoredObject(StoreKeys.HEAD, headVersion, Json.encodeToString(TicketHead.serializer(), head))
+
+    private fun membersObject() = StoredObject(StoreKeys.MEMBERS, membersVersion, Json.encodeToString(Members.serializer(), members))
+
+    private fun shardObjects(known: ClusterView): List<StoredObject> =
+        shards
+            .filter { (index, shard) -> shard.version > (known.shards[index]?.version ?: 0) }
+            .map { (index, shard) ->
+                StoredObject(StoreKeys.rights(index), shard.version, Json.encodeToString(RightsShard.serializer(), shard.shard))
+            }
+
+    private companion object {
+        const val RIGHTS_PREFIX = "state/rights/"
+    }
+}
+
+/** A [RightsShard] with the version of its object. */
+@Serializable
+public data class VersionedShard(
+    val version: Long,
+    val shard: RightsShard,
+)
--- a/decisions/src/main/kotlin/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.almondjunction.decisions
-
-internal const val PLACEHOLDER: Int = 1
--- /dev/null
+++ b/decisions/src/main/kotlin/Right.kt
@@ -0,0 +1,54 @@
+package org.almondjunction.decisions
+
+import kotlinx.serialization.Serializable
+import org.almondjunction.common.ModelId
+import org.almondjunction.common.TargetId
+
+/**
+ * The right of one target to hold one replica of a model.
+ *
+ * @property rank position among the model's replicas, from 0; void while the accepted ticket allows [rank] replicas or fewer
+ * @property epoch unique within its shard for all time; a right given back is never valid again under the same epoch
+ * @property recalled whether the target must unload and give the right back
+ */
+@Serializable
+public data class Right(
+    val model: ModelId,
+    val rank: Int,
+    val target: TargetId,
+    val epoch: Long,
+    val recalled: Boolean = false,
+)
+
+/** Identity of a right that is being given back. */
+@Serializable
+public data class RightKey(
+    val model: ModelId,
+    val rank: Int,
+    val epoch: Long,
+)
+
+/** Returns the identity of this right. */
+public fun Right.key(): RightKey = RightKey(model, rank, epoch)
+
+/**
+ * The rights of all models whose names hash to one shard; one object of the platform's service.
+ *
+ * @property nextEpoch epoch of the next right given in this shard; only rises
+ */
+@Serializable
+public data class RightsShard(
+    val nextEpoch: Long = 1,
+    val rights: List<Right> = emptyList(),
+) {
+    /** Returns this shard without the rights in [released]. */
+    public fun release(released: Collection<RightKey>): RightsShard = copy(rights = rights.filterNot { it.key() in released })
+
+    public companion object {
+        /** Number of shards. */
+        public const val COUNT: Int = 16
+
+        /** Returns the shard of [model]. */
+        public fun of(model: ModelId): Int = Math.floorMod(StableHash.of("shard", model.value), COUNT)
+    }
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/StableHash.kt
@@ -0,0 +1,18 @@
+package org.almondjunction.decisions
+
+import org.apache.commons.codec.digest.MurmurHash3
+
+/** Hash that is the same in every process and version. */
+internal object StableHash {
+    fun of(vararg parts: String): Long = MurmurHash3.hash128x64(parts.joinToString("\u0000").encodeToByteArray())[0]
+}
+
+/** Orders candidates for a key by rendezvous hashing: the order changes only where candidates come or go. */
+public object Rendezvous {
+    /** Returns [candidates] in their order for [key]. */
+    public fun <T> order(
+        key: String,
+        candidates: Collection<T>,
+        identity: (T) -> String,
+    ): List<T> = candidates.sortedWith(compareByDescending<T> { StableHash.of(key, identity(it)) }.thenBy(identity))
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/TargetEvent.kt
@@ -0,0 +1,104 @@
+package org.almondjunction.decisions
+
+import org.almondjunction.common.ModelId
+import org.almondjunction.common.RequestId
+
+/** Something that happened to a target. */
+public sealed class TargetEvent {
+    /**
+     * An entry host sent the part of the accepted state that concerns this target.
+     *
+     * @property revision revision of the platform's service; older revisions are ignored
+     * @property confirmed whether the state was read from the platform's service after this process asked for it
+     */
+    public data class StateReceived(
+        val revision: Long,
+        val sequence: Long,
+        val offers: List<ModelOffer>,
+        val rights: List<Right>,
+        val confirmed: Boolean,
+    ) : TargetEvent()
+
+    /** The accepted state reached [sequence] without a change for this target. */
+    public data class SequenceReached(
+        val sequence: Long,
+    ) : TargetEvent()
+
+    /** An entry host was heard. */
+    public data object Contact : TargetEvent()
+
+    /** A request arrived. */
+    public data class Arrived(
+        val request: WaitingRequest,
+    ) : TargetEvent()
+
+    /** A waiting or running request is no longer wanted. */
+    public data class Withdrawn(
+        val id: RequestId,
+    ) : TargetEvent()
+
+    /** A running request ended, in whatever way. */
+    public data class Finished(
+        val id: RequestId,
+    ) : TargetEvent()
+
+    /** The engine replied to an order, or its reply was lost. */
+    public data class OrderReplied(
+        val order: Order,
+        val reply: OrderReply,
+    ) : TargetEvent()
+
+    /** The engine reported what it holds. [requestedMs] is when the report was asked for. */
+    public data class Reported(
+        val report: EngineReport,
+        val requestedMs: Long,
+    ) : TargetEvent()
+
+    /** Time passed. */
+    public data object Tick : TargetEvent()
+
+    /** The process was told to stop, or its host is leaving. */
+    public data object DrainRequested : TargetEvent()
+}
+
+/** An order to the engine. */
+public sealed class Order {
+    /** What the order is about. */
+    public abstract val key: ResidentKey
+
+    /** Load [key]. */
+    public data class Load(
+        override val key: ResidentKey,
+        val memoryMb: Long,
+    ) : Order()
+
+    /** Unload [key]. */
+    public data class Unload(
+        override val key: ResidentKey,
+    ) : Order()
+}
+
+/** What became of an order. */
+public enum class OrderReply {
+    /** The engine took the order. */
+    ACCEPTED,
+
+    /** The engine refused the order, so it has no effect. */
+    REFUSED,
+
+    /** No reply came; the order may still take effect. */
+    LOST,
+}
+
+/** A resident as the engine reports it. */
+public data class ReportedResident(
+    val key: ResidentKey,
+    val memoryMb: Long,
+    val loading: Boolean,
+)
+
+/** What the engine holds at one moment. */
+public data class EngineReport(
+    val residents: List<ReportedResident>,
+    val tiers: Map<ModelId, CheckpointTier> = emptyMap(),
+)
--- /dev/null
+++ b/decisions/src/main/kotlin/UnloadPlanner.kt
@@ -0,0 +1,105 @@
+package org.almondjunction.decisions
+
+/** Unloads what the accepted state no longer wants, what has been idle too long, and gives rights back. */
+internal class UnloadPlanner(
+    private val limits: TargetLimits,
+    private val policy: ResidencyPolicy,
+    private val admission: Admission,
+) {
+    fun run(step: TargetStep) {
+        markSurplus(step)
+        unloadSurplus(step)
+        unloadIdle(step)
+        repeatUnloads(step)
+        giveBack(step)
+    }
+
+    private fun markSurplus(step: TargetStep) {
+        val state = step.state
+        if (state.revision == 0L && !isFenced(step)) return
+        state.residents.values.forEach { resident ->
+            val surplus = !isWanted(state, resident.key)
+            if (surplus && resident.surplusSinceMs == null) step.put(resident.copy(surplusSinceMs = step.nowMs))
+            if (!surplus && resident.surplusSinceMs != null) step.put(resident.copy(surplusSinceMs = null))
+        }
+    }
+
+    private fun isFenced(step: TargetStep) = step.nowMs - step.state.lastContactMs >= limits.fencingMs
+
+    private fun isWanted(
+        state: TargetState,
+        key: ResidentKey,
+    ): Boolean {
+        val offer = state.entitlement(key.model) ?: return false
+        if (offer.version != key.version) return false
+        return key.adapter == null || offer.adapters.any { it.adapter == key.adapter && it.version == key.adapterVersion }
+    }
+
+    private fun unloadSurplus(step: TargetStep) {
+        step.state.residents.values.filter { it.surplusSinceMs != null && it.phase == ResidentPhase.Loaded }.forEach { resident ->
+            val patient = step.state.heldRight(resident.key.model)?.recalled == true && resident.key.model in step.state.offers
+            val drained = step.nowMs - checkNotNull(resident.surplusSinceMs) >= limits.ticketDrainMs
+            when {
+                !step.state.isBusy(resident.key) -> step.unloadOnce(resident)
+                drained && !patient -> interrupt(step, resident.key)
+            }
+        }
+    }
+
+    private fun interrupt(
+        step: TargetStep,
+        key: ResidentKey,
+    ) {
+        step.state.running.values
+            .filter { it.resident == key || it.resident.base == key }
+            .map { TargetEffect.Interrupt(it.id) }
+            .filterNot { it in step.effects }
+            .forEach { step.effects += it }
+    }
+
+    private fun unloadIdle(step: TargetStep) {
+        step.state.residents.values.filter { it.phase == ResidentPhase.Loaded && it.surplusSinceMs == null }.forEach { resident ->
+            val keepMs = policy.keepMs(step.state.histories[resident.key.model], admission.loadMs(step.state, resident.key))
+            val idle = !step.state.isBusy(resident.key) && !step.state.isAwaited(resident.key)
+            if (idle && step.nowMs - resident.lastUsedMs >= keepMs) step.unloadOnce(resident)
+        }
+    }
+
+    private fun repeatUnloads(step: TargetStep) {
+        step.state.residents.values.forEach { resident ->
+            val acknowledgedMs = (resident.phase as? ResidentPhase.Unloading)?.acknowledgedMs ?: return@forEach
+            if (step.nowMs - acknowledgedMs >= limits.orderSettleMs) step.unload(resident)
+        }
+    }
+
+    private fun giveBack(step: TargetStep) {
+        val state = step.state
+        if (!state.settled) return
+        val void =
+            state.rights.filter { right ->
+                val valid = right.key() !in state.released && !right.recalled && right.rank < (state.offers[right.model]?.replicas ?: 0)
+                !valid && state.residents.keys.none { it.model == right.model }
+            }
+        if (void.isEmpty()) return
+        val keys = void.map { it.key() }
+        if (state.released.containsAll(keys) && step.nowMs - state.lastGiveBackMs < GIVE_BACK_REPEAT_MS) return
+        step.state = state.copy(released = state.released + keys, lastGiveBackMs = step.nowMs)
+        step.effects += TargetEffect.GiveBack(keys)
+    }
+
+    private companion object {
+        const val GIVE_BACK_REPEAT_MS = 1_000L
+    }
+}
+
+/** Unloads [resident], with its adapters first, unless an earlier step of the same event already did. */
+internal fun TargetStep.unloadOnce(resident: Resident) {
+    val current = state.residents[resident.key] ?: return
+    if (current.phase == ResidentPhase.Loaded) {
+        if (resident.key.adapter == null) {
+            unloadWithAdapters(current)
+        } else {
+            unload(current)
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/CallerAnswer.kt
@@ -0,0 +1,114 @@
+package org.almondjunction.entry
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytes
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.server.response.respondText
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.writeByteArray
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import org.almondjunction.common.Clock
+import org.almondjunction.common.MetricName
+import org.almondjunction.common.Metrics
+import org.almondjunction.common.Outcome
+import org.almondjunction.common.RequestId
+import java.io.ByteArrayOutputStream
+
+/**
+ * Answer to one caller. An event stream is passed on as it arrives and always ends in its own terminator or in an error event; every
+ * other answer is held until it is whole.
+ */
+internal class CallerAnswer(
+    private val call: ApplicationCall,
+    private val id: RequestId,
+    private val scope: CoroutineScope,
+    private val clock: Clock,
+    private val metrics: Metrics,
+) : AnswerWriter {
+    private val startedMs = clock.nowMs()
+    private val held = ByteArrayOutputStream()
+    private var status = HttpStatusCode.OK
+    private var contentType: ContentType? = null
+    private var stream: ByteWriteChannel? = null
+    private var response: Job? = null
+    private val ended = CompletableDeferred<Unit>()
+    private var lastWriteMs = 0L
+
+    override suspend fun head(
+        status: Int,
+        contentType: String?,
+    ) {
+        this.status = HttpStatusCode.fromValue(status)
+        this.contentType = contentType?.let { runCatching { ContentType.parse(it) }.getOrNull() }
+        if (this.contentType?.match(ContentType.Text.EventStream) == true) stream = openStream()
+    }
+
+    private suspend fun openStream(): ByteWriteChannel {
+        mark(Outcome.Served)
+        val opened = CompletableDeferred<ByteWriteChannel>()
+        response =
+            scope.launch {
+                call.respondBytesWriter(contentType, status) {
+                    opened.complete(this)
+                    ended.await()
+                }
+            }
+        return opened.await()
+    }
+
+    override suspend fun write(bytes: ByteArray) {
+        val nowMs = clock.nowMs()
+        if (lastWriteMs == 0L) {
+            metrics.record(MetricName.TIME_TO_FIRST_TOKEN, nowMs - startedMs)
+        } else {
+            metrics.record(MetricName.TIME_BETWEEN_TOKENS, nowMs - lastWriteMs)
+        }
+        lastWriteMs = nowMs
+        val channel = stream
+        if (channel == null) {
+            held.write(bytes)
+        } else {
+            channel.writeByteArray(bytes)
+            channel.flush()
+        }
+    }
+
+    /** Ends the answer in line with [outcome]. */
+    suspend fun conclude(outcome: Outcome) {
+        val problem = Problem.of(outcome, id)
+        val channel = stream
+        when {
+            channel != null -> {
+                if (problem != null) channel.writeByteArray("event: error\ndata: ${problem.encode()}\n\n".encodeToByteArray())
+                channel.flush()
+                ended.complete(Unit)
+                response?.join()
+            }
+            problem != null -> {
+                mark(outcome)
+                call.respondText(problem.encode(), PROBLEM_JSON, HttpStatusCode.fromValue(problem.status))
+            }
+            else -> {
+                mark(outcome)
+                call.respondBytes(held.toByteArray(), contentType ?: ContentType.Application.OctetStream, status)
+            }
+        }
+    }
+
+    private fun mark(outcome: Outcome) {
+        call.response.header("X-Request-Id", id.value)
+        call.response.header("X-Outcome", outcome.headerValue)
+        call.response.header(HttpHeaders.CacheControl, "no-store")
+    }
+
+    private companion object {
+        val PROBLEM_JSON = ContentType("application", "problem+json")
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/Dispatcher.kt
@@ -0,0 +1,254 @@
+package org.almondjunction.entry
+
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import org.almondjunction.common.Clock
+import org.almondjunction.common.Distance
+import org.almondjunction.common.EventLog
+import org.almondjunction.common.LogFields
+import org.almondjunction.common.MetricName
+import org.almondjunction.common.Metrics
+import org.almondjunction.common.ModelId
+import org.almondjunction.common.Outcome
+import org.almondjunction.common.RefusalReason
+import org.almondjunction.common.ServiceId
+import org.almondjunction.common.TargetId
+import org.almondjunction.decisions.Candidate
+import org.almondjunction.decisions.ClusterView
+import org.almondjunction.decisions.PLAIN_SERVICE
+import org.almondjunction.decisions.PlacedTarget
+import org.almondjunction.decisions.RequestEvent
+import org.almondjunction.decisions.RequestMachine
+import org.almondjunction.decisions.RequestStep
+import org.almondjunction.decisions.Router
+import org.almondjunction.decisions.TargetKind
+import org.almondjunction.protocol.Work
+
+/** Last step of a request: finds its targets, hands it over and passes the answer on. */
+internal class Dispatcher(
+    private val settings: EntrySettings,
+    private val holder: StateHolder,
+    private val links: TargetLinks,
+    private val clock: Clock,
+    private val metrics: Metrics,
+) {
+    private class Plan(
+        val candidates: List<PlacedTarget>,
+        val work: Work,
+        val model: ModelId,
+        val priority: Int,
+        val repeatable: Boolean,
+    )
+
+    suspend fun dispatch(
+        exchange: Exchange,
+        answer: AnswerWriter,
+    ): Outcome {
+        val view = holder.view
+        val plan =
+            when (val target = exchange.target) {
+                is RequestTarget.Model ->
+                    planModel(exchange, target, view)
+                        ?: return Outcome.NotRun(RefusalReason.MODEL_NOT_OFFERED, target.name)
+                is RequestTarget.Service ->
+                    planService(exchange, target, view)
+                        ?: return Outcome.NotRun(RefusalReason.SERVICE_NOT_OFFERED, target.name)
+            }
+        return run(exchange, plan, answer)
+    }
+
+    private fun planModel(
+        exchange: Exchange,
+        target: RequestTarget.Model,
+        view: ClusterView,
+    ): Plan? {
+        val offered = view.catalogue.resolve(target.name)?.takeIf { it.offer.replicas > 0 } ?: return null
+        val offer = offered.offer
+        val placed =
+            view.validRights(offer.model).mapNotNull { right ->
+                view.fleet.targets[right.target]?.takeUnless { it.leaving }?.let {
+                    right.rank to
+                        it
+                }
+            }
+        return Plan(
+            candidates = order(placed, offer.model, exchange),
+            work = Work.Completion(exchange.path, offer.model, offered.adapter?.adapter, exchange.body),
+            model = offer.model,
+            priority = exchange.priority ?: offer.priority,
+            repeatable = true,
+        )
+    }
+
+    private fun planService(
+        exchange: Exchange,
+        target: RequestTarget.Service,
+        view: ClusterView,
+    ): Plan? {
+        val targets =
+            view.fleet.byService[ServiceId(target.name)]
+                .orEmpty()
+                .filter { it.record.kind == TargetKind.PLAIN }
+        if (targets.isEmpty()) return null
+        return Plan(
+            candidates = order(targets.filterNot { it.leaving }.map { 0 to it }, PLAIN_SERVICE.model, exchange),
+            work = exchange.plainCall(),
+            model = PLAIN_SERVICE.model,
+            priority = exchange.priority ?: DEFAULT_PRIORITY,
+            repeatable = exchange.method in REPEATABLE_METHODS,
+        )
+    }
+
+    private fun order(
+        ranked: List<Pair<Int, PlacedTarget>>,
+        model: ModelId,
+        exchange: Exchange,
+    ): List<PlacedTarget> {
+        val byTarget = ranked.associate { (_, target) -> target.record.target to target }
+        val candidates =
+            ranked.map { (rank, target) ->
+                Candidate(
+                    target = target.record.target,
+                    location = target.location,
+                    rank = rank,
+                    warm = model == PLAIN_SERVICE.model || links.isWarm(target.record.target, model) == true,
+                    outstanding = links.outstanding(target.record.target),
+                    suspect = links.isSuspect(target.record.target),
+                )
+            }
+        val crossRegion = exchange.deadlineMs - clock.nowMs() >= settings.crossRegionMinimumMs
+        val prefix = exchange.body.decodeToString(endIndex = minOf(exchange.body.size, PREFIX_BYTES))
+        return Router.order(candidates, settings.location, prefix, crossRegion).map { byTarget.getValue(it.target) }
+    }
+
+    private suspend fun run(
+        exchange: Exchange,
+        plan: Plan,
+        answer: AnswerWriter,
+    ): Outcome {
+        val byTarget = plan.candidates.associateBy { it.record.target }
+        val machine =
+            RequestMachine(
+                candidates = plan.candidates.map { it.record.target },
+                repeatable = plan.repeatable,
+                retryPermitted = { links.budget(it).withdraw() },
+            )
+        var step = machine.start()
+        while (true) {
+            step =
+                when (val current = step) {
+                    is RequestStep.Send -> {
+                        note(exchange, current)
+                        machine.next(attempt(exchange, plan, byTarget.getValue(current.target), machine, answer))
+                    }
+                    is RequestStep.Conclude -> return current.outcome
+                    RequestStep.Wait, RequestStep.Withdraw -> error("The machine asked for $current although no attempt is in progress.")
+                }
+        }
+    }
+
+    private fun note(
+        exchange: Exchange,
+        step: RequestStep.Send,
+    ) {
+        val reason = step.retryReason
+        if (reason == null) {
+            links.budget(step.target).deposit()
+        } else {
+            metrics.count(MetricName.RETRIES, reason)
+            EventLog.info("request retried", LogFields(exchange.id, step.target, reason = reason))
+        }
+    }
+
+    /** Makes one attempt and returns the event that ended it. */
+    private suspend fun attempt(
+        exchange: Exchange,
+        plan: Plan,
+        target: PlacedTarget,
+        machine: RequestMachine,
+        answer: AnswerWriter,
+    ): RequestEvent {
+        val link = links.link(target)
+        val startedMs = clock.nowMs()
+        val call = link.start(exchange.id, plan.work, exchange.deadlineMs - startedMs, plan.priority)
+        if (call == null) {
+            links.noteUnreachable(target.record.target)
+            return RequestEvent.NotSent
+        }
+        var concluded = false
+        try {
+            val event = receive(exchange, plan, target, link, call, machine, answer)
+            concluded = event != RequestEvent.DeadlinePassed
+            return event
+        } finally {
+            withContext(NonCancellable) { link.finish(call, concluded) }
+        }
+    }
+
+    private suspend fun receive(
+        exchange: Exchange,
+        plan: Plan,
+        target: PlacedTarget,
+        link: TargetLink,
+        call: TargetCall,
+        machine: RequestMachine,
+        answer: AnswerWriter,
+    ): RequestEvent {
+        val crossRegion = settings.location.distanceTo(target.location) == Distance.OTHER_REGION
+        var withdrawing = false
+        var passedOn = 0L
+        var acknowledged = 0L
+        while (true) {
+            val limitMs = exchange.deadlineMs - (if (withdrawing) 0 else WITHDRAW_MARGIN_MS) - clock.nowMs()
+            val event = withTimeoutOrNull(limitMs.coerceAtLeast(1)) { call.events.receive() }
+            when (event) {
+                is CallEvent.Head -> {
+                    links.noteWarm(target.record.target, plan.model, event.status < FIRST_ERROR_STATUS)
+                    links.noteReachable(target.record.target)
+                    machine.next(RequestEvent.Progress)
+                    answer.head(event.status, event.contentType)
+                }
+                is CallEvent.Bytes -> {
+                    if (crossRegion) metrics.count(MetricName.CROSS_REGION_BYTES, "answer", event.bytes.size.toDouble())
+                    answer.write(event.bytes)
+                    passedOn += event.bytes.size
+                    if (passedOn - acknowledged >= ACKNOWLEDGE_BYTES) {
+                        link.acknowledge(call, passedOn)
+                        acknowledged = passedOn
+                    }
+                }
+                CallEvent.Completed -> return RequestEvent.Completed
+                is CallEvent.Refused -> return refusal(event, withdrawing, target.record.target, plan.model)
+                is CallEvent.Failed -> return RequestEvent.Failed(event.reason)
+                CallEvent.Lost -> return RequestEvent.Lost.also { links.noteUnreachable(target.record.target) }
+                CallEvent.Running -> Unit
+                null -> {
+                    if (withdrawing) return RequestEvent.DeadlinePassed
+                    withdrawing = true
+                    if (machine.next(RequestEvent.DeadlineNear) == RequestStep.Withdraw) link.withdraw(call)
+                }
+            }
+        }
+    }
+
+    private fun refusal(
+        event: CallEvent.Refused,
+        withdrawing: Boolean,
+        target: TargetId,
+        model: ModelId,
+    ): RequestEvent {
+        links.noteWarm(target, model, false)
+        return RequestEvent.Refused(if (withdrawing) RefusalReason.DEADLINE_PASSED else event.reason)
+    }
+
+    private companion object {
+        /** Time before the deadline at which a request that has not begun is taken back. */
+        const val WITHDRAW_MARGIN_MS = 300L
+        const val ACKNOWLEDGE_BYTES = 64 * 1024
+        const val DEFAULT_PRIORITY = 5
+        const val PREFIX_BYTES = 256
+        const val FIRST_ERROR_STATUS = 400
+        val REPEATABLE_METHODS = setOf("GET", "HEAD", "OPTIONS")
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/EntryProcess.kt
@@ -0,0 +1,110 @@
+package org.almondjunction.entry
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.server.engine.EmbeddedServer
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.almondjunction.common.Clock
+import org.almondjunction.common.EventLog
+import org.almondjunction.common.LogFields
+import org.almondjunction.common.MetricName
+import org.almondjunction.common.Metrics
+import org.almondjunction.common.SystemClock
+import org.almondjunction.platform.HttpObjectStore
+import org.almondjunction.protocol.Listener
+
+/** One entry host's process: serves callers and operators, and runs the controllers while it holds their lease. */
+public class EntryProcess(
+    private val settings: EntrySettings,
+    token: String,
+    private val clock: Clock = SystemClock,
+) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val metrics = Metrics()
+    private val store = HttpObjectStore(settings.platform, metrics)
+    private val holder = StateHolder()
+    private val state = StateController(settings, holder, store, selector, clock, metrics, scope)
+    private val members = MembershipController(settings, holder, store)
+    private val peers = PeerQueries(settings, holder, selector, metrics, scope)
+    private val internal = InternalServer(settings, holder, state, RightsReleaser(store, holder), members, clock, metrics, scope)
+    private val leader =
+        LeaderController(settings, holder, store, clock, scope, SnapshotWriter(store), DepartureController(settings, clock, peers))
+    private val drain = DrainState()
+    private val dispatcher = Dispatcher(settings, holder, TargetLinks(settings, selector, clock, metrics, scope), clock, metrics)
+    private val handle = chain(listOf(ReadinessFilter(holder, drain), IdempotencyFilter(store, scope)), dispatcher::dispatch)
+    private val callers = CallerServer(settings, holder, handle, clock, metrics).create()
+    private val admin =
+        AdminServer(
+            settings,
+            token,
+            holder,
+            drain,
+            TicketService(store, peers),
+            StatusService(settings, holder, state, leader, peers, clock),
+            metrics,
+        ).create()
+    private val stopped = CompletableDeferred<Unit>()
+    private var stopping: Job? = null
+    private lateinit var listener: Job
+
+    /** Starts serving; throws when an address is in use. */
+    public suspend fun start() {
+        listener =
+            Listener(selector, scope, metrics).listen(
+                settings.internal,
+                onMessage = { connection, message -> internal.onMessage(connection, message) },
+                onClosed = { connection -> internal.onClosed(connection) },
+            )
+        state.start()
+        internal.start()
+        leader.start()
+        scope.launch { members.join() }
+        metrics.gauge(MetricName.STATE_SEQUENCE) { holder.view.catalogue.sequence }
+        admin.start(wait = false)
+        callers.start(wait = false)
+        EventLog.info("entry host started", LogFields(outcome = settings.host.value))
+    }
+
+    /** Begins a graceful stop; the second call ends it without waiting for requests in progress. */
+    public fun requestStop() {
+        if (stopping != null) {
+            stopped.complete(Unit)
+            return
+        }
+        stopping =
+            scope.launch {
+                drain.leaving = true
+                delay(settings.drainNoticeMs)
+                drain.refusing = true
+                leader.resign()
+                withTimeoutOrNull(settings.drainLimitMs) { while (drain.inProgress > 0) delay(DRAIN_CHECK_MS) }
+                listener.cancel()
+                internal.closeAll()
+                members.leave()
+                stopped.complete(Unit)
+            }
+    }
+
+    /** Suspends until a requested stop is complete. */
+    public suspend fun awaitStop() {
+        stopped.await()
+        EventLog.info("entry host stopped", LogFields(outcome = settings.host.value))
+        listOf<EmbeddedServer<*, *>>(callers, admin).forEach { it.stop(0, SERVER_STOP_MS) }
+        scope.cancel()
+        store.close()
+        selector.close()
+    }
+
+    private companion object {
+        const val DRAIN_CHECK_MS = 50L
+        const val SERVER_STOP_MS = 300L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/InternalServer.kt
@@ -0,0 +1,176 @@
+package org.almondjunction.entry
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.almondjunction.common.Clock
+import org.almondjunction.common.HostId
+import org.almondjunction.common.MetricName
+import org.almondjunction.common.Metrics
+import org.almondjunction.common.TargetId
+import org.almondjunction.decisions.ClusterView
+import org.almondjunction.decisions.ModelOffer
+import org.almondjunction.decisions.Right
+import org.almondjunction.protocol.Connection
+import org.almondjunction.protocol.Message
+import java.util.concurrent.ConcurrentHashMap
+
+/** Serves agents and other entry hosts: passes the accepted state on and collects their word. */
+internal class InternalServer(
+    private val settings: EntrySettings,
+    private val holder: StateHolder,
+    private val state: StateController,
+    private val releases: RightsReleaser,
+    private val members: MembershipController,
+    private val clock: Clock,
+    private val metrics: Metrics,
+    private val scope: CoroutineScope,
+) {
+    private val startedMs = clock.nowMs()
+    private val agents = ConcurrentHashMap<Connection, AgentSession>()
+    private val followers = ConcurrentHashMap<Connection, ClusterView>()
+    private val lastHeardMs = ConcurrentHashMap<HostId, Long>()
+    private val statuses = ConcurrentHashMap<TargetId, Message.AgentStatus>()
+
+    /** Last status of each agent that has a session here. */
+    val agentStatuses: List<Message.AgentStatus> get() = agents.values.mapNotNull { statuses[it.target] }
+
+    fun start() {
+        scope.launch {
+            holder.views.collect { view ->
+                agents.forEach { (connection, session) -> update(connection, session, view) }
+                followers.forEach { (connection, known) -> relay(connection, known, view) }
+            }
+        }
+    }
+
+    suspend fun onMessage(
+        connection: Connection,
+        message: Message,
+    ) {
+        agents[connection]?.let { lastHeardMs[it.host] = clock.nowMs() }
+        when (message) {
+            is Message.Hello -> greet(connection, message)
+            is Message.Ping -> connection.send(Message.Pong(message.sentMs))
+            is Message.SubscribeTarget -> subscribe(connection, message)
+            is Message.AgentStatus -> statuses[message.target] = message
+            is Message.GiveBack -> scope.launch { releases.release(message.rights) }
+            is Message.SubscribeAll -> subscribeAll(connection)
+            is Message.StatusQuery -> connection.send(status())
+            is Message.LastHeardQuery -> connection.send(lastHeard(message))
+            else -> {
+                metrics.count(MetricName.PROTOCOL_ERRORS, "unexpected")
+                connection.close()
+            }
+        }
+    }
+
+    fun onClosed(connection: Connection) {
+        agents.remove(connection)
+        followers.remove(connection)
+    }
+
+    /** Ends every session, so that agents turn to another entry host. */
+    fun closeAll() = (agents.keys + followers.keys).forEach { it.close() }
+
+    private fun greet(
+        connection: Connection,
+        hello: Message.Hello,
+    ) {
+        if (hello.protocolVersion == Message.PROTOCOL_VERSION) return
+        metrics.count(MetricName.PROTOCOL_ERRORS, "version")
+        connection.close()
+    }
+
+    private suspend fun subscribe(
+        connection: Connection,
+        message: Message.SubscribeTarget,
+    ) {
+        if (!members.joined) return connection.close()
+        val session = AgentSession(message.target, message.host)
+        agents[connection] = session
+        lastHeardMs[message.host] = clock.nowMs()
+        update(connection, session, holder.view)
+        if (!message.needConfirmed) return
+        scope.launch {
+            if (!state.confirm()) return@launch
+            agents[connection]?.let { current ->
+                current.confirmed = true
+                current.sent = null
+                update(connection, current, holder.view)
+            }
+        }
+    }
+
+    private suspend fun update(
+        connection: Connection,
+        session: AgentSession,
+        view: ClusterView,
+    ) {
+        if (!view.ready) return
+        val slice = TargetSlice.of(session.target, view)
+        if (slice != session.sent) {
+            session.sent = slice
+            connection.send(
+                Message.TargetStateUpdate(view.revision, view.catalogue.sequence, slice.offers, slice.rights, session.confirmed),
+            )
+        } else if (view.catalogue.sequence != session.sentSequence) {
+            connection.send(Message.SequenceUpdate(view.catalogue.sequence))
+        }
+        session.sentSequence = view.catalogue.sequence
+    }
+
+    private suspend fun subscribeAll(connection: Connection) {
+        val view = holder.view
+        followers[connection] = view
+        if (view.ready) connection.send(Message.RelayedChange(view.toChange()))
+    }
+
+    private suspend fun relay(
+        connection: Connection,
+        known: ClusterView,
+        view: ClusterView,
+    ) {
+        if (view === known) return
+        followers[connection] = view
+        connection.send(Message.RelayedChange(view.changeSince(known)))
+    }
+
+    private fun status() = Message.StatusReply(settings.host, holder.view.catalogue.sequence, agentStatuses, crossRegionBytes = 0)
+
+    private fun lastHeard(query: Message.LastHeardQuery): Message.LastHeardReply {
+        val nowMs = clock.nowMs()
+        val ages = query.hosts.mapNotNull { host -> lastHeardMs[host]?.let { host to nowMs - it } }.toMap()
+        return Message.LastHeardReply(settings.host.value, upMs = nowMs - startedMs, agesMs = ages)
+    }
+}
+
+/** An agent's subscription. */
+internal class AgentSession(
+    val target: TargetId,
+    val host: HostId,
+) {
+    @Volatile
+    var sent: TargetSlice? = null
+
+    @Volatile
+    var sentSequence = -1L
+
+    @Volatile
+    var confirmed = false
+}
+
+/** The part of the accepted state that concerns one target. */
+internal data class TargetSlice(
+    val offers: List<ModelOffer>,
+    val rights: List<Right>,
+) {
+    companion object {
+        fun of(
+            target: TargetId,
+            view: ClusterView,
+        ): TargetSlice {
+            val rights = view.rightsByTarget[target].orEmpty()
+            return TargetSlice(rights.mapNotNull { view.catalogue.offers[it.model] }.distinct(), rights)
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/LeaderController.kt
@@ -0,0 +1,141 @@
+package org.almondjunction.entry
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.Json
+import org.almondjunction.common.Clock
+import org.almondjunction.common.EventLog
+import org.almondjunction.common.HostId
+import org.almondjunction.common.LogFields
+import org.almondjunction.decisions.ClusterView
+import org.almondjunction.decisions.Lease
+import org.almondjunction.decisions.LeaseAction
+import org.almondjunction.decisions.LeaseObserver
+import org.almondjunction.decisions.Placement
+import org.almondjunction.decisions.PlacementInput
+import org.almondjunction.decisions.Rendezvous
+import org.almondjunction.decisions.RightsShard
+import org.almondjunction.decisions.StoreCall
+import org.almondjunction.decisions.StoreKeys
+import org.almondjunction.decisions.StoreReply
+import org.almondjunction.platform.ObjectStore
+
+/** Runs the controllers while this process holds the lease. Every write is conditional on the version that it was decided from. */
+internal class LeaderController(
+    private val settings: EntrySettings,
+    private val holder: StateHolder,
+    private val store: ObjectStore,
+    private val clock: Clock,
+    private val scope: CoroutineScope,
+    private val snapshots: SnapshotWriter,
+    private val departures: DepartureController,
+) {
+    private val observer = LeaseObserver(settings.host.value, settings.leaseMs)
+    private var version = 0L
+
+    /** Whether this process held the lease when it last looked. */
+    @Volatile
+    var leading: Boolean = false
+        private set
+
+    fun start() {
+        scope.launch {
+            while (true) {
+                look()
+                delay(
+                    if (leading) settings.leaseMs / RENEWALS_PER_LEASE else settings.leaseMs / RENEWALS_PER_LEASE * (1 + candidateIndex()),
+                )
+            }
+        }
+        scope.launch { act() }
+    }
+
+    /** Gives the lease up so that another process takes it at once. */
+    suspend fun resign() {
+        if (!leading) return
+        leading = false
+        val found = store.call(StoreCall.Read(StoreKeys.CONTROLLER_LEASE)) as? StoreReply.Found ?: return
+        val lease = Json.decodeFromString<Lease>(found.value)
+        if (lease.holder == settings.host.value) write(lease.copy(holder = ""), found.version)
+    }
+
+    private fun candidateIndex(): Int {
+        val hosts =
+            holder.view.fleet.hosts
+                .filter { it.entry != null }
+                .map { it.host }
+        return Rendezvous.order("controller", hosts) { it.value }.indexOf(settings.host).coerceAtLeast(0)
+    }
+
+    private suspend fun look() {
+        val reply = store.call(StoreCall.Read(StoreKeys.CONTROLLER_LEASE))
+        val current =
+            when (reply) {
+                is StoreReply.Found -> Json.decodeFromString<Lease>(reply.value).also { version = reply.version }
+                StoreReply.Absent -> null.also { version = 0 }
+                is StoreReply.Written, StoreReply.Conflict, StoreReply.Lost -> return
+            }
+        val won =
+            when (val action = observer.observe(current, clock.nowMs())) {
+                LeaseAction.Wait -> false
+                is LeaseAction.Write -> write(action.lease, version)
+            }
+        if (won !=
+            leading
+        ) {
+            EventLog.info(if (won) "controller lease taken" else "controller lease lost", LogFields(outcome = settings.host.value))
+        }
+        leading = won
+    }
+
+    private suspend fun write(
+        lease: Lease,
+        observedVersion: Long,
+    ): Boolean {
+        val value = Json.encodeToString(Lease.serializer(), lease)
+        val call =
+            if (observedVersion == 0L) {
+                StoreCall.Create(StoreKeys.CONTROLLER_LEASE, value)
+            } else {
+                StoreCall.Replace(StoreKeys.CONTROLLER_LEASE, value, observedVersion)
+            }
+        return store.call(call) is StoreReply.Written
+    }
+
+    private suspend fun act() {
+        while (true) {
+            delay(ACT_INTERVAL_MS)
+            if (!leading) continue
+            val view = holder.view
+            if (!view.ready || view.fleetVersion == 0L) continue
+            place(view, departures.provenGone(view))
+            snapshots.writeIfDue(view)
+        }
+    }
+
+    private suspend fun place(
+        view: ClusterView,
+        provenGone: Set<HostId>,
+    ) {
+        val input =
+            PlacementInput(
+                catalogue = view.catalogue,
+                fleet = view.fleet,
+                shards = (0 until RightsShard.COUNT).associateWith { view.shards[it]?.shard ?: RightsShard() },
+                hostOfLostTarget = view.hostOfLostTarget,
+                provenGone = provenGone,
+            )
+        Placement.plan(input).forEach { (index, shard) ->
+            val key = StoreKeys.rights(index)
+            val value = Json.encodeToString(RightsShard.serializer(), shard)
+            val observed = view.shards[index]?.version
+            store.call(if (observed == null) StoreCall.Create(key, value) else StoreCall.Replace(key, value, observed))
+        }
+    }
+
+    private companion object {
+        const val RENEWALS_PER_LEASE = 4
+        const val ACT_INTERVAL_MS = 200L
+    }
+}
--- a/entry/src/main/kotlin/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.almondjunction.entry
-
-internal const val PLACEHOLDER: Int = 1
--- /dev/null
+++ b/entry/src/main/kotlin/ReadinessFilter.kt
@@ -0,0 +1,26 @@
+package org.almondjunction.entry
+
+import org.almondjunction.common.Outcome
+import org.almondjunction.common.RefusalReason
+
+/** Refuses requests while this process has no accepted state, or when it is past the notice of its stop. */
+internal class ReadinessFilter(
+    private val holder: StateHolder,
+    private val drain: DrainState,
+) : RequestFilter {
+    override suspend fun handle(
+        exchange: Exchange,
+        answer: AnswerWriter,
+        next: suspend (Exchange, AnswerWriter) -> Outcome,
+    ): Outcome =
+        when {
+            !holder.view.ready -> Outcome.NotRun(RefusalReason.NOT_READY)
+            !drain.enter() -> Outcome.NotRun(RefusalReason.LEAVING)
+            else ->
+                try {
+                    next(exchange, answer)
+                } finally {
+                    drain.exit()
+                }
+        }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/RightsReleaser.kt
@@ -0,0 +1,54 @@
+package org.almondjunction.entry
+
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.serialization.json.Json
+import org.almondjunction.decisions.RightKey
+import org.almondjunction.decisions.RightsShard
+import org.almondjunction.decisions.StoreCall
+import org.almondjunction.decisions.StoreKeys
+import org.almondjunction.decisions.StoreReply
+import org.almondjunction.platform.ObjectStore
+
+/** Removes rights that an agent gave back. Needs no leader: the agent's word is proof, and the update is conditional. */
+internal class RightsReleaser(
+    private val store: ObjectStore,
+    private val holder: StateHolder,
+) {
+    private val mutex = Mutex()
+
+    /** Removes [rights] from their shards; what fails is left to the agent's next repetition. */
+    suspend fun release(rights: List<RightKey>) {
+        mutex.withLock {
+            rights.groupBy { RightsShard.of(it.model) }.forEach { (index, keys) ->
+                if (isHeld(index, keys)) release(index, keys)
+            }
+        }
+    }
+
+    private fun isHeld(
+        index: Int,
+        keys: List<RightKey>,
+    ): Boolean = holder.view.shards[index]?.let { it.shard != it.shard.release(keys) } ?: true
+
+    private suspend fun release(
+        index: Int,
+        keys: List<RightKey>,
+    ) {
+        repeat(MAXIMUM_TRIES) {
+            val found = store.call(StoreCall.Read(StoreKeys.rights(index))) as? StoreReply.Found ?: return
+            val shard = Json.decodeFromString<RightsShard>(found.value)
+            val released = shard.release(keys)
+            if (released == shard) return
+            val value = Json.encodeToString(RightsShard.serializer(), released)
+            when (store.call(StoreCall.Replace(StoreKeys.rights(index), value, found.version))) {
+                is StoreReply.Written, StoreReply.Lost -> return
+                StoreReply.Conflict, StoreReply.Absent, is StoreReply.Found -> Unit
+            }
+        }
+    }
+
+    private companion object {
+        const val MAXIMUM_TRIES = 5
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/StateController.kt
@@ -0,0 +1,181 @@
+package org.almondjunction.entry
+
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.Json
+import org.almondjunction.common.Address
+import org.almondjunction.common.Clock
+import org.almondjunction.common.MetricName
+import org.almondjunction.common.Metrics
+import org.almondjunction.decisions.Backoff
+import org.almondjunction.decisions.Rendezvous
+import org.almondjunction.decisions.StateChange
+import org.almondjunction.decisions.StoreKeys
+import org.almondjunction.decisions.TicketHead
+import org.almondjunction.platform.ObjectListing
+import org.almondjunction.platform.ObjectStore
+import org.almondjunction.protocol.Connection
+import org.almondjunction.protocol.Message
+import kotlin.random.Random
+
+/**
+ * Keeps the accepted state up to date.
+ *
+ * A few entry hosts of each zone watch the platform's service; the others follow one of those. While the service does not answer,
+ * every entry host follows a peer if it can.
+ */
+internal class StateController(
+    private val settings: EntrySettings,
+    private val holder: StateHolder,
+    private val store: ObjectStore,
+    private val selector: SelectorManager,
+    private val clock: Clock,
+    private val metrics: Metrics,
+    private val scope: CoroutineScope,
+) {
+    private val catalogues = CatalogueReader(store)
+    private val backoff = Backoff(initialMs = 200, maximumMs = 5_000, random = Random.Default)
+    private val confirmations = Channel<CompletableDeferred<Boolean>>(Channel.UNLIMITED)
+    private var nextPeer = 0
+
+    /** When the platform's service last answered; null before it ever did. */
+    @Volatile
+    var lastAnswerMs: Long? = null
+        private set
+
+    fun start() {
+        scope.launch { followState() }
+        scope.launch { followFleet() }
+        scope.launch { serveConfirmations() }
+    }
+
+    /** Returns true once a read of the platform's service that began after this call has been applied. */
+    suspend fun confirm(): Boolean = CompletableDeferred<Boolean>().also { confirmations.send(it) }.await()
+
+    private suspend fun serveConfirmations() {
+        for (first in confirmations) {
+            val waiting = mutableListOf(first)
+            while (true) waiting += confirmations.tryReceive().getOrNull() ?: break
+            val confirmed = refresh()
+            waiting.forEach { it.complete(confirmed) }
+            delay(CONFIRM_INTERVAL_MS / 2 + Random.nextLong(CONFIRM_INTERVAL_MS))
+        }
+    }
+
+    private suspend fun followState() {
+        while (true) {
+            if (isWatcher()) {
+                if (watch()) continue
+                backoffOrFollow()
+            } else if (!follow(FOLLOW_UNTIL_SILENT_MS)) {
+                watch()
+            }
+        }
+    }
+
+    private suspend fun backoffOrFollow() {
+        delay(backoff.nextDelayMs())
+        follow(FOLLOW_DURING_OUTAGE_MS)
+    }
+
+    private fun isWatcher(): Boolean {
+        val hosts =
+            holder.view.fleet.hosts
+                .filter { it.entry != null && it.location.zone == settings.location.zone }
+        val order = Rendezvous.order("watchers", hosts.map { it.host }) { it.value }
+        return settings.host !in order || order.indexOf(settings.host) < WATCHERS_PER_ZONE
+    }
+
+    /** Waits for one change; returns false when the service did not answer. */
+    private suspend fun watch(): Boolean {
+        val view = holder.view
+        val listing =
+            if (view.ready) store.watch(StoreKeys.WATCHED_PREFIX, view.revision, WATCH_MS) else store.list(StoreKeys.WATCHED_PREFIX)
+        return listing != null && take(listing)
+    }
+
+    private suspend fun refresh(): Boolean = store.list(StoreKeys.WATCHED_PREFIX)?.let { take(it) } ?: false
+
+    private suspend fun take(listing: ObjectListing): Boolean {
+        val head = listing.objects.firstOrNull { it.key == StoreKeys.HEAD }?.let { Json.decodeFromString<TicketHead>(it.value) }
+        val catalogue = if (head == null) null else catalogues.catchUp(holder.view.catalogue, head) ?: return false
+        lastAnswerMs = clock.nowMs()
+        backoff.reset()
+        holder.apply(StateChange(revision = maxOf(1, listing.revision), objects = listing.objects, catalogue = catalogue))
+        return true
+    }
+
+    private suspend fun followFleet() {
+        while (true) {
+            val version = holder.view.fleetVersion
+            val listing = if (isWatcher()) store.hosts(version, if (version == 0L) 0 else WATCH_MS) else null
+            if (listing == null) {
+                delay(FLEET_RETRY_MS + Random.nextLong(FLEET_RETRY_MS))
+            } else if (listing.version > version) {
+                holder.apply(StateChange(revision = 0, fleet = listing.fleet, fleetVersion = listing.version))
+            }
+        }
+    }
+
+    /** Follows one peer until it is silent, at most for [durationMs]; returns false when no peer could be reached. */
+    private suspend fun follow(durationMs: Long): Boolean {
+        val peers = peers()
+        if (peers.isEmpty()) return false
+        val peer = peers[nextPeer++ % peers.size]
+        var lastHeardMs = clock.nowMs()
+        val connection =
+            withTimeoutOrNull(DIAL_TIMEOUT_MS) {
+                runCatching {
+                    Connection.dial(
+                        selector,
+                        peer,
+                        scope,
+                        metrics,
+                        onMessage = { _, message ->
+                            lastHeardMs = clock.nowMs()
+                            if (message is Message.RelayedChange) holder.apply(message.change)
+                        },
+                        onClosed = {},
+                    )
+                }.getOrNull()
+            } ?: return false
+        val endMs = clock.nowMs() + durationMs
+        connection.send(Message.Hello(settings.host.value, incarnation = ""))
+        connection.send(Message.SubscribeAll(holder.view.revision))
+        while (!connection.closed && clock.nowMs() - lastHeardMs < PEER_SILENCE_MS && clock.nowMs() < endMs) {
+            connection.send(Message.Ping(clock.nowMs()))
+            delay(PEER_PING_MS)
+        }
+        connection.close()
+        metrics.count(MetricName.RECONNECTIONS, "peer")
+        return true
+    }
+
+    private fun peers(): List<Address> {
+        val hosts =
+            holder.view.fleet.hosts.filter {
+                it.entry != null &&
+                    it.host != settings.host &&
+                    it.location.zone == settings.location.zone
+            }
+        val watchers = Rendezvous.order("watchers", hosts) { it.host.value }.take(WATCHERS_PER_ZONE).mapNotNull { it.entry }
+        return watchers.ifEmpty { settings.peers }
+    }
+
+    private companion object {
+        const val WATCHERS_PER_ZONE = 2
+        const val WATCH_MS = 25_000L
+        const val CONFIRM_INTERVAL_MS = 1_000L
+        const val FLEET_RETRY_MS = 500L
+        const val FOLLOW_UNTIL_SILENT_MS = 3_600_000L
+        const val FOLLOW_DURING_OUTAGE_MS = 4_000L
+        const val PEER_PING_MS = 500L
+        const val PEER_SILENCE_MS = 2_000L
+        const val DIAL_TIMEOUT_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/TargetLinks.kt
@@ -0,0 +1,61 @@
+package org.almondjunction.entry
+
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineScope
+import org.almondjunction.common.Clock
+import org.almondjunction.common.Metrics
+import org.almondjunction.common.ModelId
+import org.almondjunction.common.TargetId
+import org.almondjunction.decisions.PlacedTarget
+import org.almondjunction.decisions.RetryBudget
+import java.util.concurrent.ConcurrentHashMap
+
+/** The links of this entry host, and what it learned about the targets behind them. */
+internal class TargetLinks(
+    private val settings: EntrySettings,
+    private val selector: SelectorManager,
+    private val clock: Clock,
+    private val metrics: Metrics,
+    private val scope: CoroutineScope,
+) {
+    private val links = ConcurrentHashMap<TargetId, TargetLink>()
+    private val budgets = ConcurrentHashMap<TargetId, RetryBudget>()
+    private val warm = ConcurrentHashMap<Pair<TargetId, ModelId>, Boolean>()
+    private val suspectUntilMs = ConcurrentHashMap<TargetId, Long>()
+
+    fun link(target: PlacedTarget): TargetLink =
+        links.computeIfAbsent(
+            target.record.target,
+        ) { TargetLink(settings.host.value, target.record.agent, selector, clock, metrics, scope) }
+
+    fun budget(target: TargetId): RetryBudget = budgets.computeIfAbsent(target) { RetryBudget() }
+
+    fun outstanding(target: TargetId): Int = links[target]?.outstanding ?: 0
+
+    fun isWarm(
+        target: TargetId,
+        model: ModelId,
+    ): Boolean? = warm[target to model]
+
+    fun noteWarm(
+        target: TargetId,
+        model: ModelId,
+        value: Boolean,
+    ) {
+        warm[target to model] = value
+    }
+
+    fun isSuspect(target: TargetId): Boolean = (suspectUntilMs[target] ?: 0) > clock.nowMs()
+
+    fun noteUnreachable(target: TargetId) {
+        suspectUntilMs[target] = clock.nowMs() + SUSPECT_MS
+    }
+
+    fun noteReachable(target: TargetId) {
+        suspectUntilMs.remove(target)
+    }
+
+    private companion object {
+        const val SUSPECT_MS = 2_000L
+    }
+}
--- /dev/null
+++ b/protocol/src/main/kotlin/Connection.kt
@@ -0,0 +1,154 @@
+package org.almondjunction.protocol
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeByteArray
+import io.ktor.utils.io.writeInt
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.launch
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.cbor.Cbor
+import org.almondjunction.common.Address
+import org.almondjunction.common.MetricName
+import org.almondjunction.common.Metrics
+
+/**
+ * A connection to another process of the system: frames of a four-byte length and a CBOR [Message].
+ *
+ * A peer that sends an oversized or unreadable frame is disconnected; [metrics] counts it.
+ */
+public class Connection private constructor(
+    private val socket: Socket,
+    private val scope: CoroutineScope,
+    private val metrics: Metrics,
+) {
+    private val outgoing = Channel<Message>(OUTGOING_CAPACITY)
+    private lateinit var jobs: List<Job>
+
+    /** Whether the connection has ended. */
+    @Volatile
+    public var closed: Boolean = false
+        private set
+
+    /** Queues [message]; suspends while the peer reads slowly. Returns false when the connection has ended. */
+    public suspend fun send(message: Message): Boolean =
+        try {
+            outgoing.send(message)
+            true
+        } catch (cancellation: CancellationException) {
+            if (closed) false else throw cancellation
+        } catch (_: Exception) {
+            false
+        }
+
+    /** Ends the connection at once. */
+    public fun close() {
+        closed = true
+        outgoing.close()
+        socket.close()
+        jobs.forEach { it.cancel() }
+    }
+
+    private fun start(
+        onMessage: suspend (Connection, Message) -> Unit,
+        onClosed: suspend (Connection) -> Unit,
+    ) {
+        val writer = scope.launch(start = CoroutineStart.LAZY) { guarded { write() } }
+        val reader =
+            scope.launch(start = CoroutineStart.LAZY) {
+                guarded { read { onMessage(this@Connection, it) } }
+                closed = true
+                outgoing.close()
+                socket.close()
+                writer.cancel()
+                onClosed(this@Connection)
+            }
+        jobs = listOf(reader, writer)
+        writer.start()
+        reader.start()
+    }
+
+    private suspend fun guarded(block: suspend () -> Unit) {
+        try {
+            block()
+        } catch (cancellation: CancellationException) {
+            if (!closed) throw cancellation
+        } catch (_: Exception) {
+            closed = true
+        }
+        socket.close()
+    }
+
+    private suspend fun write() {
+        val channel = socket.openWriteChannel(autoFlush = false)
+        for (first in outgoing) {
+            var message: Message? = first
+            while (message != null) {
+                val frame = CODEC.encodeToByteArray(Message.serializer(), message)
+                channel.writeInt(frame.size)
+                channel.writeByteArray(frame)
+                if (message !is Message.AboutRequest) metrics.count(MetricName.CONTROL_BYTES, "sent", frame.size.toDouble())
+                message = outgoing.tryReceive().getOrNull()
+            }
+            channel.flush()
+        }
+    }
+
+    private suspend fun read(onMessage: suspend (Message) -> Unit) {
+        val channel = socket.openReadChannel()
+        while (true) {
+            val size = channel.readInt()
+            if (size !in 1..MAXIMUM_FRAME_BYTES) return metrics.count(MetricName.PROTOCOL_ERRORS, "frame-size")
+            val frame = channel.readByteArray(size)
+            val message =
+                try {
+                    CODEC.decodeFromByteArray(Message.serializer(), frame)
+                } catch (_: IllegalArgumentException) {
+                    return metrics.count(MetricName.PROTOCOL_ERRORS, "unreadable")
+                }
+            if (message !is Message.AboutRequest) metrics.count(MetricName.CONTROL_BYTES, "received", frame.size.toDouble())
+            onMessage(message)
+        }
+    }
+
+    public companion object {
+        /** Largest frame that is sent or taken, in bytes. */
+        public const val MAXIMUM_FRAME_BYTES: Int = 8 * 1024 * 1024
+
+        private const val OUTGOING_CAPACITY = 256
+
+        @OptIn(ExperimentalSerializationApi::class)
+        private val CODEC = Cbor { ignoreUnknownKeys = true }
+
+        /** Connects to [address]; throws when it cannot be reached. */
+        public suspend fun dial(
+            selector: SelectorManager,
+            address: Address,
+            scope: CoroutineScope,
+            metrics: Metrics,
+            onMessage: suspend (Connection, Message) -> Unit,
+            onClosed: suspend (Connection) -> Unit,
+        ): Connection {
+            val socket = aSocket(selector).tcp().connect(address.ip, address.port) { noDelay = true }
+            return Connection(socket, scope, metrics).apply { start(onMessage, onClosed) }
+        }
+
+        /** Takes the accepted [socket] over. */
+        public fun accept(
+            socket: Socket,
+            scope: CoroutineScope,
+            metrics: Metrics,
+            onMessage: suspend (Connection, Message) -> Unit,
+            onClosed: suspend (Connection) -> Unit,
+        ): Connection = Connection(socket, scope, metrics).apply { start(onMessage, onClosed) }
+    }
+}
--- a/protocol/src/main/kotlin/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.almondjunction.protocol
-
-internal const val PLACEHOLDER: Int = 1
--- a/standins/src/main/kotlin/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.almondjunction.standins
-
-internal const val PLACEHOLDER: Int = 1
