Failures with real processes; rounds, leaving notice, connection end

Cause: nine failures were brought about with real processes; two tests failed. (1) An agent whose first session an entry host closed never came back: the end of a socket reaches the reader as a cancellation, which was taken for the process's own. (2) With an agent restarting, callers heard retry-budget-spent and no-target: every free move past a leaving or unreachable target took from the budget, and a request was refused at once for reasons that pass in seconds. Ruled out: a larger budget (it would also permit costly retries). Change: only a cancelled scope ends a connection's coroutines with it; retries that cost no work are free; a request goes further rounds, each with an identity of its own, while no target can take it for a passing reason; an agent that stops says so on every connection and exits when they are closed.

--- a/agent/src/main/kotlin/AgentProcess.kt
+++ b/agent/src/main/kotlin/AgentProcess.kt
@@ -95,7 +95,7 @@
                 get("/healthz") { call.respondText("ok\n") }
                 get("/readyz") {
                     val state = controller.state
-                    val ready = !state.draining && (state.kind == TargetKind.PLAIN || (state.settled && state.revision > 0))
+                    val ready = !state.draining && (state.kind == TargetKind.PLAIN || (state.settled && state.confirmed))
                     call.respondText(
                         if (ready) "ready\n" else "not ready\n",
                         status = if (ready) HttpStatusCode.OK else HttpStatusCode.ServiceUnavailable,
@@ -112,8 +112,9 @@
             controller.submit(TargetEvent.DrainRequested)
             delay(DRAIN_NOTICE_MS)
             subscriber.sendStatus()
+            server.announceLeaving()
             withTimeoutOrNull(settings.drainLimitMs) { while (server.busy) delay(DRAIN_CHECK_MS) } ?: server.interruptAll()
-            delay(FLUSH_MS)
+            withTimeoutOrNull(CLOSE_LIMIT_MS) { while (server.connected) delay(DRAIN_CHECK_MS) }
             stopped.complete(Unit)
         }
     }
@@ -131,6 +132,8 @@
     private companion object {
         const val DRAIN_NOTICE_MS = 100L
         const val DRAIN_CHECK_MS = 50L
-        const val FLUSH_MS = 300L
+
+        /** Longest wait for entry hosts to close their connections once every answer is sent. */
+        const val CLOSE_LIMIT_MS = 3_000L
     }
 }
--- a/agent/src/main/kotlin/RequestServer.kt
+++ b/agent/src/main/kotlin/RequestServer.kt
@@ -42,6 +42,18 @@
     private val active = ConcurrentHashMap<RequestId, ActiveRequest>()
     private val guards = ConcurrentHashMap<Connection, TransitGuard>()
 
+    @Volatile
+    private var leaving = false
+
+    /** Whether an entry host has a connection to this agent. */
+    val connected: Boolean get() = guards.isNotEmpty()
+
+    /** Tells every entry host that this agent takes nothing new; each closes its connection when it has all its answers. */
+    suspend fun announceLeaving() {
+        leaving = true
+        guards.keys.forEach { it.send(Message.Leaving) }
+    }
+
     /** Whether a request waits, runs, or has an answer that was not yet sent whole. */
     val busy: Boolean get() = active.values.any { !it.ended }
 
@@ -73,7 +85,7 @@
             return connection.close()
         }
         guards[connection] = TransitGuard()
-        connection.send(Message.Hello(target.value, incarnation))
+        connection.send(Message.Hello(target.value, incarnation, leaving = leaving))
     }
 
     private suspend fun start(
--- /dev/null
+++ b/bench/src/test/kotlin/LocalCluster.kt
@@ -0,0 +1,304 @@
+package org.almondjunction.bench
+
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.jsonArray
+import org.almondjunction.common.AdapterId
+import org.almondjunction.common.Address
+import org.almondjunction.common.HostId
+import org.almondjunction.common.Location
+import org.almondjunction.common.ModelId
+import org.almondjunction.common.RegionId
+import org.almondjunction.common.ServiceId
+import org.almondjunction.common.TargetId
+import org.almondjunction.common.TicketNumber
+import org.almondjunction.common.ZoneId
+import org.almondjunction.decisions.AdapterOffer
+import org.almondjunction.decisions.HostRecord
+import org.almondjunction.decisions.HostStatus
+import org.almondjunction.decisions.ModelOffer
+import org.almondjunction.decisions.TargetKind
+import org.almondjunction.decisions.TargetRecord
+import org.almondjunction.decisions.Ticket
+import org.almondjunction.decisions.TicketAcceptance
+import org.almondjunction.standins.EngineOptions
+import org.almondjunction.standins.EngineStandIn
+import org.almondjunction.standins.PlainServiceStandIn
+import org.almondjunction.standins.PlatformStandIn
+import org.almondjunction.standins.WeightStoreStandIn
+import java.net.ServerSocket
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+import kotlin.io.path.writeText
+
+/** Real entry hosts and agents as processes on loopback, before stand-ins in this process. */
+class LocalCluster(
+    private val engines: Int = 2,
+    private val entries: Int = 2,
+    private val tokenMs: Long = 5,
+    private val fencingMs: Long = 600_000,
+) : AutoCloseable {
+    class Node(
+        val name: String,
+        private val command: List<String>,
+        private val log: Path,
+    ) {
+        var process: Process = launch()
+            private set
+
+        private fun launch(): Process =
+            ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                .apply { environment()["ALMONDJUNCTION_TOKEN"] = TOKEN }
+                .start()
+
+        fun kill() = process.destroyForcibly().waitFor()
+
+        fun signal(signal: String) = ProcessBuilder("kill", "-$signal", process.pid().toString()).start().waitFor()
+
+        fun awaitExit(): Int = if (process.waitFor(EXIT_LIMIT_S, TimeUnit.SECONDS)) process.exitValue() else error("$name did not exit.")
+
+        fun restart() {
+            process = launch()
+        }
+    }
+
+    private val directory = Files.createTempDirectory("almondjunction-test")
+    private val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
+    private val platformAddress = address()
+    private val callerAddresses = List(entries) { address() }
+    private val adminAddresses = List(entries) { address() }
+    private val internalAddresses = List(entries) { address() }
+    private val engineAddresses = List(engines) { address() }
+    private val agentAddresses = List(engines) { address() }
+    private val agentAdminAddresses = List(engines) { address() }
+    private val serviceAddress = address()
+    private val serviceAgentAddress = address()
+    private val weights = WeightStoreStandIn(loadsPerSecond = 20.0)
+
+    val engineStandIns = engineAddresses.map { EngineStandIn(it, EngineOptions(ENGINE_MEMORY_MB, tokenMs), weights) }
+    val service = PlainServiceStandIn(serviceAddress, "bench-booking")
+    val platform = PlatformStandIn(platformAddress, hosts(leaving = emptySet()))
+    val entryNodes: List<Node>
+    val agentNodes: List<Node>
+    val serviceAgent: Node
+
+    init {
+        platform.create().start(wait = false)
+        engineStandIns.forEach { it.create().start(wait = false) }
+        service.create().start(wait = false)
+        entryNodes = List(entries) { node("entry", "entry-$it", entrySettings(it)) }
+        agentNodes =
+            List(engines) {
+                node(
+                    "agent",
+                    "engine-$it",
+                    agentSettings("engine-$it", "engine", agentAddresses[it], engineAddresses[it], agentAdminAddresses[it]),
+                )
+            }
+        serviceAgent = node("agent", "booking", agentSettings("booking", "plain", serviceAgentAddress, serviceAddress, address()))
+        repeat(entries) { awaitReady(it) }
+    }
+
+    fun hosts(leaving: Set<String>): JsonArray {
+        val location = Location(RegionId("dalmacija"), ZoneId("split-a"))
+
+        fun host(record: TargetRecord) =
+            HostRecord(
+                HostId("host-${record.target}"),
+                location,
+                if (record.target.value in
+                    leaving
+                ) {
+                    HostStatus.LEAVING
+                } else {
+                    HostStatus.LIVE
+                },
+                listOf(record),
+            )
+        val records =
+            agentAddresses.mapIndexed { index, agent ->
+                host(TargetRecord(TargetId("engine-$index"), ServiceId("wax-advisor"), TargetKind.ENGINE, agent, ENGINE_MEMORY_MB))
+            } +
+                host(TargetRecord(TargetId("booking"), ServiceId("bench-booking"), TargetKind.PLAIN, serviceAgentAddress)) +
+                internalAddresses.mapIndexed { index, entry -> HostRecord(HostId("entry-$index"), location, entry = entry) }
+        return Json.encodeToJsonElement(ListSerializer(HostRecord.serializer()), records).jsonArray
+    }
+
+    fun publishHosts(leaving: Set<String>) = runBlocking { platform.publishHosts(hosts(leaving)) }
+
+    private fun entrySettings(index: Int) =
+        """
+        host = "entry-$index"
+        region = "dalmacija"
+        zone = "split-a"
+        listen = "${callerAddresses[index]}"
+        admin = "${adminAddresses[index]}"
+        internal = "${internalAddresses[index]}"
+        platform = "$platformAddress"
+        peers = [${internalAddresses.filterIndexed { other, _ -> other != index }.joinToString { "\"$it\"" }}]
+        """.trimIndent()
+
+    private fun agentSettings(
+        target: String,
+        kind: String,
+        listen: Address,
+        backend: Address,
+        admin: Address,
+    ) = """
+        target = "$target"
+        host = "host-$target"
+        region = "dalmacija"
+        zone = "split-a"
+        kind = "$kind"
+        listen = "$listen"
+        admin = "$admin"
+        backend = "$backend"
+        entries = [${internalAddresses.joinToString { "\"$it\"" }}]
+        memory_mb = $ENGINE_MEMORY_MB
+        [limits]
+        fencing_ms = $fencingMs
+        """.trimIndent()
+
+    private fun node(
+        module: String,
+        name: String,
+        settings: String,
+    ): Node {
+        val file = directory.resolve("$name.toml").apply { writeText(settings) }
+        val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+        val options = listOf("-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"))
+        return Node(
+            name,
+            listOf(java) + options + listOf("org.almondjunction.$module.MainKt", "serve", "--settings", file.toString()),
+            directory.resolve("$name.log"),
+        )
+    }
+
+    private fun address() = ServerSocket(0).use { Address("127.0.0.1", it.localPort) }
+
+    fun isReady(entry: Int): Boolean = runCatching { get("http://${adminAddresses[entry]}/readyz").statusCode() == 200 }.getOrDefault(false)
+
+    fun awaitReady(entry: Int) = eventually("entry host $entry is ready") { isReady(entry) }
+
+    fun awaitAgentReady(engine: Int) =
+        eventually("the agent of engine $engine is ready") {
+            runCatching { get("http://${agentAdminAddresses[engine]}/readyz").statusCode() == 200 }.getOrDefault(false)
+        }
+
+    private fun get(url: String): HttpResponse<String> =
+        client.send(HttpRequest.newBuilder(URI(url)).build(), HttpResponse.BodyHandlers.ofString())
+
+    fun metrics(entry: Int): String = get("http://${adminAddresses[entry]}/metrics").body()
+
+    /** Submits a ticket and waits until every engine has its sequence. */
+    fun apply(
+        number: Long,
+        replicas: Int,
+        version: String = "1",
+        models: List<String> = listOf("wax"),
+        entry: Int = 0,
+    ) {
+        val offers =
+            models.map { model ->
+                val adapters = listOf(AdapterOffer(AdapterId("$model-club"), "1", 10))
+                ModelOffer(ModelId(model), ServiceId("wax-advisor"), version, memoryMb = 60, replicas = replicas, adapters = adapters)
+            }
+        val ticket = Ticket(TicketNumber(number), offers)
+        eventually("ticket $number is accepted") { submit(ticket, entry).statusCode() == 200 }
+        eventually("ticket $number is in force") { inForce(number, entry) }
+    }
+
+    private fun submit(
+        ticket: Ticket,
+        entry: Int,
+    ): HttpResponse<String> =
+        client.send(
+            admin(
+                "/admin/v1/tickets/${ticket.number}",
+                entry,
+            ).PUT(HttpRequest.BodyPublishers.ofString(TicketAcceptance.encode(ticket))).build(),
+            HttpResponse.BodyHandlers.ofString(),
+        )
+
+    private fun inForce(
+        number: Long,
+        entry: Int,
+    ): Boolean {
+        val body = client.send(admin("/admin/v1/tickets/$number", entry).build(), HttpResponse.BodyHandlers.ofString()).body()
+        return Regex("\"engine-\\d+\": true").findAll(body).count() == engines && "false" !in body
+    }
+
+    private fun admin(
+        path: String,
+        entry: Int,
+    ) = HttpRequest.newBuilder(URI("http://${adminAddresses[entry]}$path")).header("Authorization", "Bearer $TOKEN")
+
+    fun status(entry: Int = 0): String = client.send(admin("/admin/v1/status", entry).build(), HttpResponse.BodyHandlers.ofString()).body()
+
+    /** Builds a chat request. */
+    fun chat(
+        entry: Int,
+        tokens: Int = 20,
+        model: String = "wax",
+        stream: Boolean = true,
+        timeoutMs: Long = 60_000,
+    ): HttpRequest =
+        HttpRequest
+            .newBuilder(URI("http://${callerAddresses[entry]}/v1/chat/completions"))
+            .header("X-Request-Timeout-Ms", timeoutMs.toString())
+            .POST(HttpRequest.BodyPublishers.ofString("""{"model":"$model","stream":$stream,"max_tokens":$tokens}"""))
+            .build()
+
+    /** Builds a booking. */
+    fun booking(
+        entry: Int,
+        key: String,
+        body: String = """{"slot":1}""",
+    ): HttpRequest =
+        HttpRequest
+            .newBuilder(URI("http://${callerAddresses[entry]}/services/bench-booking/slots"))
+            .header("Idempotency-Key", key)
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+            .build()
+
+    fun send(request: HttpRequest): HttpResponse<String> = client.send(request, HttpResponse.BodyHandlers.ofString())
+
+    fun sendAsync(request: HttpRequest) = client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+
+    /** Sends a streaming request and returns its lines as they arrive. */
+    fun lines(request: HttpRequest): Iterator<String> = client.send(request, HttpResponse.BodyHandlers.ofLines()).body().iterator()
+
+    override fun close() {
+        (entryNodes + agentNodes + serviceAgent).forEach { it.kill() }
+        directory.toFile().deleteRecursively()
+    }
+
+    companion object {
+        const val TOKEN = "test-token"
+        const val ENGINE_MEMORY_MB = 100L
+        private const val EXIT_LIMIT_S = 120L
+        private const val EVENTUALLY_LIMIT_MS = 90_000L
+        private const val EVENTUALLY_STEP_MS = 50L
+
+        /** Waits until [condition] holds. The limit only ends a run that would hang. */
+        fun eventually(
+            what: String,
+            condition: () -> Boolean,
+        ) {
+            val endMs = System.currentTimeMillis() + EVENTUALLY_LIMIT_MS
+            while (!condition()) {
+                check(System.currentTimeMillis() < endMs) { "It never happened that $what." }
+                Thread.sleep(EVENTUALLY_STEP_MS)
+            }
+        }
+    }
+}
--- a/common/src/main/kotlin/Outcome.kt
+++ b/common/src/main/kotlin/Outcome.kt
@@ -56,6 +56,9 @@
     /** Whether another target may still serve the request. */
     public val worthAnotherTarget: Boolean
         get() = this in setOf(QUEUE_FULL, LEAVING, NO_RIGHT, NO_MEMORY, NOT_READY, NO_TARGET, DEADLINE_TOO_SHORT)
+
+    /** Whether the reason is expected to pass within seconds, while a process restarts or a ticket spreads. */
+    public val passing: Boolean get() = this in setOf(LEAVING, NO_RIGHT, NOT_READY, NO_TARGET)
 }
 
 /** Why the outcome of a request is not known. [httpStatus] is the status its caller gets. */
--- a/decisions/src/main/kotlin/RequestMachine.kt
+++ b/decisions/src/main/kotlin/RequestMachine.kt
@@ -63,7 +63,8 @@
  *
  * @param candidates targets in the order in which they are tried
  * @param repeatable whether the request may run more than once
- * @param retryPermitted takes one retry from the budget of a target
+ * @param retryPermitted takes one retry from the budget of a target; asked only where the earlier attempt cost or will cost work, so
+ * that a target that restarts does not use the budget up
  */
 public class RequestMachine(
     candidates: List<TargetId>,
@@ -95,7 +96,7 @@
 
     private fun afterRefusal(reason: RefusalReason): RequestStep =
         if (reason.worthAnotherTarget) {
-            notRun(reason, retryReason = reason.code)
+            notRun(reason, retryReason = reason.code, costly = !reason.passing)
         } else {
             handedOver = false
             RequestStep.Conclude(notRunOutcome(reason))
@@ -104,9 +105,10 @@
     private fun notRun(
         reason: RefusalReason,
         retryReason: String,
+        costly: Boolean = false,
     ): RequestStep {
         handedOver = false
-        return sendNext(retryReason, otherwise = notRunOutcome(reason))
+        return sendNext(retryReason, otherwise = notRunOutcome(reason), costly)
     }
 
     private fun afterFailure(
@@ -116,16 +118,17 @@
         mayHaveRun = true
         handedOver = false
         val unknown = Outcome.Unknown(reason)
-        return if (repeatable && !progressed) sendNext(retryReason, otherwise = unknown) else RequestStep.Conclude(unknown)
+        return if (repeatable && !progressed) sendNext(retryReason, otherwise = unknown, costly = true) else RequestStep.Conclude(unknown)
     }
 
     private fun sendNext(
         retryReason: String?,
         otherwise: Outcome,
+        costly: Boolean = false,
     ): RequestStep {
         if (attempts >= maximumAttempts) return RequestStep.Conclude(otherwise)
         val target = remaining.removeFirstOrNull() ?: return RequestStep.Conclude(otherwise)
-        if (retryReason != null && !retryPermitted(target)) return RequestStep.Conclude(notRunOutcome(RefusalReason.RETRY_BUDGET_SPENT))
+        if (costly && !retryPermitted(target)) return RequestStep.Conclude(notRunOutcome(RefusalReason.RETRY_BUDGET_SPENT))
         attempts++
         handedOver = true
         return RequestStep.Send(target, retryReason)
--- a/entry/src/main/kotlin/Dispatcher.kt
+++ b/entry/src/main/kotlin/Dispatcher.kt
@@ -1,6 +1,7 @@
 package org.almondjunction.entry
 
 import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.almondjunction.common.Clock
@@ -12,8 +13,10 @@
 import org.almondjunction.common.ModelId
 import org.almondjunction.common.Outcome
 import org.almondjunction.common.RefusalReason
+import org.almondjunction.common.RequestId
 import org.almondjunction.common.ServiceId
 import org.almondjunction.common.TargetId
+import org.almondjunction.decisions.Backoff
 import org.almondjunction.decisions.Candidate
 import org.almondjunction.decisions.ClusterView
 import org.almondjunction.decisions.PLAIN_SERVICE
@@ -24,6 +27,7 @@
 import org.almondjunction.decisions.Router
 import org.almondjunction.decisions.TargetKind
 import org.almondjunction.protocol.Work
+import kotlin.random.Random
 
 /** Last step of a request: finds its targets, hands it over and passes the answer on. */
 internal class Dispatcher(
@@ -44,6 +48,25 @@
     suspend fun dispatch(
         exchange: Exchange,
         answer: AnswerWriter,
+    ): Outcome {
+        val backoff = Backoff(initialMs = 100, maximumMs = 1_000, random = Random.Default)
+        val endMs = minOf(clock.nowMs() + ROUNDS_LIMIT_MS, exchange.deadlineMs - WITHDRAW_MARGIN_MS)
+        var round = 1
+        while (true) {
+            // Each round has an identity of its own, since a target never runs an identity that it has refused.
+            val outcome = tryOnce(if (round == 1) exchange else exchange.copy(id = RequestId("${exchange.id}.$round")), answer)
+            if (outcome !is Outcome.NotRun || !outcome.reason.passing) return outcome
+            val delayMs = MINIMUM_ROUND_DELAY_MS + backoff.nextDelayMs()
+            if (clock.nowMs() + delayMs >= endMs) return outcome
+            metrics.count(MetricName.RETRIES, "round-${outcome.reason.code}")
+            delay(delayMs)
+            round++
+        }
+    }
+
+    private suspend fun tryOnce(
+        exchange: Exchange,
+        answer: AnswerWriter,
     ): Outcome {
         val view = holder.view
         val plan =
@@ -239,12 +262,17 @@
         model: ModelId,
     ): RequestEvent {
         links.noteWarm(target, model, false)
+        if (event.reason == RefusalReason.LEAVING) links.noteUnreachable(target)
         return RequestEvent.Refused(if (withdrawing) RefusalReason.DEADLINE_PASSED else event.reason)
     }
 
     private companion object {
         /** Time before the deadline at which a request that has not begun is taken back. */
         const val WITHDRAW_MARGIN_MS = 300L
+
+        /** Time for which a request is tried again while no target can take it for a passing reason. */
+        const val ROUNDS_LIMIT_MS = 15_000L
+        const val MINIMUM_ROUND_DELAY_MS = 50L
         const val ACKNOWLEDGE_BYTES = 64 * 1024
         const val DEFAULT_PRIORITY = 5
         const val PREFIX_BYTES = 256
--- a/entry/src/main/kotlin/TargetLink.kt
+++ b/entry/src/main/kotlin/TargetLink.kt
@@ -38,6 +38,7 @@
         val connection: Connection,
         val incarnation: String,
         val health: ConnectionHealth,
+        @Volatile var leaving: Boolean,
     )
 
     private val mutex = Mutex()
@@ -57,7 +58,7 @@
         timeLeftMs: Long,
         priority: Int,
     ): TargetCall? {
-        val current = mutex.withLock { liveSession() ?: dial().also { session = it } } ?: return null
+        val current = mutex.withLock { liveSession() ?: dial()?.also { session = it } }?.takeUnless { it.leaving } ?: return null
         val call = TargetCall(id, current.incarnation)
         calls[id] = call
         synchronized(current.health) { current.health.began(clock.nowMs()) }
@@ -90,9 +91,14 @@
         session?.let { current ->
             synchronized(current.health) { current.health.ended(clock.nowMs()) }
             if (!concluded) current.connection.send(Message.Cancel(call.id))
+            closeIfLeaving(current)
         }
     }
 
+    private fun closeIfLeaving(current: Session) {
+        if (current.leaving && calls.isEmpty()) closeIdle(current)
+    }
+
     private fun liveSession() = session?.takeIf { !it.connection.closed }
 
     private suspend fun dial(): Session? {
@@ -108,8 +114,12 @@
                         metrics,
                         onMessage = { _, message ->
                             synchronized(health) { health.heard(clock.nowMs()) }
-                            if (message is Message.Hello) greeting.complete(message)
-                            if (message is Message.AboutRequest) calls[message.id]?.take(message)
+                            when (message) {
+                                is Message.Hello -> greeting.complete(message)
+                                is Message.AboutRequest -> calls[message.id]?.take(message)
+                                is Message.Leaving -> session?.let { noteLeaving(it) }
+                                else -> Unit
+                            }
                         },
                         onClosed = { closed -> session?.takeIf { it.connection === closed }?.let { recover(it) } },
                     )
@@ -121,7 +131,7 @@
             connection.close()
             return null
         }
-        return Session(connection, hello.incarnation, health)
+        return Session(connection, hello.incarnation, health, hello.leaving)
     }
 
     @Synchronized
@@ -142,6 +152,11 @@
             }
     }
 
+    private fun noteLeaving(current: Session) {
+        current.leaving = true
+        closeIfLeaving(current)
+    }
+
     private fun closeIdle(current: Session) {
         if (session === current) session = null
         current.connection.close()
--- a/protocol/src/main/kotlin/Connection.kt
+++ b/protocol/src/main/kotlin/Connection.kt
@@ -14,6 +14,8 @@
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
@@ -45,7 +47,8 @@
             outgoing.send(message)
             true
         } catch (cancellation: CancellationException) {
-            if (closed) false else throw cancellation
+            currentCoroutineContext().ensureActive()
+            false
         } catch (_: Exception) {
             false
         }
@@ -80,8 +83,9 @@
     private suspend fun guarded(block: suspend () -> Unit) {
         try {
             block()
-        } catch (cancellation: CancellationException) {
-            if (!closed) throw cancellation
+        } catch (_: CancellationException) {
+            // A socket that ends cancels its channels; only a cancelled scope ends this process's own work.
+            scope.ensureActive()
         } catch (_: Exception) {
             closed = true
         }
--- a/protocol/src/main/kotlin/Message.kt
+++ b/protocol/src/main/kotlin/Message.kt
@@ -25,6 +25,7 @@
      *
      * @property process identity of the sender: a target or a host
      * @property incarnation differs for every start of the process
+     * @property leaving whether the sender is stopping gracefully, see [Leaving]
      */
     @Serializable
     @SerialName("hello")
@@ -32,8 +33,14 @@
         val process: String,
         val incarnation: String,
         val protocolVersion: Int = PROTOCOL_VERSION,
+        val leaving: Boolean = false,
     ) : Message()
 
+    /** The sender is stopping gracefully: it finishes what it has and takes nothing new. */
+    @Serializable
+    @SerialName("leaving")
+    public data object Leaving : Message()
+
     /** Asks for a sign of life. [sentMs] is by the sender's clock. */
     @Serializable
     @SerialName("ping")
