Aging test: keep the queue full of higher priorities

Cause: the test let the queue run short of higher priorities between two steps, so the lowest was served without aging (dispatched fourth at 2,600 ms). Change: the queue is filled before each request that ends.

--- a/decisions/src/test/kotlin/TargetMachineTest.kt
+++ b/decisions/src/test/kotlin/TargetMachineTest.kt
@@ -162,10 +162,10 @@
         val boundMs = (9 - 0 + 1) * limits.agingMs + 1_000
         while ("low" !in bench.dispatched && bench.nowMs < 300_000) {
             while (bench.state.waiting.size < 4) bench.request("high${count++}", priority = 9, timeoutMs = 300_000)
-            bench.runFor(100)
             bench.state.running.keys
-                .toList()
-                .forEach { bench.finish(it.value) }
+                .firstOrNull()
+                ?.let { bench.finish(it.value) }
+            bench.runFor(100)
         }
         assertTrue(bench.nowMs <= boundMs, "It was served after ${bench.nowMs} ms; the bound is $boundMs ms.")
     }
