Silent connections, hanging engine, bad input; first write after an empty store

Cause: with one entry host a cluster sometimes never took its agents in. The first listing of an empty store has revision 0 and was kept as 1, so that the write with revision 1, the entry host's own membership, was never seen. Ruled out: the end of the agent's connection (its counter showed four reconnections, each closed by the entry host; the members object was written). Change: 'no state yet' is a revision of its own, -1. New process tests: a relay that swallows one or both ways of open connections, an engine that hangs after its first token, malformed and oversized input on both ports.

--- a/bench/src/test/kotlin/LocalCluster.kt
+++ b/bench/src/main/kotlin/LocalCluster.kt
@@ -29,6 +29,7 @@
 import org.almondjunction.standins.PlatformStandIn
 import org.almondjunction.standins.WeightStoreStandIn
 import java.net.ServerSocket
+import java.net.Socket
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
@@ -38,14 +39,19 @@
 import java.util.concurrent.TimeUnit
 import kotlin.io.path.writeText
 
-/** Real entry hosts and agents as processes on loopback, before stand-ins in this process. */
-class LocalCluster(
+/**
+ * Real entry hosts and agents as processes on loopback, before stand-ins in this process.
+ *
+ * @param relayed whether entry hosts reach agents through a [SilencingRelay] each
+ */
+internal class LocalCluster(
     private val engines: Int = 2,
     private val entries: Int = 2,
     private val tokenMs: Long = 5,
     private val fencingMs: Long = 600_000,
+    relayed: Boolean = false,
 ) : AutoCloseable {
-    class Node(
+    internal class Node(
         val name: String,
         private val command: List<String>,
         private val log: Path,
@@ -82,6 +88,7 @@
     private val agentAdminAddresses = List(engines) { address() }
     private val serviceAddress = address()
     private val serviceAgentAddress = address()
+    val relays: List<SilencingRelay> = if (relayed) agentAddresses.map { SilencingRelay(it) } else emptyList()
     private val weights = WeightStoreStandIn(loadsPerSecond = 20.0)
 
     val engineStandIns = engineAddresses.map { EngineStandIn(it, EngineOptions(ENGINE_MEMORY_MB, tokenMs), weights) }
@@ -124,8 +131,9 @@
                 },
                 listOf(record),
             )
+        val reachedAt = if (relays.isEmpty()) agentAddresses else relays.map { it.address }
         val records =
-            agentAddresses.mapIndexed { index, agent ->
+            reachedAt.mapIndexed { index, agent ->
                 host(TargetRecord(TargetId("engine-$index"), ServiceId("wax-advisor"), TargetKind.ENGINE, agent, ENGINE_MEMORY_MB))
             } +
                 host(TargetRecord(TargetId("booking"), ServiceId("bench-booking"), TargetKind.PLAIN, serviceAgentAddress)) +
@@ -258,6 +266,27 @@
             .POST(HttpRequest.BodyPublishers.ofString("""{"model":"$model","stream":$stream,"max_tokens":$tokens}"""))
             .build()
 
+    /** Builds a chat request with a body and a deadline as given. */
+    fun raw(
+        entry: Int,
+        body: String,
+        timeout: String = "10000",
+    ): HttpRequest =
+        HttpRequest
+            .newBuilder(URI("http://${callerAddresses[entry]}/v1/chat/completions"))
+            .header("X-Request-Timeout-Ms", timeout)
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+            .build()
+
+    /** Writes [bytes] to the internal port of an entry host and waits until it ends the connection. */
+    fun writeInternal(
+        entry: Int,
+        bytes: ByteArray,
+    ) = Socket(internalAddresses[entry].ip, internalAddresses[entry].port).use { socket ->
+        socket.getOutputStream().write(bytes)
+        runCatching { socket.getInputStream().readAllBytes() }
+    }
+
     /** Builds a booking. */
     fun booking(
         entry: Int,
@@ -278,6 +307,7 @@
     fun lines(request: HttpRequest): Iterator<String> = client.send(request, HttpResponse.BodyHandlers.ofLines()).body().iterator()
 
     override fun close() {
+        relays.forEach { it.close() }
         (entryNodes + agentNodes + serviceAgent).forEach { it.kill() }
         directory.toFile().deleteRecursively()
     }
--- a/bench/src/test/kotlin/ProcessFailureTest.kt
+++ b/bench/src/test/kotlin/ProcessFailureTest.kt
@@ -251,6 +251,84 @@
         }
     }
 
+    @Test
+    fun `a connection that goes silent is replaced and its streams go on without gap or repeat`() {
+        val cases =
+            listOf(
+                "both ways" to (true to true),
+                "towards the agent" to (true to false),
+                "towards the entry host" to (false to true),
+            )
+        LocalCluster(engines = 1, entries = 1, relayed = true).use { cluster ->
+            cluster.apply(number = 1, replicas = 1)
+            cases.forEach { (name, silent) ->
+                val answer = cluster.sendAsync(cluster.chat(entry = 0, tokens = 600))
+                val before =
+                    cluster.engineStandIns
+                        .single()
+                        .counts()
+                        .runs.size
+                eventually("the request runs") {
+                    cluster.engineStandIns
+                        .single()
+                        .counts()
+                        .runs.size > before - 1
+                }
+                Thread.sleep(200)
+                cluster.relays.single().silence(forward = silent.first, backward = silent.second)
+                assertEquals("served", answer.join().outcome(), name)
+                assertWhole(answer.join().body())
+            }
+            assertTrue("reason=\"silent\"" in cluster.metrics(0), "No connection was replaced, so the test proves nothing.")
+        }
+    }
+
+    @Test
+    fun `an engine that hangs after the first token ends the stream explicitly at its deadline`() {
+        LocalCluster(engines = 1, entries = 1).use { cluster ->
+            cluster.apply(number = 1, replicas = 1)
+            val lines = cluster.lines(cluster.chat(entry = 0, tokens = 500, timeoutMs = 6_000))
+            lines.next()
+            cluster.engineStandIns.single().hanging = true
+            val rest = readToEnd(lines)
+            assertTrue("event: error" in rest && "target-silent" in rest, rest.takeLast(300))
+            cluster.engineStandIns.single().hanging = false
+            assertEquals("served", cluster.send(cluster.chat(entry = 0)).outcome())
+        }
+    }
+
+    @Test
+    fun `bad input is refused with a reason and harms nobody else`() {
+        LocalCluster(engines = 1, entries = 1).use { cluster ->
+            cluster.apply(number = 1, replicas = 1)
+            val good = cluster.sendAsync(cluster.chat(entry = 0, tokens = 400))
+            val cases =
+                listOf(
+                    cluster.raw(entry = 0, body = "{not json") to "malformed-request",
+                    cluster.raw(entry = 0, body = "[]") to "malformed-request",
+                    cluster.raw(entry = 0, body = """{"model":7}""") to "malformed-request",
+                    cluster.raw(entry = 0, body = """{"model":"none"}""") to "model-not-offered",
+                    cluster.raw(entry = 0, body = """{"model":"wax"}""", timeout = "soon") to "malformed-request",
+                    cluster.raw(entry = 0, body = """{"model":"wax","pad":"${"x".repeat(1_100_000)}"}""") to "body-too-large",
+                )
+            cases.forEach { (request, reason) ->
+                val answer = cluster.send(request)
+                assertEquals("not-run", answer.outcome())
+                assertTrue("\"reason\":\"$reason\"" in answer.body(), answer.body())
+            }
+            listOf(
+                ByteArray(64) {
+                    1
+                },
+                byteArrayOf(0x7f, 0, 0, 0),
+                byteArrayOf(0, 0, 0, 4, 1, 2, 3, 4),
+            ).forEach { cluster.writeInternal(entry = 0, it) }
+            eventually("the nonsense is counted") { "almondjunction_protocol_errors_total" in cluster.metrics(0) }
+            assertEquals("served", good.join().outcome())
+            assertWhole(good.join().body())
+        }
+    }
+
     private companion object {
         const val BROKEN_CONNECTION = "broken connection"
     }
--- a/decisions/src/main/kotlin/Admission.kt
+++ b/decisions/src/main/kotlin/Admission.kt
@@ -30,7 +30,7 @@
         val key = state.residentFor(request)
         return when {
             state.draining -> RefusalReason.LEAVING
-            key == null -> if (state.revision == 0L) RefusalReason.NOT_READY else RefusalReason.NO_RIGHT
+            key == null -> if (state.revision == NO_REVISION) RefusalReason.NOT_READY else RefusalReason.NO_RIGHT
             !state.confirmed && key.base !in state.residents -> RefusalReason.NOT_READY
             memoryMb(state, key) > state.memoryMb -> RefusalReason.NO_MEMORY
             step.nowMs + expectedMs >= request.deadlineMs -> RefusalReason.DEADLINE_TOO_SHORT
--- a/decisions/src/main/kotlin/ClusterView.kt
+++ b/decisions/src/main/kotlin/ClusterView.kt
@@ -41,7 +41,7 @@
  * @property hostOfLostTarget last known host of each target that the platform no longer lists
  */
 public data class ClusterView(
-    val revision: Long = 0,
+    val revision: Long = NO_REVISION,
     val catalogue: Catalogue = Catalogue(),
     val head: TicketHead = TicketHead(),
     val headVersion: Long = 0,
@@ -53,7 +53,7 @@
     val hostOfLostTarget: Map<TargetId, HostId> = emptyMap(),
 ) {
     /** Whether any state has been received. */
-    public val ready: Boolean get() = revision > 0
+    public val ready: Boolean get() = revision > NO_REVISION
 
     /** Rights of each model, by rank. */
     public val rightsByModel: Map<ModelId, List<Right>> by lazy {
--- a/decisions/src/main/kotlin/TargetMachine.kt
+++ b/decisions/src/main/kotlin/TargetMachine.kt
@@ -41,7 +41,7 @@
         if (state.kind == TargetKind.PLAIN) return
         val heard = event is TargetEvent.Contact || event is TargetEvent.StateReceived || event is TargetEvent.SequenceReached
         if (step.nowMs - state.lastContactMs >= limits.fencingMs) {
-            step.state = state.copy(rights = emptyList(), confirmed = false, revision = 0)
+            step.state = state.copy(rights = emptyList(), confirmed = false, revision = NO_REVISION)
             state.running.keys.forEach { step.effects += TargetEffect.Interrupt(it) }
         }
         if (heard) step.state = step.state.copy(lastContactMs = step.nowMs)
--- a/decisions/src/main/kotlin/TargetState.kt
+++ b/decisions/src/main/kotlin/TargetState.kt
@@ -100,7 +100,7 @@
     val memoryMb: Long,
     val startedMs: Long,
     val kind: TargetKind = TargetKind.ENGINE,
-    val revision: Long = 0,
+    val revision: Long = NO_REVISION,
     val sequence: Long = 0,
     val offers: Map<ModelId, ModelOffer> = emptyMap(),
     val rights: List<Right> = emptyList(),
--- a/decisions/src/main/kotlin/UnloadPlanner.kt
+++ b/decisions/src/main/kotlin/UnloadPlanner.kt
@@ -16,7 +16,7 @@
 
     private fun markSurplus(step: TargetStep) {
         val state = step.state
-        if (state.revision == 0L && !isFenced(step)) return
+        if (state.revision == NO_REVISION && !isFenced(step)) return
         state.residents.values.forEach { resident ->
             val surplus = !isWanted(state, resident.key)
             if (surplus && resident.surplusSinceMs == null) step.put(resident.copy(surplusSinceMs = step.nowMs))
--- a/entry/src/main/kotlin/StateController.kt
+++ b/entry/src/main/kotlin/StateController.kt
@@ -13,6 +13,7 @@
 import org.almondjunction.common.MetricName
 import org.almondjunction.common.Metrics
 import org.almondjunction.decisions.Backoff
+import org.almondjunction.decisions.NO_REVISION
 import org.almondjunction.decisions.Rendezvous
 import org.almondjunction.decisions.StateChange
 import org.almondjunction.decisions.StoreKeys
@@ -106,7 +107,7 @@
         val catalogue = if (head == null) null else catalogues.catchUp(holder.view.catalogue, head) ?: return false
         lastAnswerMs = clock.nowMs()
         backoff.reset()
-        holder.apply(StateChange(revision = maxOf(1, listing.revision), objects = listing.objects, catalogue = catalogue))
+        holder.apply(StateChange(revision = listing.revision, objects = listing.objects, catalogue = catalogue))
         return true
     }
 
@@ -117,7 +118,7 @@
             if (listing == null) {
                 delay(FLEET_RETRY_MS + Random.nextLong(FLEET_RETRY_MS))
             } else if (listing.version > version) {
-                holder.apply(StateChange(revision = 0, fleet = listing.fleet, fleetVersion = listing.version))
+                holder.apply(StateChange(revision = NO_REVISION, fleet = listing.fleet, fleetVersion = listing.version))
             }
         }
     }
