--- a/agent/src/main/kotlin/AgentProcess.kt
+++ b/agent/src/main/kotlin/AgentProcess.kt
@@ -45,7 +45,7 @@
     private val controller =
         TargetController(
             initial = initialState(),
-            machine = TargetMachine(limits, ResidencyPolicy.BreakEven(settings.idleMsPerColdMs)),
+            machine = TargetMachine(limits, ResidencyPolicy.LearnedGaps(settings.idleMsPerColdMs)),
             backend = backend,
             clock = clock,
             metrics = metrics,
--- a/agent/src/main/kotlin/StateSubscriber.kt
+++ b/agent/src/main/kotlin/StateSubscriber.kt
@@ -89,14 +89,14 @@
                 opened.send(Message.SubscribeTarget(settings.target, settings.host, needConfirmed = unconfirmed))
                 askedMs = nowMs
             }
-            opened.send(Message.Ping(nowMs))
+            if (nowMs - lastHeardMs >= PING_AFTER_MS) opened.send(Message.Ping(nowMs))
             val status = status()
             if (status != sent && (nowMs - statusMs >= STATUS_INTERVAL_MS || status.sequence != sent?.sequence)) {
                 opened.send(status)
                 sent = status
                 statusMs = nowMs
             }
-            delay(PING_INTERVAL_MS)
+            delay(CHECK_INTERVAL_MS)
         }
         metrics.count(MetricName.RECONNECTIONS, if (opened.closed) "closed" else "silent")
     }
@@ -133,7 +133,8 @@
 
     private companion object {
         const val DIAL_TIMEOUT_MS = 1_000L
-        const val PING_INTERVAL_MS = 1_000L
+        const val CHECK_INTERVAL_MS = 500L
+        const val PING_AFTER_MS = 1_500L
         const val SILENCE_LIMIT_MS = 3_500L
         const val STATUS_INTERVAL_MS = 1_000L
         const val SUBSCRIBE_REPEAT_MS = 2_000L
--- a/bench/src/main/kotlin/LocalCluster.kt
+++ b/bench/src/main/kotlin/LocalCluster.kt
@@ -28,7 +28,6 @@
 import org.almondjunction.standins.PlainServiceStandIn
 import org.almondjunction.standins.PlatformStandIn
 import org.almondjunction.standins.WeightStoreStandIn
-import java.net.ServerSocket
 import java.net.Socket
 import java.net.URI
 import java.net.http.HttpClient
@@ -42,6 +41,8 @@
 /**
  * Real entry hosts and agents as processes on loopback, before stand-ins in this process.
  *
+ * @param withAgents whether agents are started; without them the caller plays their part
+ * @param optimized whether the processes run with all levels of the compiler, as in production
  * @param relayed whether entry hosts reach agents through a [SilencingRelay] each
  */
 internal class LocalCluster(
@@ -50,6 +51,8 @@
     private val tokenMs: Long = 5,
     private val fencingMs: Long = 600_000,
     relayed: Boolean = false,
+    withAgents: Boolean = true,
+    private val optimized: Boolean = false,
 ) : AutoCloseable {
     internal class Node(
         val name: String,
@@ -82,7 +85,7 @@
     private val platformAddress = address()
     private val callerAddresses = List(entries) { address() }
     private val adminAddresses = List(entries) { address() }
-    private val internalAddresses = List(entries) { address() }
+    val internalAddresses: List<Address> = List(entries) { address() }
     private val engineAddresses = List(engines) { address() }
     private val agentAddresses = List(engines) { address() }
     private val agentAdminAddresses = List(engines) { address() }
@@ -100,11 +103,11 @@
 
     init {
         platform.create().start(wait = false)
-        engineStandIns.forEach { it.create().start(wait = false) }
+        if (withAgents) engineStandIns.forEach { it.create().start(wait = false) }
         service.create().start(wait = false)
         entryNodes = List(entries) { node("entry", "entry-$it", entrySettings(it)) }
         agentNodes =
-            List(engines) {
+            List(if (withAgents) engines else 0) {
                 node(
                     "agent",
                     "engine-$it",
@@ -183,7 +186,14 @@
     ): Node {
         val file = directory.resolve("$name.toml").apply { writeText(settings) }
         val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
-        val options = listOf("-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"))
+        val options =
+            listOf(
+                "-Xmx64m",
+                "-XX:+UseSerialGC",
+                if (optimized) "-XX:+TieredCompilation" else "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+            )
         return Node(
             name,
             listOf(java) + options + listOf("org.almondjunction.$module.MainKt", "serve", "--settings", file.toString()),
@@ -191,7 +201,7 @@
         )
     }
 
-    private fun address() = ServerSocket(0).use { Address("127.0.0.1", it.localPort) }
+    private fun address() = FreePorts.next()
 
     fun isReady(entry: Int): Boolean = runCatching { get("http://${adminAddresses[entry]}/readyz").statusCode() == 200 }.getOrDefault(false)
 
@@ -215,16 +225,33 @@
         models: List<String> = listOf("wax"),
         entry: Int = 0,
     ) {
+        val ticket = ticket(number, replicas, version, models)
+        eventually("ticket $number is accepted") { submit(ticket, entry).statusCode() == 200 }
+        eventually("ticket $number is in force") { inForce(number, entry) }
+    }
+
+    private fun ticket(
+        number: Long,
+        replicas: Int,
+        version: String,
+        models: List<String>,
+    ): Ticket {
         val offers =
             models.map { model ->
                 val adapters = listOf(AdapterOffer(AdapterId("$model-club"), "1", 10))
                 ModelOffer(ModelId(model), ServiceId("wax-advisor"), version, memoryMb = 60, replicas = replicas, adapters = adapters)
             }
-        val ticket = Ticket(TicketNumber(number), offers)
-        eventually("ticket $number is accepted") { submit(ticket, entry).statusCode() == 200 }
-        eventually("ticket $number is in force") { inForce(number, entry) }
+        return Ticket(TicketNumber(number), offers)
     }
 
+    /** Submits a ticket and returns when it is accepted. */
+    fun submitOnce(
+        number: Long,
+        replicas: Int,
+        models: List<String>,
+        version: String = "1",
+    ) = eventually("ticket $number is accepted") { submit(ticket(number, replicas, version, models), entry = 0).statusCode() == 200 }
+
     private fun submit(
         ticket: Ticket,
         entry: Int,
@@ -266,6 +293,15 @@
             .POST(HttpRequest.BodyPublishers.ofString("""{"model":"$model","stream":$stream,"max_tokens":$tokens}"""))
             .build()
 
+    /** Builds the same request to the first engine without the system between. */
+    fun direct(tokens: Int): HttpRequest =
+        HttpRequest
+            .newBuilder(URI("http://${engineAddresses.first()}/v1/chat/completions"))
+            .header("X-Model", "wax")
+            .header("X-Model-Version", "1")
+            .POST(HttpRequest.BodyPublishers.ofString("""{"model":"wax","stream":true,"max_tokens":$tokens}"""))
+            .build()
+
     /** Builds a chat request with a body and a deadline as given. */
     fun raw(
         entry: Int,
--- a/decisions/src/main/kotlin/ResidencyPolicy.kt
+++ b/decisions/src/main/kotlin/ResidencyPolicy.kt
@@ -19,18 +19,72 @@
     }
 
     /**
-     * Keeps a model until its idle time has cost as much as one cold start.
+     * Keeps a model until its idle time has cost as much as one cold start, whatever its history.
      *
      * @property idleMsPerColdMs milliseconds of idle accelerator time that are worth one millisecond of cold-start time
      * @property maximumKeepMs longest idle time in any case, so that eviction of idle models is ensured
      */
     public data class BreakEven(
         val idleMsPerColdMs: Double,
-        val maximumKeepMs: Long = 6 * 3_600_000L,
+        val maximumKeepMs: Long = MAXIMUM_KEEP_MS,
     ) : ResidencyPolicy() {
         override fun keepMs(
             history: ArrivalHistory?,
             loadMs: Long,
+        ): Long = breakEvenMs(loadMs, idleMsPerColdMs, maximumKeepMs)
+    }
+
+    /**
+     * Keeps a model for the time that would have cost least over the idle gaps seen in this season.
+     *
+     * The time never passes the break-even time, and with few gaps seen it is the break-even time: at most twice the cost of a policy
+     * that knows the future. Old gaps are forgotten, so that it follows the day.
+     *
+     * @property idleMsPerColdMs milliseconds of idle accelerator time that are worth one millisecond of cold-start time
+     * @property maximumKeepMs longest idle time in any case, so that eviction of idle models is ensured
+     * @property minimumGaps weight of the gaps that must have been seen before they count
+     */
+    public data class LearnedGaps(
+        val idleMsPerColdMs: Double,
+        val maximumKeepMs: Long = MAXIMUM_KEEP_MS,
+        val minimumGaps: Double = 3.0,
+    ) : ResidencyPolicy() {
+        override fun keepMs(
+            history: ArrivalHistory?,
+            loadMs: Long,
+        ): Long {
+            val breakEvenMs = breakEvenMs(loadMs, idleMsPerColdMs, maximumKeepMs)
+            if (history == null || history.gapCounts.sum() < minimumGaps) return breakEvenMs
+            val choices =
+                listOf(0L, breakEvenMs) +
+                    (0 until ArrivalHistory.BUCKETS).map { ArrivalHistory.upperBoundMs(it) }.filter { it < breakEvenMs }
+            return choices.minBy { costMs(it, breakEvenMs, history) }
+        }
+
+        /** Returns what [keepMs] would have cost over the gaps of [history], in milliseconds of idle time; a cold start costs [coldMs]. */
+        private fun costMs(
+            keepMs: Long,
+            coldMs: Long,
+            history: ArrivalHistory,
+        ): Double =
+            history.gapCounts
+                .mapIndexed { bucket, count ->
+                    val gapMs = ArrivalHistory.upperBoundMs(bucket)
+                    count * if (gapMs <= keepMs) gapMs * MEAN_SHARE_OF_BUCKET else (keepMs + coldMs).toDouble()
+                }.sum()
+    }
+
+    public companion object {
+        /** Default of the longest idle time. */
+        public const val MAXIMUM_KEEP_MS: Long = 6 * 3_600_000L
+
+        /** Mean length of a gap as a share of its bucket's upper bound. */
+        private const val MEAN_SHARE_OF_BUCKET = 0.75
+
+        private fun breakEvenMs(
+            loadMs: Long,
+            idleMsPerColdMs: Double,
+            maximumKeepMs: Long,
         ): Long = minOf(maximumKeepMs, (loadMs * idleMsPerColdMs).toLong())
     }
 }
--- a/decisions/src/main/kotlin/TargetMachine.kt
+++ b/decisions/src/main/kotlin/TargetMachine.kt
@@ -10,7 +10,7 @@
  */
 public class TargetMachine(
     private val limits: TargetLimits = TargetLimits(),
-    private val policy: ResidencyPolicy = ResidencyPolicy.BreakEven(idleMsPerColdMs = 60.0),
+    private val policy: ResidencyPolicy = ResidencyPolicy.LearnedGaps(idleMsPerColdMs = 60.0),
 ) {
     private val reconciliation = Reconciliation(limits)
     private val admission = Admission(limits)
--- a/entry/src/main/kotlin/LeaderController.kt
+++ b/entry/src/main/kotlin/LeaderController.kt
@@ -104,13 +104,17 @@
     }
 
     private suspend fun act() {
+        var planned: ClusterView? = null
+        var plannedMs = 0L
         while (true) {
             delay(ACT_INTERVAL_MS)
-            if (!leading) continue
             val view = holder.view
-            if (!view.ready || view.fleetVersion == 0L) continue
+            val due = view !== planned || clock.nowMs() - plannedMs >= REVIEW_INTERVAL_MS
+            if (!leading || !due || !view.ready || view.fleetVersion == 0L) continue
             place(view, departures.provenGone(view))
             snapshots.writeIfDue(view)
+            planned = view
+            plannedMs = clock.nowMs()
         }
     }
 
@@ -137,5 +141,8 @@
     private companion object {
         const val RENEWALS_PER_LEASE = 4
         const val ACT_INTERVAL_MS = 200L
+
+        /** Time after which the same state is planned again, since a write may have been lost. */
+        const val REVIEW_INTERVAL_MS = 3_000L
     }
 }
--- a/standins/src/main/kotlin/EngineStandIn.kt
+++ b/standins/src/main/kotlin/EngineStandIn.kt
@@ -29,6 +29,7 @@
 import kotlinx.serialization.json.intOrNull
 import kotlinx.serialization.json.jsonPrimitive
 import org.almondjunction.common.Address
+import java.util.UUID
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 
@@ -168,7 +169,7 @@
     }
 
     private suspend fun complete(call: ApplicationCall) {
-        val id = call.request.header("X-Request-Id").orEmpty()
+        val id = call.request.header("X-Request-Id") ?: UUID.randomUUID().toString()
         val body = Json.parseToJsonElement(call.receiveText()) as JsonObject
         val base = key(call.request.header("X-Model").orEmpty(), call.request.header("X-Model-Version").orEmpty(), null, null)
         val ready = synchronized(residents) { residents[base]?.state == "loaded" }
