--- a/bench/src/main/kotlin/Replay.kt
+++ b/bench/src/main/kotlin/Replay.kt
@@ -26,40 +26,54 @@
         trace: List<ModelTrace>,
         endMs: Long,
         policy: ResidencyPolicy,
-    ): ReplayResult = replay(trace, endMs) { model, history, _ -> policy.keepMs(history, model.loadMs) }
+    ): ReplayResult = replay(trace, endMs) { model, history, pool, _ -> policy.keepMs(history, model.loadMs, pool) }
 
     /** Knows the next arrival and keeps a model if and only if that costs less than a cold start. */
     fun clairvoyant(
         trace: List<ModelTrace>,
         endMs: Long,
         idleMsPerColdMs: Double,
-    ): ReplayResult = replay(trace, endMs) { model, _, gapMs -> if (gapMs <= model.loadMs * idleMsPerColdMs) gapMs else 0 }
+    ): ReplayResult = replay(trace, endMs) { model, _, _, gapMs -> if (gapMs <= model.loadMs * idleMsPerColdMs) gapMs else 0 }
 
+    private class Progress(
+        val model: ModelTrace,
+    ) {
+        var next = 0
+        var loadedAtMs = Long.MIN_VALUE
+        var unloadAtMs = Long.MIN_VALUE
+        var history: ArrivalHistory? = null
+    }
+
+    /** Takes the arrivals of all models in the order of time, so that no policy learns from what has not happened yet. */
     private fun replay(
         trace: List<ModelTrace>,
         endMs: Long,
-        keepMs: (ModelTrace, ArrivalHistory, Long) -> Long,
+        keepMs: (ModelTrace, ArrivalHistory, ArrivalHistory?, Long) -> Long,
     ): ReplayResult {
         val waits = mutableListOf<Long>()
         var idleMs = 0L
-        trace.forEach { model ->
-            var loadedAtMs = Long.MIN_VALUE
-            var unloadAtMs = Long.MIN_VALUE
-            var history: ArrivalHistory? = null
-            model.arrivalsMs.forEachIndexed { index, arrivalMs ->
-                history = history?.arrive(arrivalMs) ?: ArrivalHistory(arrivalMs)
-                if (arrivalMs > unloadAtMs) {
-                    loadedAtMs = arrivalMs + model.loadMs
-                    waits += model.loadMs
-                } else if (arrivalMs < loadedAtMs) {
-                    waits += loadedAtMs - arrivalMs
-                }
-                val freeMs = maxOf(arrivalMs, loadedAtMs)
-                val nextMs = model.arrivalsMs.getOrElse(index + 1) { Long.MAX_VALUE / 2 }
-                val keep = keepMs(model, checkNotNull(history), maxOf(0, nextMs - freeMs))
-                unloadAtMs = freeMs + keep
-                idleMs += minOf(unloadAtMs, nextMs, maxOf(endMs, freeMs)) - minOf(freeMs, nextMs)
+        var pool: ArrivalHistory? = null
+        val arrivals =
+            trace
+                .map { Progress(it) }
+                .flatMap { progress ->
+                    progress.model.arrivalsMs.map { it to progress }
+                }.sortedBy { it.first }
+        arrivals.forEach { (arrivalMs, progress) ->
+            val model = progress.model
+            pool = progress.history?.pooledAfter(pool, arrivalMs) ?: pool
+            val history = progress.history?.arrive(arrivalMs) ?: ArrivalHistory(arrivalMs)
+            progress.history = history
+            if (arrivalMs > progress.unloadAtMs) {
+                progress.loadedAtMs = arrivalMs + model.loadMs
+                waits += model.loadMs
+            } else if (arrivalMs < progress.loadedAtMs) {
+                waits += progress.loadedAtMs - arrivalMs
             }
+            val freeMs = maxOf(arrivalMs, progress.loadedAtMs)
+            val nextMs = model.arrivalsMs.getOrElse(++progress.next) { Long.MAX_VALUE / 2 }
+            progress.unloadAtMs = freeMs + keepMs(model, history, pool, maxOf(0, nextMs - freeMs))
+            idleMs += minOf(progress.unloadAtMs, nextMs, maxOf(endMs, freeMs)) - minOf(freeMs, nextMs)
         }
         return ReplayResult(waits.size, waits, idleMs)
     }
--- a/decisions/src/main/kotlin/Admission.kt
+++ b/decisions/src/main/kotlin/Admission.kt
@@ -50,8 +50,13 @@
         step: TargetStep,
         request: WaitingRequest,
     ) {
-        val history = step.state.histories[request.model]?.arrive(step.nowMs) ?: ArrivalHistory(step.nowMs)
-        step.state = step.state.copy(histories = step.state.histories + (request.model to history))
+        val before = step.state.histories[request.model]
+        val history = before?.arrive(step.nowMs) ?: ArrivalHistory(step.nowMs)
+        step.state =
+            step.state.copy(
+                histories = step.state.histories + (request.model to history),
+                pooledHistory = before?.pooledAfter(step.state.pooledHistory, step.nowMs) ?: step.state.pooledHistory,
+            )
     }
 
     /** Returns the time until [request] would start, from the queue, the running requests and the load that it needs. */
--- a/decisions/src/main/kotlin/ArrivalHistory.kt
+++ b/decisions/src/main/kotlin/ArrivalHistory.kt
@@ -15,12 +15,33 @@
         return ArrivalHistory(nowMs, gapCounts.mapIndexed { index, count -> count * FORGETTING + if (index == bucket) 1.0 else 0.0 })
     }
 
+    /** Returns this history with the gaps of [pool], all models taken together, counted as [weight] gaps more. */
+    public fun withPrior(
+        pool: ArrivalHistory,
+        weight: Double,
+    ): ArrivalHistory {
+        val total = pool.gapCounts.sum()
+        if (total == 0.0) return this
+        return copy(gapCounts = gapCounts.mapIndexed { bucket, count -> count + weight * pool.gapCounts[bucket] / total })
+    }
+
+    /** Returns the history of all models taken together after one of them, with this history, has one more arrival. */
+    public fun pooledAfter(
+        pool: ArrivalHistory?,
+        nowMs: Long,
+    ): ArrivalHistory {
+        val bucket = bucketOf(nowMs - lastArrivalMs)
+        val counts = pool?.gapCounts ?: List(BUCKETS) { 0.0 }
+        return ArrivalHistory(nowMs, counts.mapIndexed { index, count -> count * POOL_FORGETTING + if (index == bucket) 1.0 else 0.0 })
+    }
+
     public companion object {
         /** Number of buckets; each is twice as long as the one before. */
         public const val BUCKETS: Int = 24
 
         private const val FIRST_BUCKET_MS = 1_000L
         private const val FORGETTING = 0.98
+        private const val POOL_FORGETTING = 0.998
 
         /** Returns the bucket of a gap. */
         public fun bucketOf(gapMs: Long): Int =
--- a/decisions/src/main/kotlin/ResidencyPolicy.kt
+++ b/decisions/src/main/kotlin/ResidencyPolicy.kt
@@ -2,10 +2,15 @@
 
 /** Decides how long an idle model stays loaded. */
 public sealed class ResidencyPolicy {
-    /** Returns how long a model stays after its last request, in milliseconds. */
+    /**
+     * Returns how long a model stays after its last request, in milliseconds.
+     *
+     * [history] is the model's own, [pool] that of all models of the target taken together.
+     */
     public abstract fun keepMs(
         history: ArrivalHistory?,
         loadMs: Long,
+        pool: ArrivalHistory? = null,
     ): Long
 
     /** Keeps every model for the same time. */
@@ -15,6 +20,7 @@
         override fun keepMs(
             history: ArrivalHistory?,
             loadMs: Long,
+            pool: ArrivalHistory?,
         ): Long = idleMs
     }
 
@@ -31,6 +37,7 @@
         override fun keepMs(
             history: ArrivalHistory?,
             loadMs: Long,
+            pool: ArrivalHistory?,
         ): Long = breakEvenMs(loadMs, idleMsPerColdMs, maximumKeepMs)
     }
 
@@ -43,22 +50,26 @@
      * @property idleMsPerColdMs milliseconds of idle accelerator time that are worth one millisecond of cold-start time
      * @property maximumKeepMs longest idle time in any case, so that eviction of idle models is ensured
      * @property minimumGaps weight of the gaps that must have been seen before they count
+     * @property priorWeight gaps for which the gaps of all models together count
      */
     public data class LearnedGaps(
         val idleMsPerColdMs: Double,
         val maximumKeepMs: Long = MAXIMUM_KEEP_MS,
         val minimumGaps: Double = 3.0,
+        val priorWeight: Double = 4.0,
     ) : ResidencyPolicy() {
         override fun keepMs(
             history: ArrivalHistory?,
             loadMs: Long,
+            pool: ArrivalHistory?,
         ): Long {
             val breakEvenMs = breakEvenMs(loadMs, idleMsPerColdMs, maximumKeepMs)
-            if (history == null || history.gapCounts.sum() < minimumGaps) return breakEvenMs
-            val choices =
-                listOf(0L, breakEvenMs) +
-                    (0 until ArrivalHistory.BUCKETS).map { ArrivalHistory.upperBoundMs(it) }.filter { it < breakEvenMs }
-            return choices.minBy { costMs(it, breakEvenMs, history) }
+            val own = history ?: return breakEvenMs
+            val gaps = if (pool == null) own else own.withPrior(pool, priorWeight)
+            if (gaps.gapCounts.sum() < minimumGaps) return breakEvenMs
+            val bounds = (0 until ArrivalHistory.BUCKETS).map { ArrivalHistory.upperBoundMs(it) }.filter { it < breakEvenMs }
+            val choices = listOf(0L) + bounds + breakEvenMs
+            return choices.minBy { costMs(it, breakEvenMs, gaps) }
         }
 
         /** Returns what [keepMs] would have cost over the gaps of [history], in milliseconds of idle time; a cold start costs [coldMs]. */
--- a/decisions/src/main/kotlin/TargetState.kt
+++ b/decisions/src/main/kotlin/TargetState.kt
@@ -118,6 +118,7 @@
     val loadTimesMs: Map<CheckpointTier, Long> = emptyMap(),
     val tiers: Map<ModelId, CheckpointTier> = emptyMap(),
     val histories: Map<ModelId, ArrivalHistory> = emptyMap(),
+    val pooledHistory: ArrivalHistory? = null,
 ) {
     /** Memory that is or may be occupied, in megabytes. */
     val reservedMb: Long get() = residents.values.sumOf { it.memoryMb }
--- a/decisions/src/main/kotlin/UnloadPlanner.kt
+++ b/decisions/src/main/kotlin/UnloadPlanner.kt
@@ -59,7 +59,12 @@
 
     private fun unloadIdle(step: TargetStep) {
         step.state.residents.values.filter { it.phase == ResidentPhase.Loaded && it.surplusSinceMs == null }.forEach { resident ->
-            val keepMs = policy.keepMs(step.state.histories[resident.key.model], admission.loadMs(step.state, resident.key))
+            val keepMs =
+                policy.keepMs(
+                    step.state.histories[resident.key.model],
+                    admission.loadMs(step.state, resident.key),
+                    step.state.pooledHistory,
+                )
             val idle = !step.state.isBusy(resident.key) && !step.state.isAwaited(resident.key)
             if (idle && step.nowMs - resident.lastUsedMs >= keepMs) step.unloadOnce(resident)
         }
--- a/entry/src/main/kotlin/LeaderController.kt
+++ b/entry/src/main/kotlin/LeaderController.kt
@@ -33,6 +33,7 @@
 ) {
     private val observer = LeaseObserver(settings.host.value, settings.leaseMs)
     private var version = 0L
+    private var held: Lease? = null
 
     /** Whether this process held the lease when it last looked. */
     @Volatile
@@ -57,7 +58,8 @@
         leading = false
         val found = store.call(StoreCall.Read(StoreKeys.CONTROLLER_LEASE)) as? StoreReply.Found ?: return
         val lease = Json.decodeFromString<Lease>(found.value)
-        if (lease.holder == settings.host.value) write(lease.copy(holder = ""), found.version)
+        version = found.version
+        if (lease.holder == settings.host.value) write(lease.copy(holder = ""))
     }
 
     private fun candidateIndex(): Int {
@@ -69,9 +71,9 @@
     }
 
     private suspend fun look() {
-        val reply = store.call(StoreCall.Read(StoreKeys.CONTROLLER_LEASE))
+        if (leading && renew()) return
         val current =
-            when (reply) {
+            when (val reply = store.call(StoreCall.Read(StoreKeys.CONTROLLER_LEASE))) {
                 is StoreReply.Found -> Json.decodeFromString<Lease>(reply.value).also { version = reply.version }
                 StoreReply.Absent -> null.also { version = 0 }
                 is StoreReply.Written, StoreReply.Conflict, StoreReply.Lost -> return
@@ -79,7 +81,7 @@
         val won =
             when (val action = observer.observe(current, clock.nowMs())) {
                 LeaseAction.Wait -> false
-                is LeaseAction.Write -> write(action.lease, version)
+                is LeaseAction.Write -> write(action.lease)
             }
         if (won !=
             leading
@@ -89,18 +91,24 @@
         leading = won
     }
 
-    private suspend fun write(
-        lease: Lease,
-        observedVersion: Long,
-    ): Boolean {
+    /** Renews the lease without reading it first; returns false when it must be read. */
+    private suspend fun renew(): Boolean {
+        val current = held ?: return false
+        return write(current.copy(renewal = current.renewal + 1))
+    }
+
+    private suspend fun write(lease: Lease): Boolean {
         val value = Json.encodeToString(Lease.serializer(), lease)
         val call =
-            if (observedVersion == 0L) {
+            if (version == 0L) {
                 StoreCall.Create(StoreKeys.CONTROLLER_LEASE, value)
             } else {
-                StoreCall.Replace(StoreKeys.CONTROLLER_LEASE, value, observedVersion)
+                StoreCall.Replace(StoreKeys.CONTROLLER_LEASE, value, version)
             }
-        return store.call(call) is StoreReply.Written
+        val reply = store.call(call)
+        held = lease.takeIf { reply is StoreReply.Written }
+        if (reply is StoreReply.Written) version = reply.version
+        return reply is StoreReply.Written
     }
 
     private suspend fun act() {
@@ -139,7 +147,7 @@
     }
 
     private companion object {
-        const val RENEWALS_PER_LEASE = 4
+        const val RENEWALS_PER_LEASE = 3
         const val ACT_INTERVAL_MS = 200L
 
         /** Time after which the same state is planned again, since a write may have been lost. */
