--- a/bench/src/test/kotlin/ProcessFailureTest.kt
+++ b/bench/src/test/kotlin/ProcessFailureTest.kt
@@ -117,7 +117,7 @@
     }
 
     @Test
-    fun `wake-ups go on through a platform outage, keyed requests are refused as not run, and a restarted entry host takes its peer's state`() {
+    fun `a platform outage stops no wake-up, refuses keyed requests as not run and lets an entry host restart from its peer`() {
         LocalCluster().use { cluster ->
             cluster.apply(number = 1, replicas = 2, models = listOf("wax", "klister"))
             cluster.platform.setFaults(PlatformFaults(outage = true))
--- a/decisions/src/main/kotlin/ClusterView.kt
+++ b/decisions/src/main/kotlin/ClusterView.kt
@@ -23,14 +23,14 @@
  *
  * @property revision revision of the platform's service after the change
  * @property objects objects below [StoreKeys.WATCHED_PREFIX] with their new content
- * @property catalogue catalogue that belongs to the head among [objects], or a later one
+ * @property catalogue change that brings the catalogue to the head among [objects], or to a later one
  * @property fleet the platform's list of hosts, if it is newer than [fleetVersion]
  */
 @Serializable
 public data class StateChange(
     val revision: Long,
     val objects: List<StoredObject> = emptyList(),
-    val catalogue: Catalogue? = null,
+    val catalogue: CatalogueChange? = null,
     val fleet: Fleet? = null,
     val fleetVersion: Long = 0,
 )
@@ -72,8 +72,9 @@
         return rightsByModel[model].orEmpty().filter { !it.recalled && it.rank < offer.replicas }
     }
 
-    /** Returns this view after [change]; what is older than this view is left out. */
+    /** Returns this view after [change]; what is older than this view, or leaves a gap, is left out. */
     public fun apply(change: StateChange): ClusterView {
+        if (change.catalogue?.leavesGap(catalogue) == true) return this
         val newHead = change.objects.firstOrNull { it.key == StoreKeys.HEAD && it.version > headVersion }
         val newMembers = change.objects.firstOrNull { it.key == StoreKeys.MEMBERS && it.version > membersVersion }
         val newShards =
@@ -83,7 +84,7 @@
         val newFleet = change.fleet?.takeIf { change.fleetVersion > fleetVersion || fleetVersion == 0L }
         return copy(
             revision = maxOf(revision, change.revision),
-            catalogue = change.catalogue?.takeIf { it.sequence > catalogue.sequence } ?: catalogue,
+            catalogue = change.catalogue?.applyTo(catalogue) ?: catalogue,
             head = newHead?.let { Json.decodeFromString<TicketHead>(it.value) } ?: head,
             headVersion = newHead?.version ?: headVersion,
             shards = if (newShards.isEmpty()) shards else shards + newShards,
@@ -115,7 +116,7 @@
                     headObject().takeIf { headVersion > known.headVersion },
                     membersObject().takeIf { membersVersion > known.membersVersion },
                 ) + shardObjects(known),
-            catalogue = catalogue.takeIf { it.sequence > known.catalogue.sequence },
+            catalogue = CatalogueChange.between(known.catalogue, catalogue),
             fleet = fleet.takeIf { fleetVersion > known.fleetVersion },
             fleetVersion = fleetVersion,
         )
--- a/decisions/src/main/kotlin/Right.kt
+++ b/decisions/src/main/kotlin/Right.kt
@@ -46,7 +46,7 @@
 
     public companion object {
         /** Number of shards. */
-        public const val COUNT: Int = 16
+        public const val COUNT: Int = 256
 
         /** Returns the shard of [model]. */
         public fun of(model: ModelId): Int = Math.floorMod(StableHash.of("shard", model.value), COUNT)
--- a/decisions/src/test/kotlin/ClusterViewTest.kt
+++ b/decisions/src/test/kotlin/ClusterViewTest.kt
@@ -1,8 +1,17 @@
 package org.almondjunction.decisions
 
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import kotlinx.coroutines.test.runTest
 import kotlinx.serialization.json.Json
 import org.almondjunction.common.Address
 import org.almondjunction.common.HostId
+import org.almondjunction.common.ModelId
+import org.almondjunction.common.ServiceId
+import org.almondjunction.common.TicketNumber
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
@@ -27,4 +36,30 @@
         assertEquals(emptyList(), new.changeSince(new).objects)
         assertEquals(new, ClusterView().apply(new.toChange()))
     }
+
+    @Test
+    fun `a relayed catalogue change is applied whole or not at all`() =
+        runTest {
+            checkAll(PropTestConfig(seed = 4_401, iterations = 500), Arb.int()) { seed ->
+                val random = Random(seed)
+                val states = (1L..8L).runningFold(Catalogue()) { catalogue, number -> catalogue.apply(ticket(number, random)) }
+                val (from, to) = List(2) { random.nextInt(states.size) }.sorted()
+                val change = CatalogueChange.between(states[from], states[to])
+                states.forEachIndexed { index, state ->
+                    val fits = index < to && (index == from || from == 0)
+                    val expected = if (fits) states[to] else state
+                    if (from < to) assertEquals(index < to && !fits, change?.leavesGap(state))
+                    assertEquals(expected, change?.applyTo(state) ?: state)
+                }
+            }
+        }
+
+    private fun ticket(
+        number: Long,
+        random: Random,
+    ): Ticket {
+        val (offered, withdrawn) = List(4) { ModelId("m$it") }.filter { random.nextBoolean() }.partition { random.nextInt(3) > 0 }
+        val offers = offered.map { ModelOffer(it, ServiceId("s"), "v${random.nextInt(3)}", memoryMb = 1) }
+        return Ticket(TicketNumber(number), offers, withdrawn, retiredHosts = listOf(HostId("h${random.nextInt(3)}")))
+    }
 }
--- a/entry/src/main/kotlin/LeaderController.kt
+++ b/entry/src/main/kotlin/LeaderController.kt
@@ -44,9 +44,7 @@
         scope.launch {
             while (true) {
                 look()
-                delay(
-                    if (leading) settings.leaseMs / RENEWALS_PER_LEASE else settings.leaseMs / RENEWALS_PER_LEASE * (1 + candidateIndex()),
-                )
+                delay(if (leading) settings.leaseMs / RENEWALS_PER_LEASE else standbyIntervalMs())
             }
         }
         scope.launch { act() }
@@ -62,6 +60,9 @@
         if (lease.holder == settings.host.value) write(lease.copy(holder = ""))
     }
 
+    /** Candidates look less often the later they come, so that a large fleet costs few reads. */
+    private fun standbyIntervalMs(): Long = minOf(settings.leaseMs / LOOKS_PER_LEASE * (1 + candidateIndex()), MAXIMUM_STANDBY_MS)
+
     private fun candidateIndex(): Int {
         val hosts =
             holder.view.fleet.hosts
@@ -148,6 +149,8 @@
 
     private companion object {
         const val RENEWALS_PER_LEASE = 3
+        const val LOOKS_PER_LEASE = 4
+        const val MAXIMUM_STANDBY_MS = 30_000L
         const val ACT_INTERVAL_MS = 200L
 
         /** Time after which the same state is planned again, since a write may have been lost. */
--- a/entry/src/main/kotlin/StateController.kt
+++ b/entry/src/main/kotlin/StateController.kt
@@ -13,6 +13,7 @@
 import org.almondjunction.common.MetricName
 import org.almondjunction.common.Metrics
 import org.almondjunction.decisions.Backoff
+import org.almondjunction.decisions.CatalogueChange
 import org.almondjunction.decisions.NO_REVISION
 import org.almondjunction.decisions.Rendezvous
 import org.almondjunction.decisions.StateChange
@@ -104,7 +105,8 @@
 
     private suspend fun take(listing: ObjectListing): Boolean {
         val head = listing.objects.firstOrNull { it.key == StoreKeys.HEAD }?.let { Json.decodeFromString<TicketHead>(it.value) }
-        val catalogue = if (head == null) null else catalogues.catchUp(holder.view.catalogue, head) ?: return false
+        val known = holder.view.catalogue
+        val catalogue = if (head == null) null else CatalogueChange.between(known, catalogues.catchUp(known, head) ?: return false)
         lastAnswerMs = clock.nowMs()
         backoff.reset()
         holder.apply(StateChange(revision = listing.revision, objects = listing.objects, catalogue = catalogue))
@@ -137,9 +139,9 @@
                         peer,
                         scope,
                         metrics,
-                        onMessage = { _, message ->
+                        onMessage = { peerConnection, message ->
                             lastHeardMs = clock.nowMs()
-                            if (message is Message.RelayedChange) holder.apply(message.change)
+                            if (message is Message.RelayedChange) takeRelayed(peerConnection, message.change)
                         },
                         onClosed = {},
                     )
@@ -157,6 +159,14 @@
         return true
     }
 
+    private suspend fun takeRelayed(
+        connection: Connection,
+        change: StateChange,
+    ) {
+        if (change.catalogue?.leavesGap(holder.view.catalogue) == true) connection.send(Message.SubscribeAll(holder.view.revision))
+        holder.apply(change)
+    }
+
     private fun peers(): List<Address> {
         val hosts =
             holder.view.fleet.hosts.filter {
