Close silent sessions; silence judged from the calls; cross-region bytes in the status

(1) Once the queue of a silent session was full, the state of all other agents waited for it. (2) A call lost on reconnection was counted out of a connection that it had never been counted into, after which silence was no longer looked for. (3) A call whose first message could not be sent while its connection was replaced waited for its deadline. (4) The status reply carried a constant 0 for bytes across regions. Ruled out: counting calls into each new connection; the calls themselves say whether work is outstanding.

--- a/common/src/main/kotlin/Metrics.kt
+++ b/common/src/main/kotlin/Metrics.kt
@@ -26,6 +26,9 @@
             .increment(amount)
     }
 
+    /** Returns the sum of the counter [name] over all its reasons. */
+    public fun total(name: MetricName): Double = counters.filterKeys { it.first == name.label }.values.sumOf { it.count() }
+
     /** Records [durationMs] in the histogram [name]. */
     public fun record(
         name: MetricName,
@@ -69,5 +72,4 @@
     MODELS_RESIDENT("models.resident"),
     REQUESTS_WAITING("requests.waiting"),
     STATE_SEQUENCE("state.sequence"),
-    ACCELERATOR_IDLE_MS("accelerator.idle.milliseconds"),
 }
--- a/decisions/src/main/kotlin/ConnectionHealth.kt
+++ b/decisions/src/main/kotlin/ConnectionHealth.kt
@@ -31,32 +31,27 @@
     private var lastHeardMs = startMs
     private var lastProbeMs = startMs
     private var lastWorkMs = startMs
-    private var outstanding = 0
-
-    /** Whether nothing is outstanding. */
-    public val idle: Boolean get() = outstanding == 0
+    private var wasWorking = false
 
     /** Notes that anything was received at [nowMs]. */
     public fun heard(nowMs: Long) {
         lastHeardMs = nowMs
     }
 
-    /** Notes that work began at [nowMs]; silence counts from then if there was none before. */
-    public fun began(nowMs: Long) {
-        if (outstanding++ == 0) lastHeardMs = maxOf(lastHeardMs, nowMs)
-        lastWorkMs = nowMs
-    }
-
-    /** Notes that one piece of work ended at [nowMs]. */
-    public fun ended(nowMs: Long) {
-        outstanding--
-        lastWorkMs = nowMs
+    /** Returns what to do at [nowMs]; to be asked several times within the probe time. [working] tells whether work is outstanding. */
+    public fun check(
+        nowMs: Long,
+        working: Boolean,
+    ): ConnectionAction {
+        if (working && !wasWorking) lastHeardMs = nowMs
+        if (working) lastWorkMs = nowMs
+        wasWorking = working
+        return action(nowMs)
     }
 
-    /** Returns what to do at [nowMs]; to be asked several times within the probe time. */
-    public fun check(nowMs: Long): ConnectionAction =
+    private fun action(nowMs: Long): ConnectionAction =
         when {
-            outstanding == 0 -> if (nowMs - lastWorkMs >= closeIdleAfterMs) ConnectionAction.CLOSE_IDLE else ConnectionAction.KEEP
+            !wasWorking -> if (nowMs - lastWorkMs >= closeIdleAfterMs) ConnectionAction.CLOSE_IDLE else ConnectionAction.KEEP
             nowMs - lastHeardMs >= replaceAfterMs -> ConnectionAction.REPLACE
             nowMs - lastHeardMs >= probeAfterMs && nowMs - lastProbeMs >= probeAfterMs ->
                 ConnectionAction.PROBE.also {
--- a/decisions/src/test/kotlin/RoutingTest.kt
+++ b/decisions/src/test/kotlin/RoutingTest.kt
@@ -107,8 +107,8 @@
             )
         cases.forEach { (name, working, checks) ->
             val health = ConnectionHealth(startMs = 0)
-            if (working) health.began(nowMs = 0)
-            checks.forEach { (nowMs, expected) -> assertEquals(expected, health.check(nowMs), "$name at $nowMs ms") }
+            health.check(nowMs = 0, working)
+            checks.forEach { (nowMs, expected) -> assertEquals(expected, health.check(nowMs, working), "$name at $nowMs ms") }
         }
     }
 
--- a/entry/src/main/kotlin/Dispatcher.kt
+++ b/entry/src/main/kotlin/Dispatcher.kt
@@ -219,6 +219,7 @@
         answer: AnswerWriter,
     ): RequestEvent {
         val crossRegion = settings.location.distanceTo(target.location) == Distance.OTHER_REGION
+        if (crossRegion) metrics.count(MetricName.CROSS_REGION_BYTES, "request", exchange.body.size.toDouble())
         var withdrawing = false
         var passedOn = 0L
         var acknowledged = 0L
--- a/entry/src/main/kotlin/InternalServer.kt
+++ b/entry/src/main/kotlin/InternalServer.kt
@@ -1,6 +1,7 @@
 package org.almondjunction.entry
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.almondjunction.common.Clock
 import org.almondjunction.common.HostId
@@ -29,12 +30,14 @@
     private val agents = ConcurrentHashMap<Connection, AgentSession>()
     private val followers = ConcurrentHashMap<Connection, ClusterView>()
     private val lastHeardMs = ConcurrentHashMap<HostId, Long>()
+    private val sessionHeardMs = ConcurrentHashMap<Connection, Long>()
     private val statuses = ConcurrentHashMap<TargetId, Message.AgentStatus>()
 
     /** Last status of each agent that has a session here. */
     val agentStatuses: List<Message.AgentStatus> get() = agents.values.mapNotNull { statuses[it.target] }
 
     fun start() {
+        scope.launch { closeSilentSessions() }
         scope.launch {
             holder.views.collect { view ->
                 agents.forEach { (connection, session) -> update(connection, session, view) }
@@ -48,6 +51,7 @@
         message: Message,
     ) {
         agents[connection]?.let { lastHeardMs[it.host] = clock.nowMs() }
+        sessionHeardMs[connection] = clock.nowMs()
         when (message) {
             is Message.Hello -> greet(connection, message)
             is Message.Ping -> connection.send(Message.Pong(message.sentMs))
@@ -64,7 +68,21 @@
         }
     }
 
+    /** A session that went silent would, once its queue is full, hold up the state of all others. */
+    private suspend fun closeSilentSessions() {
+        while (true) {
+            delay(SESSION_CHECK_MS)
+            val silentSinceMs = clock.nowMs() - SESSION_SILENCE_MS
+            sessionHeardMs.filterValues { it < silentSinceMs }.keys.forEach { connection ->
+                metrics.count(MetricName.RECONNECTIONS, "session-silent")
+                connection.close()
+                onClosed(connection)
+            }
+        }
+    }
+
     fun onClosed(connection: Connection) {
+        sessionHeardMs.remove(connection)
         agents.remove(connection)
         followers.remove(connection)
     }
@@ -135,13 +153,24 @@
         connection.send(Message.RelayedChange(view.changeSince(known)))
     }
 
-    private fun status() = Message.StatusReply(settings.host, holder.view.catalogue.sequence, agentStatuses, crossRegionBytes = 0)
+    private fun status() =
+        Message.StatusReply(
+            settings.host,
+            holder.view.catalogue.sequence,
+            agentStatuses,
+            crossRegionBytes = metrics.total(MetricName.CROSS_REGION_BYTES).toLong(),
+        )
 
     private fun lastHeard(query: Message.LastHeardQuery): Message.LastHeardReply {
         val nowMs = clock.nowMs()
         val ages = query.hosts.mapNotNull { host -> lastHeardMs[host]?.let { host to nowMs - it } }.toMap()
         return Message.LastHeardReply(settings.host.value, upMs = nowMs - startedMs, agesMs = ages)
     }
+
+    private companion object {
+        const val SESSION_CHECK_MS = 1_000L
+        const val SESSION_SILENCE_MS = 8_000L
+    }
 }
 
 /** An agent's subscription. */
--- a/entry/src/main/kotlin/OperatorCommands.kt
+++ b/entry/src/main/kotlin/OperatorCommands.kt
@@ -150,12 +150,9 @@
         if (json) return echo(text, trailingNewline = false)
         val cluster = Json.decodeFromString<ClusterStatus>(text)
         echo("Last ticket ${cluster.lastTicket} at sequence ${cluster.sequence}; ${cluster.models.size} models offered.")
-        cluster.entries.forEach {
-            echo(
-                "  entry host ${it.host ?: "?"} at ${it.address}: ${it.sequence?.let { sequence ->
-                    "sequence $sequence"
-                } ?: "no answer"}",
-            )
+        cluster.entries.forEach { entry ->
+            val state = entry.sequence?.let { "sequence $it, ${entry.crossRegionBytes} bytes with other regions" } ?: "no answer"
+            echo("  entry host ${entry.host ?: "?"} at ${entry.address}: $state")
         }
         cluster.targets.forEach { target ->
             val residents = target.residents.joinToString().ifEmpty { "nothing loaded" }
--- a/entry/src/main/kotlin/Problem.kt
+++ b/entry/src/main/kotlin/Problem.kt
@@ -26,26 +26,18 @@
         ): Problem? =
             when (outcome) {
                 Outcome.Served -> null
-                is Outcome.NotRun ->
-                    Problem(
-                        type = "urn:almondjunction:refusal:${outcome.reason.code}",
-                        title = outcome.reason.title,
-                        status = outcome.reason.httpStatus,
-                        detail = outcome.detail.ifEmpty { null },
-                        outcome = outcome.headerValue,
-                        reason = outcome.reason.code,
-                        requestId = id.value,
-                    )
-                is Outcome.Unknown ->
-                    Problem(
-                        type = "urn:almondjunction:unknown:${outcome.reason.code}",
-                        title = outcome.reason.title,
-                        status = outcome.reason.httpStatus,
-                        detail = outcome.detail.ifEmpty { null },
-                        outcome = outcome.headerValue,
-                        reason = outcome.reason.code,
-                        requestId = id.value,
-                    )
+                is Outcome.NotRun -> outcome.reason.run { problem(outcome, "refusal:$code", title, httpStatus, code, outcome.detail, id) }
+                is Outcome.Unknown -> outcome.reason.run { problem(outcome, "unknown:$code", title, httpStatus, code, outcome.detail, id) }
             }
+
+        private fun problem(
+            outcome: Outcome,
+            type: String,
+            title: String,
+            status: Int,
+            reason: String,
+            detail: String,
+            id: RequestId,
+        ) = Problem("urn:almondjunction:$type", title, status, detail.ifEmpty { null }, outcome.headerValue, reason, id.value)
     }
 }
--- a/entry/src/main/kotlin/StatusService.kt
+++ b/entry/src/main/kotlin/StatusService.kt
@@ -26,7 +26,10 @@
             lastTicket = view.catalogue.lastNumber,
             leading = leader.leading,
             platformSilentMs = state.lastAnswerMs?.let { clock.nowMs() - it },
-            entries = statuses.map { (address, status) -> EntryStatus(status?.host, address.toString(), status?.sequence) },
+            entries =
+                statuses.map { (address, status) ->
+                    EntryStatus(status?.host, address.toString(), status?.sequence, status?.crossRegionBytes)
+                },
             targets =
                 statuses.values.filterNotNull().flatMap { it.agents }.sortedBy { it.target }.map { agent ->
                     TargetStatus(
@@ -69,12 +72,13 @@
     val models: List<ModelStatus>,
 )
 
-/** One entry host; [sequence] is null when it did not answer. */
+/** One entry host; [sequence] and the bytes that it exchanged with targets of other regions are null when it did not answer. */
 @Serializable
 internal data class EntryStatus(
     val host: HostId?,
     val address: String,
     val sequence: Long?,
+    val crossRegionBytes: Long?,
 )
 
 /** One target as its agent told it. */
--- a/entry/src/main/kotlin/TargetLink.kt
+++ b/entry/src/main/kotlin/TargetLink.kt
@@ -61,9 +61,8 @@
         val current = mutex.withLock { liveSession() ?: dial()?.also { session = it } }?.takeUnless { it.leaving } ?: return null
         val call = TargetCall(id, current.incarnation)
         calls[id] = call
-        synchronized(current.health) { current.health.began(clock.nowMs()) }
         val sent = current.connection.send(Message.Start(id, work, timeLeftMs, priority, clock.nowMs()))
-        if (!sent) scope.launch { recover(current) }
+        if (!sent) scope.launch { recover(current, call) }
         monitorWhileBusy()
         return call
     }
@@ -89,7 +88,6 @@
         if (calls.remove(call.id) == null) return
         call.events.cancel()
         session?.let { current ->
-            synchronized(current.health) { current.health.ended(clock.nowMs()) }
             if (!concluded) current.connection.send(Message.Cancel(call.id))
             closeIfLeaving(current)
         }
@@ -142,7 +140,7 @@
                 while (true) {
                     delay(CHECK_INTERVAL_MS)
                     val current = session ?: return@launch
-                    when (synchronized(current.health) { current.health.check(clock.nowMs()) }) {
+                    when (synchronized(current.health) { current.health.check(clock.nowMs(), working = calls.isNotEmpty()) }) {
                         ConnectionAction.KEEP -> Unit
                         ConnectionAction.PROBE -> scope.launch { current.connection.send(Message.Ping(clock.nowMs())) }
                         ConnectionAction.REPLACE -> recover(current)
@@ -162,6 +160,15 @@
         current.connection.close()
     }
 
+    /** Recovers [call], whose message could not be sent, also where the connection was replaced meanwhile. */
+    private suspend fun recover(
+        failed: Session,
+        call: TargetCall,
+    ) {
+        recover(failed)
+        session?.let { resume(call, it) } ?: call.lost()
+    }
+
     private suspend fun recover(failed: Session) {
         mutex.withLock {
             if (session !== failed) return
@@ -195,7 +202,6 @@
             call.lost()
             return
         }
-        synchronized(replacement.health) { replacement.health.began(clock.nowMs()) }
         replacement.connection.send(Message.Resume(call.id, call.offset))
     }
 
