--- a/entry/src/main/kotlin/EntryProcess.kt
+++ b/entry/src/main/kotlin/EntryProcess.kt
@@ -36,7 +36,15 @@
     private val peers = PeerQueries(settings, holder, selector, metrics, scope)
     private val internal = InternalServer(settings, holder, state, RightsReleaser(store, holder), members, clock, metrics, scope)
     private val leader =
-        LeaderController(settings, holder, store, clock, scope, SnapshotWriter(store), DepartureController(settings, clock, peers))
+        LeaderController(
+            settings,
+            holder,
+            store,
+            clock,
+            scope,
+            SnapshotWriter(store),
+            DepartureController(settings.settlingMs, clock, peers::lastHeard),
+        )
     private val drain = DrainState()
     private val dispatcher = Dispatcher(settings, holder, TargetLinks(settings, selector, clock, metrics, scope), clock, metrics)
     private val handle = chain(listOf(ReadinessFilter(holder, drain), IdempotencyFilter(store, scope)), dispatcher::dispatch)
