One way to dial: a connection or null within a time

Cause: five callers of Connection.dial each wrapped it in a timeout and in a handler of exceptions, in two orders, and the agent's told its own cancellation from the socket's by a check of its own. Change: dial itself takes the time and returns null; the callers say what an unreachable peer means to them. A dial of an agent that times out is now counted as entry-unreachable, as one that is refused was. Dead code goes: a position that the engine stand-in never read, and a branch of a test's driver whose two sides were the same; no assertion changes.

--- a/agent/src/main/kotlin/StateSubscriber.kt
+++ b/agent/src/main/kotlin/StateSubscriber.kt
@@ -1,11 +1,8 @@
 package org.almondjunction.agent
 
 import io.ktor.network.selector.SelectorManager
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.withTimeout
 import org.almondjunction.common.Address
 import org.almondjunction.common.Clock
 import org.almondjunction.common.MetricName
@@ -54,13 +51,7 @@
     suspend fun run() {
         var index = 0
         while (true) {
-            try {
-                session(order[index % order.size])
-            } catch (cancellation: CancellationException) {
-                if (!scopeActive()) throw cancellation
-            } catch (_: Exception) {
-                metrics.count(MetricName.RECONNECTIONS, "entry-unreachable")
-            }
+            session(order[index % order.size])
             connection?.close()
             connection = null
             index++
@@ -68,14 +59,11 @@
         }
     }
 
-    private fun scopeActive() = scope.coroutineContext[Job]?.isActive ?: true
-
     private suspend fun session(address: Address) {
         lastHeardMs = clock.nowMs()
         val opened =
-            withTimeout(DIAL_TIMEOUT_MS) {
-                Connection.dial(selector, address, scope, metrics, onMessage = { _, message -> onMessage(message) }, onClosed = {})
-            }
+            Connection.dial(selector, address, scope, metrics, onMessage = { _, message -> onMessage(message) }, onClosed = {})
+                ?: return metrics.count(MetricName.RECONNECTIONS, "entry-unreachable")
         connection = opened
         opened.send(Message.Hello(settings.target.value, incarnation))
         behind = false
@@ -132,7 +120,6 @@
     }
 
     private companion object {
-        const val DIAL_TIMEOUT_MS = 1_000L
         const val CHECK_INTERVAL_MS = 500L
         const val PING_AFTER_MS = 1_500L
         const val SILENCE_LIMIT_MS = 3_500L
--- a/bench/src/main/kotlin/LightAgents.kt
+++ b/bench/src/main/kotlin/LightAgents.kt
@@ -32,16 +32,14 @@
         val target = TargetId("engine-$index")
         while (true) {
             val connection =
-                runCatching {
-                    Connection.dial(
-                        selector,
-                        entries[index % entries.size],
-                        scope,
-                        metrics,
-                        onMessage = { _, message -> note(index, message) },
-                        onClosed = {},
-                    )
-                }.getOrNull()
+                Connection.dial(
+                    selector,
+                    entries[index % entries.size],
+                    scope,
+                    metrics,
+                    onMessage = { _, message -> note(index, message) },
+                    onClosed = {},
+                )
             if (connection != null) serve(connection, target)
             delay(RETRY_MS)
         }
--- a/decisions/src/test/kotlin/TicketAcceptanceTest.kt
+++ b/decisions/src/test/kotlin/TicketAcceptanceTest.kt
@@ -147,13 +147,10 @@
         when (val step = operator.step) {
             is AcceptanceStep.Call ->
                 if (random.nextInt(100) < 5) operator.restart() else operator.step = operator.acceptance.next(store.call(step.call))
-            is AcceptanceStep.Done ->
-                if (operator.heard.lastOrNull().isFinal()) {
-                    operator.heard += step.outcome
-                } else {
-                    operator.heard += step.outcome
-                    if (!step.outcome.isFinal()) operator.restart()
-                }
+            is AcceptanceStep.Done -> {
+                operator.heard += step.outcome
+                if (!step.outcome.isFinal()) operator.restart()
+            }
         }
     }
 
--- a/entry/src/main/kotlin/PeerQueries.kt
+++ b/entry/src/main/kotlin/PeerQueries.kt
@@ -53,18 +53,15 @@
     ): T? {
         val answer = CompletableDeferred<T>()
         val connection =
-            runCatching {
-                withTimeoutOrNull(ANSWER_TIMEOUT_MS) {
-                    Connection.dial(
-                        selector,
-                        address,
-                        scope,
-                        metrics,
-                        onMessage = { _, message -> read(message)?.let { answer.complete(it) } },
-                        onClosed = {},
-                    )
-                }
-            }.getOrNull() ?: return null
+            Connection.dial(
+                selector,
+                address,
+                scope,
+                metrics,
+                onMessage = { _, message -> read(message)?.let { answer.complete(it) } },
+                onClosed = {},
+                timeoutMs = ANSWER_TIMEOUT_MS,
+            ) ?: return null
         connection.send(Message.Hello(settings.host.value, incarnation = ""))
         connection.send(question)
         return withTimeoutOrNull(ANSWER_TIMEOUT_MS) { answer.await() }.also { connection.close() }
--- a/entry/src/main/kotlin/StateController.kt
+++ b/entry/src/main/kotlin/StateController.kt
@@ -6,7 +6,6 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.Json
 import org.almondjunction.common.Address
 import org.almondjunction.common.Clock
@@ -132,21 +131,17 @@
         val peer = peers[nextPeer++ % peers.size]
         var lastHeardMs = clock.nowMs()
         val connection =
-            withTimeoutOrNull(DIAL_TIMEOUT_MS) {
-                runCatching {
-                    Connection.dial(
-                        selector,
-                        peer,
-                        scope,
-                        metrics,
-                        onMessage = { peerConnection, message ->
-                            lastHeardMs = clock.nowMs()
-                            if (message is Message.RelayedChange) takeRelayed(peerConnection, message.change)
-                        },
-                        onClosed = {},
-                    )
-                }.getOrNull()
-            } ?: return false
+            Connection.dial(
+                selector,
+                peer,
+                scope,
+                metrics,
+                onMessage = { peerConnection, message ->
+                    lastHeardMs = clock.nowMs()
+                    if (message is Message.RelayedChange) takeRelayed(peerConnection, message.change)
+                },
+                onClosed = {},
+            ) ?: return false
         val endMs = clock.nowMs() + durationMs
         connection.send(Message.Hello(settings.host.value, incarnation = ""))
         connection.send(Message.SubscribeAll(holder.view.revision))
@@ -187,6 +182,5 @@
         const val FOLLOW_DURING_OUTAGE_MS = 4_000L
         const val PEER_PING_MS = 500L
         const val PEER_SILENCE_MS = 2_000L
-        const val DIAL_TIMEOUT_MS = 1_000L
     }
 }
--- a/entry/src/main/kotlin/TargetLink.kt
+++ b/entry/src/main/kotlin/TargetLink.kt
@@ -103,28 +103,24 @@
         val greeting = CompletableDeferred<Message.Hello>()
         val health = ConnectionHealth(startMs = clock.nowMs())
         val connection =
-            runCatching {
-                withTimeoutOrNull(DIAL_TIMEOUT_MS) {
-                    Connection.dial(
-                        selector,
-                        address,
-                        scope,
-                        metrics,
-                        onMessage = { _, message ->
-                            synchronized(health) { health.heard(clock.nowMs()) }
-                            when (message) {
-                                is Message.Hello -> greeting.complete(message)
-                                is Message.AboutRequest -> calls[message.id]?.take(message)
-                                is Message.Leaving -> session?.let { noteLeaving(it) }
-                                else -> Unit
-                            }
-                        },
-                        onClosed = { closed -> session?.takeIf { it.connection === closed }?.let { recover(it) } },
-                    )
-                }
-            }.getOrNull() ?: return null
+            Connection.dial(
+                selector,
+                address,
+                scope,
+                metrics,
+                onMessage = { _, message ->
+                    synchronized(health) { health.heard(clock.nowMs()) }
+                    when (message) {
+                        is Message.Hello -> greeting.complete(message)
+                        is Message.AboutRequest -> calls[message.id]?.take(message)
+                        is Message.Leaving -> session?.let { noteLeaving(it) }
+                        else -> Unit
+                    }
+                },
+                onClosed = { closed -> session?.takeIf { it.connection === closed }?.let { recover(it) } },
+            ) ?: return null
         connection.send(Message.Hello(host, incarnation = ""))
-        val hello = withTimeoutOrNull(DIAL_TIMEOUT_MS) { greeting.await() }
+        val hello = withTimeoutOrNull(GREETING_TIMEOUT_MS) { greeting.await() }
         if (hello == null) {
             connection.close()
             return null
@@ -206,7 +202,7 @@
     }
 
     private companion object {
-        const val DIAL_TIMEOUT_MS = 1_000L
+        const val GREETING_TIMEOUT_MS = 1_000L
         const val CHECK_INTERVAL_MS = 100L
         const val RECOVERY_TRIES = 3
         const val RECOVERY_DELAY_MS = 150L
--- a/protocol/src/main/kotlin/Connection.kt
+++ b/protocol/src/main/kotlin/Connection.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
 import org.almondjunction.common.Address
@@ -129,11 +130,12 @@
         public const val MAXIMUM_FRAME_BYTES: Int = 8 * 1024 * 1024
 
         private const val OUTGOING_CAPACITY = 256
+        private const val DIAL_TIMEOUT_MS = 1_000L
 
         @OptIn(ExperimentalSerializationApi::class)
         private val CODEC = Cbor { ignoreUnknownKeys = true }
 
-        /** Connects to [address]; throws when it cannot be reached. */
+        /** Connects to [address]; returns null when it cannot be reached within [timeoutMs]. */
         public suspend fun dial(
             selector: SelectorManager,
             address: Address,
@@ -141,9 +143,17 @@
             metrics: Metrics,
             onMessage: suspend (Connection, Message) -> Unit,
             onClosed: suspend (Connection) -> Unit,
-        ): Connection {
-            val socket = aSocket(selector).tcp().connect(address.ip, address.port) { noDelay = true }
-            return Connection(socket, scope, metrics).apply { start(onMessage, onClosed) }
+            timeoutMs: Long = DIAL_TIMEOUT_MS,
+        ): Connection? {
+            val socket =
+                try {
+                    withTimeoutOrNull(timeoutMs) { aSocket(selector).tcp().connect(address.ip, address.port) { noDelay = true } }
+                } catch (cancellation: CancellationException) {
+                    throw cancellation
+                } catch (_: Exception) {
+                    null
+                }
+            return socket?.let { Connection(it, scope, metrics).apply { start(onMessage, onClosed) } }
         }
 
         /** Takes the accepted [socket] over. */
--- a/standins/src/main/kotlin/EngineStandIn.kt
+++ b/standins/src/main/kotlin/EngineStandIn.kt
@@ -204,11 +204,9 @@
     ) {
         val type = if (generation.stream) ContentType.Text.EventStream else ContentType.Application.Json
         call.respondBytesWriter(type) {
-            var position = offset
             generation.parts(offset).collect { part ->
                 writeByteArray(part)
                 flush()
-                position += part.size
             }
         }
     }
