Dial: only the caller's own cancellation ends the caller

Cause: a socket that fails while it connects may end as a cancellation, which the agent's loop took for a failed dial before and would now have ended it. Change: dial tells the two apart as send does.

--- a/protocol/src/main/kotlin/Connection.kt
+++ b/protocol/src/main/kotlin/Connection.kt
@@ -148,8 +148,9 @@
             val socket =
                 try {
                     withTimeoutOrNull(timeoutMs) { aSocket(selector).tcp().connect(address.ip, address.port) { noDelay = true } }
-                } catch (cancellation: CancellationException) {
-                    throw cancellation
+                } catch (_: CancellationException) {
+                    currentCoroutineContext().ensureActive()
+                    null
                 } catch (_: Exception) {
                     null
                 }
