--- a/common/src/main/kotlin/DocumentReader.kt
+++ b/common/src/main/kotlin/DocumentReader.kt
@@ -14,6 +14,7 @@
     private val file: String,
     private val table: DocumentNode.Table,
     private val faults: MutableList<Fault>,
+    private val unknownKeys: UnknownKeys,
 ) {
     private val known = mutableSetOf<String>()
 
@@ -96,6 +97,24 @@
         }
     }
 
+    /** Reads an array of whole numbers; a missing key is an empty list. */
+    public fun longs(key: String): List<Long> {
+        known += key
+        val node = table.entries[key] ?: return emptyList()
+        val values = (node as? DocumentNode.Sequence)?.values?.map { it as? Long }
+        if (values != null && null !in values) return values.filterNotNull()
+        return emptyList<Long>().also { fault(key, "Found ${describe(node)}; expected an array of whole numbers.") }
+    }
+
+    /** Reads a table whose keys are free and whose values are strings; a missing key is an empty map. */
+    public fun stringTable(key: String): Map<String, String> {
+        known += key
+        val node = table.entries[key] ?: return emptyMap()
+        val entries = (node as? DocumentNode.Table)?.entries?.mapValues { (it.value as? DocumentNode.Scalar)?.value as? String }
+        if (entries != null && null !in entries.values) return entries.mapValues { it.value.orEmpty() }
+        return emptyMap<String, String>().also { fault(key, "Found ${describe(node)}; expected a table of strings.") }
+    }
+
     /** Reads the array of tables at [key] with [read] for each element; a missing key is an empty list. */
     public fun <T> tables(
         key: String,
@@ -129,7 +148,7 @@
     private fun <T> nested(
         node: DocumentNode.Table,
         read: DocumentReader.() -> T,
-    ): T = DocumentReader(file, node, faults).run { read().also { reportUnknownKeys() } }
+    ): T = DocumentReader(file, node, faults, unknownKeys).run { read().also { reportUnknownKeys() } }
 
     private fun <T : Any> scalar(
         key: String,
@@ -156,6 +175,7 @@
         }
 
     private fun reportUnknownKeys() {
+        if (unknownKeys == UnknownKeys.IGNORED) return
         (table.entries.keys - known).forEach { fault(it, "The key is unknown; expected one of ${known.sorted().joinToString()}.") }
     }
 
@@ -168,12 +188,22 @@
         public fun <T> read(
             file: String,
             text: String,
+            unknownKeys: UnknownKeys = UnknownKeys.FAULTS,
             read: DocumentReader.() -> T,
         ): Result<T, List<Fault>> {
             val root = DocumentNode.parse(file, text).getOrElse { return Err(listOf(it)) }
             val faults = mutableListOf<Fault>()
-            val value = DocumentReader(file, root, faults).run { read().also { reportUnknownKeys() } }
+            val value = DocumentReader(file, root, faults, unknownKeys).run { read().also { reportUnknownKeys() } }
             return if (faults.isEmpty()) Ok(value) else Err(faults)
         }
     }
 }
+
+/** What a key means that the reader of a document does not ask for. */
+public enum class UnknownKeys {
+    /** It is a fault, such as a spelling mistake. */
+    FAULTS,
+
+    /** It belongs to somebody else. */
+    IGNORED,
+}
--- a/common/src/main/kotlin/EventLog.kt
+++ b/common/src/main/kotlin/EventLog.kt
@@ -24,15 +24,20 @@
     ): Unit = fields.during { Logger.error { message } }
 }
 
-/** Fields of one log line; null fields are left empty. */
+/**
+ * Fields of one log line; null fields are left empty.
+ *
+ * @property extra further inputs of the decision that the line tells of
+ */
 public data class LogFields(
     val requestId: RequestId? = null,
     val target: TargetId? = null,
     val outcome: String? = null,
     val reason: String? = null,
+    val extra: Map<String, String?> = emptyMap(),
 ) {
     internal fun during(log: () -> Unit) {
-        mapOf("requestId" to requestId?.value, "target" to target?.value, "outcome" to outcome, "reason" to reason)
+        (mapOf("requestId" to requestId?.value, "target" to target?.value, "outcome" to outcome, "reason" to reason) + extra)
             .forEach { (key, value) -> if (value == null) ThreadContext.remove(key) else ThreadContext.put(key, value) }
         log()
         ThreadContext.clear()
--- a/common/src/main/kotlin/JsonLinesWriter.kt
+++ b/common/src/main/kotlin/JsonLinesWriter.kt
@@ -8,16 +8,16 @@
 import java.io.PrintStream
 
 /**
- * Writes each log entry as one JSON object on a line of the standard error stream.
+ * Writes each log entry as one JSON object on a line of the standard error stream, or of the standard output stream.
  *
  * The library's own JSON writer needs a file that it can seek in, and hosts have no disks.
  */
 public class JsonLinesWriter(
     private val output: PrintStream,
 ) : Writer {
-    /** Constructor that tinylog calls with the properties of the writer. */
-    @Suppress("unused", "UNUSED_PARAMETER")
-    public constructor(properties: Map<String, String>) : this(System.err)
+    /** Constructor that tinylog calls with the properties of the writer; `stream` is `err` or `out`. */
+    @Suppress("unused")
+    public constructor(properties: Map<String, String>) : this(if (properties["stream"] == "out") System.out else System.err)
 
     override fun getRequiredLogEntryValues(): Collection<LogEntryValue> =
         setOf(LogEntryValue.DATE, LogEntryValue.LEVEL, LogEntryValue.CONTEXT, LogEntryValue.MESSAGE, LogEntryValue.EXCEPTION)
--- a/decisions/src/main/kotlin/StableHash.kt
+++ b/decisions/src/main/kotlin/StableHash.kt
@@ -15,4 +15,13 @@
         candidates: Collection<T>,
         identity: (T) -> String,
     ): List<T> = candidates.sortedWith(compareByDescending<T> { StableHash.of(key, identity(it)) }.thenBy(identity))
+
+    /** Returns the place of [identity] under [key], from 0 until 1; the highest comes first in [order]. */
+    public fun share(
+        key: String,
+        identity: String,
+    ): Double = (StableHash.of(key, identity) ushr UNUSED_BITS) / DISTINCT_SHARES
+
+    private const val UNUSED_BITS = 11
+    private const val DISTINCT_SHARES = 9.007199254740992E15
 }
--- /dev/null
+++ b/decisions/src/main/kotlin/TargetChoice.kt
@@ -0,0 +1,42 @@
+package org.almondjunction.decisions
+
+import org.almondjunction.common.TargetId
+
+/**
+ * A target that could take a request, with what is known of it at the moment.
+ *
+ * @property distanceMs one way to it
+ * @property waitMs expected wait before it begins with the request
+ * @property workMs expected work before the first part of the answer, beyond the wait
+ * @property failureShare recent share of sends to it that failed, 0 to 1
+ * @property affinity 0 to 1; breaks ties the same way in every gateway
+ */
+public data class TargetCandidate(
+    val target: TargetId,
+    val distanceMs: Double,
+    val waitMs: Double,
+    val workMs: Double,
+    val failureShare: Double,
+    val affinity: Double,
+) {
+    /** Expected time to the first part of an answer, with failures counted as time. */
+    public val expectedMs: Double
+        get() = 2 * distanceMs + waitMs + workMs + failureShare * FAILURE_MS
+
+    private companion object {
+        /** Time that a failed send costs its caller, about the latency objective of a short request. */
+        const val FAILURE_MS = 500.0
+    }
+}
+
+/** Chooses among targets. */
+public object TargetChoice {
+    /** Returns the candidate with the shortest expected time; near ties go by affinity. */
+    public fun choose(candidates: List<TargetCandidate>): TargetCandidate? {
+        val best = candidates.minOfOrNull { it.expectedMs } ?: return null
+        return candidates.filter { it.expectedMs <= best + TIE_MS }.maxBy { it.affinity }
+    }
+
+    /** Differences below this are within the error of the estimates. */
+    private const val TIE_MS = 8.0
+}
--- a/decisions/src/test/kotlin/RightsWorld.kt
+++ b/decisions/src/test/kotlin/RightsWorld.kt
@@ -101,6 +101,7 @@
     private val models = List(4) { ModelId("m$it") }
     private val targets = List(4) { newTarget(it) }
     private var catalogue = Catalogue()
+
     /** Only shards that were ever written, by index; the others hold nothing. */
     private var shards = emptyMap<Int, RightsShard>()
     private var revision = 1L
--- a/entry/src/main/kotlin/CatalogueReader.kt
+++ b/entry/src/main/kotlin/CatalogueReader.kt
@@ -9,7 +9,7 @@
 import org.almondjunction.decisions.StoreReply
 import org.almondjunction.decisions.Ticket
 import org.almondjunction.decisions.TicketHead
-import org.almondjunction.platform.ObjectStore
+import org.almondjunction.objectstore.ObjectStore
 
 /** Brings a catalogue up to a head by reading the tickets, or a snapshot and the tickets after it. */
 internal class CatalogueReader(
--- a/entry/src/main/kotlin/EntryProcess.kt
+++ b/entry/src/main/kotlin/EntryProcess.kt
@@ -17,7 +17,7 @@
 import org.almondjunction.common.MetricName
 import org.almondjunction.common.Metrics
 import org.almondjunction.common.SystemClock
-import org.almondjunction.platform.HttpObjectStore
+import org.almondjunction.objectstore.HttpObjectStore
 import org.almondjunction.protocol.Listener
 
 /** One entry host's process: serves callers and operators, and runs the controllers while it holds their lease. */
--- a/entry/src/main/kotlin/IdempotencyFilter.kt
+++ b/entry/src/main/kotlin/IdempotencyFilter.kt
@@ -12,7 +12,7 @@
 import org.almondjunction.decisions.StoreCall
 import org.almondjunction.decisions.StoreKeys
 import org.almondjunction.decisions.StoreReply
-import org.almondjunction.platform.ObjectStore
+import org.almondjunction.objectstore.ObjectStore
 import java.io.ByteArrayOutputStream
 import java.security.MessageDigest
 
--- a/entry/src/main/kotlin/LeaderController.kt
+++ b/entry/src/main/kotlin/LeaderController.kt
@@ -19,7 +19,7 @@
 import org.almondjunction.decisions.StoreCall
 import org.almondjunction.decisions.StoreKeys
 import org.almondjunction.decisions.StoreReply
-import org.almondjunction.platform.ObjectStore
+import org.almondjunction.objectstore.ObjectStore
 
 /** Runs the controllers while this process holds the lease. Every write is conditional on the version that it was decided from. */
 internal class LeaderController(
--- a/entry/src/main/kotlin/MembershipController.kt
+++ b/entry/src/main/kotlin/MembershipController.kt
@@ -6,7 +6,7 @@
 import org.almondjunction.decisions.StoreCall
 import org.almondjunction.decisions.StoreKeys
 import org.almondjunction.decisions.StoreReply
-import org.almondjunction.platform.ObjectStore
+import org.almondjunction.objectstore.ObjectStore
 import kotlin.random.Random
 
 /** Enters this process among the [Members] before it serves agents, and removes it when it no longer does. */
--- a/entry/src/main/kotlin/RightsReleaser.kt
+++ b/entry/src/main/kotlin/RightsReleaser.kt
@@ -8,7 +8,7 @@
 import org.almondjunction.decisions.StoreCall
 import org.almondjunction.decisions.StoreKeys
 import org.almondjunction.decisions.StoreReply
-import org.almondjunction.platform.ObjectStore
+import org.almondjunction.objectstore.ObjectStore
 
 /** Removes rights that an agent gave back. Needs no leader: the agent's word is proof, and the update is conditional. */
 internal class RightsReleaser(
--- a/entry/src/main/kotlin/SnapshotWriter.kt
+++ b/entry/src/main/kotlin/SnapshotWriter.kt
@@ -8,7 +8,7 @@
 import org.almondjunction.decisions.StoreKeys
 import org.almondjunction.decisions.StoreReply
 import org.almondjunction.decisions.TicketHead
-import org.almondjunction.platform.ObjectStore
+import org.almondjunction.objectstore.ObjectStore
 
 /** Keeps the head short: writes log pages and a catalogue snapshot, then trims the tickets that they hold. */
 internal class SnapshotWriter(
--- a/entry/src/main/kotlin/StateController.kt
+++ b/entry/src/main/kotlin/StateController.kt
@@ -18,8 +18,8 @@
 import org.almondjunction.decisions.StateChange
 import org.almondjunction.decisions.StoreKeys
 import org.almondjunction.decisions.TicketHead
-import org.almondjunction.platform.ObjectListing
-import org.almondjunction.platform.ObjectStore
+import org.almondjunction.objectstore.ObjectListing
+import org.almondjunction.objectstore.ObjectStore
 import org.almondjunction.protocol.Connection
 import org.almondjunction.protocol.Message
 import kotlin.random.Random
--- a/entry/src/main/kotlin/TicketService.kt
+++ b/entry/src/main/kotlin/TicketService.kt
@@ -14,7 +14,7 @@
 import org.almondjunction.decisions.Ticket
 import org.almondjunction.decisions.TicketAcceptance
 import org.almondjunction.decisions.TicketOutcome
-import org.almondjunction.platform.ObjectStore
+import org.almondjunction.objectstore.ObjectStore
 import kotlin.random.Random
 
 /** Accepts tickets and tells where they are in force. */
--- /dev/null
+++ b/gateway/src/main/kotlin/CallerAnswer.kt
@@ -0,0 +1,102 @@
+package org.almondjunction.gateway
+
+import org.almondjunction.network.HttpHeader
+import org.almondjunction.network.HttpHeaders
+import org.almondjunction.network.HttpVersion
+import org.almondjunction.network.HttpWriter
+import org.almondjunction.network.RequestHead
+import org.almondjunction.network.ResponseHead
+import org.almondjunction.network.TcpConnection
+
+/** The answer to one request of a caller, written in order and once only. */
+internal class CallerAnswer(
+    private val connection: TcpConnection,
+    private val request: RequestHead?,
+) {
+    /** Whether the head was written; from then on a failure can only be shown by ending the connection. */
+    var begun = false
+        private set
+
+    /** Whether the answer is complete. */
+    var complete = false
+        private set
+
+    /** Whether the connection must end after this answer. */
+    var closes = request == null || request.version == HttpVersion.HTTP_1_0 || request.headers.hasToken("Connection", "close")
+
+    /** Answers with a status of our own. */
+    suspend fun refuse(
+        status: Int,
+        reason: String,
+        retryAfterMs: Long? = null,
+    ) {
+        val body = "{\"status\":$status,\"reason\":\"$reason\"}\n".toByteArray()
+        val headers = mutableListOf(HttpHeader("Content-Type", "application/problem+json"))
+        if (retryAfterMs != null) headers += HttpHeader("Retry-After", seconds(retryAfterMs))
+        whole(status, headers, body)
+    }
+
+    /** Hands on a target's answer with its whole [body]. */
+    suspend fun pass(
+        head: ResponseHead,
+        body: ByteArray,
+    ): Unit = whole(head.status, endToEnd(head.headers), body)
+
+    private suspend fun whole(
+        status: Int,
+        headers: List<HttpHeader>,
+        body: ByteArray,
+    ) {
+        check(!begun) { "An answer was begun twice." }
+        begun = true
+        val all = headers + HttpHeader("Content-Length", body.size.toString()) + connectionHeaders()
+        val shown = if (request?.method == "HEAD") EMPTY else body
+        complete = connection.write(HttpWriter.response(status, all), shown)
+    }
+
+    /** Begins an answer whose length is not known. */
+    suspend fun begin(head: ResponseHead) {
+        check(!begun) { "An answer was begun twice." }
+        begun = true
+        val framing = if (closesWithBody) emptyList() else listOf(HttpHeader("Transfer-Encoding", "chunked"))
+        connection.write(HttpWriter.response(head.status, endToEnd(head.headers) + framing + connectionHeaders()))
+    }
+
+    /** Adds [bytes] to the answer; returns false when the caller is gone. */
+    suspend fun add(bytes: ByteArray): Boolean = bytes.isEmpty() || connection.write(if (closesWithBody) bytes else HttpWriter.chunk(bytes))
+
+    /** Ends the answer as complete. */
+    suspend fun end() {
+        complete = closesWithBody || connection.write(HttpWriter.LAST_CHUNK)
+    }
+
+    private val closesWithBody get() = request?.version == HttpVersion.HTTP_1_0
+
+    private fun connectionHeaders() = if (closes) listOf(HttpHeader("Connection", "close")) else emptyList()
+
+    private fun endToEnd(headers: HttpHeaders): List<HttpHeader> {
+        val named = headers.all("Connection").flatMap { value -> value.split(',').map { it.trim().lowercase() } }
+        return headers.lines.filter { it.name.lowercase() !in HOP_BY_HOP && it.name.lowercase() !in named }
+    }
+
+    companion object {
+        private val EMPTY = ByteArray(0)
+        private const val MILLISECONDS_PER_SECOND = 1_000.0
+
+        /** Headers that concern one connection only (RFC 9110), and those that frame a body. */
+        val HOP_BY_HOP =
+            setOf(
+                "connection",
+                "keep-alive",
+                "proxy-connection",
+                "transfer-encoding",
+                "content-length",
+                "te",
+                "trailer",
+                "upgrade",
+                "expect",
+            )
+
+        private fun seconds(durationMs: Long): String = "%.2f".format(java.util.Locale.ROOT, durationMs / MILLISECONDS_PER_SECOND)
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/CallerConnection.kt
@@ -0,0 +1,177 @@
+package org.almondjunction.gateway
+
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.almondjunction.common.Clock
+import org.almondjunction.common.EventLog
+import org.almondjunction.common.LogFields
+import org.almondjunction.common.MetricName
+import org.almondjunction.common.Metrics
+import org.almondjunction.network.BodyFraming
+import org.almondjunction.network.HeadResult
+import org.almondjunction.network.HttpHeadParser
+import org.almondjunction.network.HttpReader
+import org.almondjunction.network.ReadResult
+import org.almondjunction.network.RequestHead
+import org.almondjunction.network.TcpConnection
+import org.almondjunction.network.WholeBody
+
+/** Serves the requests of one caller's connection, one after another. */
+internal class CallerConnection(
+    private val connection: TcpConnection,
+    private val clock: Clock,
+    private val state: GatewayState,
+    private val names: HeaderNames,
+    private val forwarder: Forwarder,
+    private val metrics: Metrics,
+) : AutoCloseable {
+    private val reader = HttpReader(connection)
+
+    /** Whether a request is being read or answered. */
+    var busy = false
+        private set
+
+    suspend fun serve() {
+        try {
+            var more = true
+            while (more) more = serveOne()
+        } finally {
+            connection.close()
+        }
+    }
+
+    private suspend fun serveOne(): Boolean {
+        val limits = state.configuration?.limits ?: CallerLimits()
+        if (connection.input.size == 0) {
+            val first = withTimeoutOrNull(limits.idleTimeoutMs) { connection.fill() }
+            if (first != ReadResult.DATA) return false
+        }
+        busy = true
+        val arrivedMs = clock.nowMs()
+        val served = withTimeoutOrNull(limits.headTimeoutMs) { reader.requestHead(limits.maximumHeadBytes) }
+        val more =
+            when (served) {
+                null -> refuseUnread(REQUEST_TIMEOUT, "the head took too long")
+                is HeadResult.Read -> answer(served.head, arrivedMs, limits)
+                HeadResult.End, HeadResult.Broken -> false
+                is HeadResult.Malformed -> refuseUnread(BAD_REQUEST, served.detail)
+                HeadResult.TooLarge -> refuseUnread(HEADERS_TOO_LARGE, "the head is too large")
+            }
+        busy = false
+        return more
+    }
+
+    private suspend fun refuseUnread(
+        status: Int,
+        reason: String,
+    ): Boolean {
+        note(null, status, reason)
+        CallerAnswer(connection, null).refuse(status, reason)
+        return false
+    }
+
+    private suspend fun answer(
+        head: RequestHead,
+        arrivedMs: Long,
+        limits: CallerLimits,
+    ): Boolean {
+        val answer = CallerAnswer(connection, head)
+        if (state.leaving) answer.closes = true
+        val framing = HttpHeadParser.framingOf(head)
+        val hosts = head.headers.all("Host")
+        if (framing == null || hosts.size != 1) return refuse(head, answer, BAD_REQUEST, "the request can be read in two ways", null)
+        if (framing is BodyFraming.Length && framing.bytes > limits.maximumBodyBytes) {
+            return refuse(head, answer, CONTENT_TOO_LARGE, "the body is too large", null)
+        }
+        if (head.headers.hasToken("Expect", "100-continue")) connection.write(CONTINUE)
+        val body =
+            when (val result = reader.body(framing).whole(limits.maximumBodyBytes)) {
+                is WholeBody.Read -> result.bytes
+                WholeBody.TooLarge -> return refuse(head, answer, CONTENT_TOO_LARGE, "the body is too large", null)
+                is WholeBody.Broken -> return refuse(head, answer, BAD_REQUEST, result.detail, null)
+            }
+        val configuration = state.configuration
+        val path = head.target.substringBefore('?')
+        val route = configuration?.route(hosts.single().substringBeforeLast(':'), path) ?: configuration?.route(hosts.single(), path)
+        when {
+            configuration == null -> {
+                note(head, SERVICE_UNAVAILABLE, "no configuration yet")
+                answer.refuse(SERVICE_UNAVAILABLE, "no configuration yet", RETRY_WITHOUT_CONFIGURATION_MS)
+            }
+            route == null -> {
+                note(head, NOT_FOUND, "no route")
+                answer.refuse(NOT_FOUND, "no route")
+            }
+            else -> watched(ForwardedRequest.of(head, body, route, arrivedMs, names), answer)
+        }
+        return answer.complete && !answer.closes
+    }
+
+    /** Forwards [request] until it is answered or its caller is gone. */
+    private suspend fun watched(
+        request: ForwardedRequest,
+        answer: CallerAnswer,
+    ): Unit =
+        coroutineScope {
+            val work = launch { forwarder.forward(request, answer) }
+            val watch =
+                launch {
+                    while (connection.input.size < MOST_BYTES_AHEAD) {
+                        if (connection.fill() != ReadResult.DATA) break
+                    }
+                    if (connection.input.size < MOST_BYTES_AHEAD) {
+                        metrics.count(MetricName.REFUSALS, "caller-gone")
+                        work.cancel()
+                    }
+                }
+            work.join()
+            watch.cancelAndJoin()
+        }
+
+    private suspend fun refuse(
+        head: RequestHead,
+        answer: CallerAnswer,
+        status: Int,
+        reason: String,
+        retryAfterMs: Long?,
+    ): Boolean {
+        note(head, status, reason)
+        answer.closes = true
+        answer.refuse(status, reason, retryAfterMs)
+        return false
+    }
+
+    private fun note(
+        head: RequestHead?,
+        status: Int,
+        reason: String,
+    ) {
+        metrics.count(MetricName.REFUSALS, reason)
+        val extra =
+            mapOf(
+                "status" to status.toString(),
+                "id" to head?.headers?.get(names.requestId),
+                "path" to head?.target,
+                "version" to state.configuration?.version?.toString(),
+            )
+        EventLog.info("refused unread", LogFields(outcome = "not run", reason = reason, extra = extra))
+    }
+
+    override fun close(): Unit = connection.close()
+
+    private companion object {
+        const val BAD_REQUEST = 400
+        const val NOT_FOUND = 404
+        const val REQUEST_TIMEOUT = 408
+        const val CONTENT_TOO_LARGE = 413
+        const val HEADERS_TOO_LARGE = 431
+        const val SERVICE_UNAVAILABLE = 503
+        const val RETRY_WITHOUT_CONFIGURATION_MS = 500L
+
+        /** Bytes of further requests that are taken in while one is answered. */
+        const val MOST_BYTES_AHEAD = 64 * 1024
+        val CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".toByteArray()
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/EventSplitter.kt
@@ -0,0 +1,60 @@
+package org.almondjunction.gateway
+
+import java.io.ByteArrayOutputStream
+
+/** Splits a stream of bytes into whole server-sent events and remembers the identity of the last one. */
+internal class EventSplitter {
+    private var pending = ByteArrayOutputStream()
+    private var lineEmpty = true
+
+    /** Identity of the last whole event; null before the first that has one. */
+    var lastEvent: String? = null
+        private set
+
+    /** Whether bytes of an unfinished event wait. */
+    val unfinished: Boolean get() = pending.size() > 0
+
+    /** Returns the bytes of the events that [bytes] completes, possibly none. */
+    fun feed(bytes: ByteArray): ByteArray {
+        var wholeUntil = 0
+        for (index in bytes.indices) {
+            when (bytes[index]) {
+                LINE_FEED -> {
+                    if (lineEmpty) wholeUntil = index + 1
+                    lineEmpty = true
+                }
+                CARRIAGE_RETURN -> Unit
+                else -> lineEmpty = false
+            }
+        }
+        if (wholeUntil == 0) {
+            pending.write(bytes)
+            return EMPTY
+        }
+        pending.write(bytes, 0, wholeUntil)
+        val whole = pending.toByteArray()
+        pending = ByteArrayOutputStream().apply { write(bytes, wholeUntil, bytes.size - wholeUntil) }
+        noteIdentity(whole)
+        return whole
+    }
+
+    private fun noteIdentity(whole: ByteArray) {
+        val text = String(whole, Charsets.ISO_8859_1)
+        val start = if (text.startsWith(IDENTITY)) 0 else text.lastIndexOf("\n$IDENTITY").let { if (it < 0) return else it + 1 }
+        val last = maxOf(start, text.lastIndexOf("\n$IDENTITY") + 1)
+        lastEvent = text.substring(last + IDENTITY.length, text.indexOf('\n', last)).trim()
+    }
+
+    /** Drops the bytes of an unfinished event; another target sends it again. */
+    fun dropUnfinished() {
+        pending = ByteArrayOutputStream()
+        lineEmpty = true
+    }
+
+    private companion object {
+        val EMPTY = ByteArray(0)
+        const val IDENTITY = "id:"
+        const val LINE_FEED = '\n'.code.toByte()
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/Exchange.kt
@@ -0,0 +1,161 @@
+package org.almondjunction.gateway
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.almondjunction.decisions.SendResult
+import org.almondjunction.network.BodyFraming
+import org.almondjunction.network.BodyReader
+import org.almondjunction.network.HeadResult
+import org.almondjunction.network.HttpHeadParser
+import org.almondjunction.network.HttpHeader
+import org.almondjunction.network.HttpReader
+import org.almondjunction.network.HttpWriter
+import org.almondjunction.network.ResponseHead
+import org.almondjunction.network.TcpConnection
+import org.almondjunction.network.WholeBody
+
+/** What came back from one send, before its body. */
+internal sealed class SendAnswer {
+    /** No answer that can be handed on. */
+    class Unserved(
+        val result: SendResult,
+        val detail: String,
+    ) : SendAnswer()
+
+    /** The target's own answer; its body is still to be read. */
+    class Answered(
+        val head: ResponseHead,
+        val body: BodyReader,
+        val signed: Boolean,
+    ) : SendAnswer()
+}
+
+/** One send of one request to one target on one connection. */
+internal class Exchange(
+    private val scope: CoroutineScope,
+    val target: Target,
+    private val names: HeaderNames,
+) : AutoCloseable {
+    private var connection: TcpConnection? = null
+    private var writer: Job? = null
+    private var wholeRequestSent = false
+    private var odd = false
+    private var answer: ResponseHead? = null
+    private var body: BodyReader? = null
+    private var framing: BodyFraming = BodyFraming.None
+
+    suspend fun send(
+        request: ForwardedRequest,
+        headers: List<HttpHeader>,
+        keptYoungerThanMs: Long,
+        timeoutMs: Long,
+    ): SendAnswer {
+        val opened =
+            target.pool.takeKept(keptYoungerThanMs)
+                ?: target.pool.dial(timeoutMs)
+                ?: return SendAnswer.Unserved(SendResult.NotSent, "the target cannot be reached")
+        connection = opened
+        val before = opened.bytesWritten
+        val sent = CompletableDeferred<Boolean>()
+        writer =
+            scope.launch {
+                wholeRequestSent = opened.write(HttpWriter.request(request.head.method, request.head.target, headers), request.body)
+                sent.complete(wholeRequestSent)
+            }
+        val answer = awaitAnswer(request, opened)
+        val nothingLeft = opened.bytesWritten == before
+        if (answer is SendAnswer.Unserved && answer.result == SendResult.Lost && nothingLeft) {
+            return SendAnswer.Unserved(SendResult.NotSent, "the connection failed before the request left")
+        }
+        return answer
+    }
+
+    private suspend fun awaitAnswer(
+        request: ForwardedRequest,
+        opened: TcpConnection,
+    ): SendAnswer {
+        val reader = HttpReader(opened)
+        repeat(MOST_STRAY_ANSWERS) {
+            val head =
+                when (val result = reader.responseHead(MAXIMUM_ANSWER_HEAD_BYTES)) {
+                    is HeadResult.Read -> result.head
+                    HeadResult.End, HeadResult.Broken -> return lost("the connection ended before an answer")
+                    is HeadResult.Malformed -> return lost(result.detail)
+                    HeadResult.TooLarge -> return lost("the head of the answer is too large")
+                }
+            if (head.status < FIRST_FINAL_STATUS) return@repeat
+            val bodyFraming = HttpHeadParser.framingOf(head, request.head.method) ?: return lost("the answer's length is contradictory")
+            if (head.headers[names.requestId] == request.id) return judge(head, reader.body(bodyFraming), bodyFraming)
+            odd = true
+            if (head.headers[names.requestId] == null && head.headers[names.notExecuted] != null) {
+                return judge(head, reader.body(bodyFraming), bodyFraming)
+            }
+            if (bodyFraming == BodyFraming.UntilEnd || reader.body(bodyFraming).whole(MAXIMUM_STRAY_BYTES) !is WholeBody.Read) {
+                return lost("an answer to another request came")
+            }
+        }
+        return lost("answers to other requests came")
+    }
+
+    private fun judge(
+        head: ResponseHead,
+        body: BodyReader,
+        bodyFraming: BodyFraming,
+    ): SendAnswer {
+        answer = head
+        this.body = body
+        framing = bodyFraming
+        val notRun = head.headers[names.notExecuted] != null || head.status == MISDIRECTED
+        val signed = head.headers[names.signature] != null
+        return when {
+            notRun -> {
+                val another = head.headers[names.answeringTarget]?.let { it != target.entry.target.value } ?: false
+                SendAnswer.Unserved(SendResult.Refused(another), "status ${head.status}, not executed")
+            }
+            head.status in SUCCESS && !signed -> lost("a success without signature came")
+            head.headers["Content-Encoding"] != null -> lost("an encoded body came")
+            else -> SendAnswer.Answered(head, body, signed)
+        }
+    }
+
+    private fun lost(detail: String): SendAnswer {
+        odd = true
+        return SendAnswer.Unserved(SendResult.Lost, detail)
+    }
+
+    /** Keeps the connection for another request if it is sound; [bodyRead] tells whether the answer's body was read to its end. */
+    suspend fun finish(bodyRead: Boolean) {
+        val opened = connection ?: return
+        val head = answer
+        val unread = body.takeUnless { bodyRead }
+        val drained =
+            unread == null || withTimeoutOrNull(DRAIN_TIMEOUT_MS) { unread.whole(MAXIMUM_STRAY_BYTES) is WholeBody.Read } == true
+        val sound = head != null && drained && wholeRequestSent && !odd && framing != BodyFraming.UntilEnd && opened.input.size == 0
+        if (sound && head != null && !head.headers.hasToken("Connection", "close")) {
+            connection = null
+            target.pool.giveBack(opened, head.headers)
+        } else {
+            close()
+        }
+    }
+
+    /** Ends the send; a target that still works on it sees its caller gone. */
+    override fun close() {
+        writer?.cancel()
+        connection?.close()
+        connection = null
+    }
+
+    private companion object {
+        const val MOST_STRAY_ANSWERS = 4
+        const val FIRST_FINAL_STATUS = 200
+        const val MISDIRECTED = 421
+        val SUCCESS = 200..299
+        const val MAXIMUM_ANSWER_HEAD_BYTES = 32_768
+        const val MAXIMUM_STRAY_BYTES = 256L * 1024
+        const val DRAIN_TIMEOUT_MS = 200L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/Fleet.kt
@@ -0,0 +1,122 @@
+package org.almondjunction.gateway
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.almondjunction.common.Address
+import org.almondjunction.common.Location
+import org.almondjunction.common.RegionId
+import org.almondjunction.common.ServiceId
+import org.almondjunction.common.TargetId
+import org.almondjunction.common.ZoneId
+import org.almondjunction.network.EventLoop
+
+/** Where a gateway stands, and where zones lie. */
+public data class Place(
+    val location: Location,
+    val regionOfZone: Map<ZoneId, RegionId>,
+) {
+    /** Returns the expected one-way time to [zone], in milliseconds. */
+    public fun distanceMs(zone: ZoneId): Double =
+        when {
+            zone == location.zone -> IN_ZONE_MS
+            regionOfZone[zone] == location.region -> BETWEEN_ZONES_MS
+            else -> BETWEEN_REGIONS_MS
+        }
+
+    private companion object {
+        /** Typical one-way times of the users' networks. */
+        const val IN_ZONE_MS = 0.1
+        const val BETWEEN_ZONES_MS = 1.0
+        const val BETWEEN_REGIONS_MS = 12.0
+    }
+}
+
+/**
+ * Every target that this gateway may use.
+ *
+ * @param keeperPort port of the keeper beside each engine
+ */
+internal class Fleet(
+    private val loop: EventLoop,
+    private val scope: CoroutineScope,
+    private val gateway: String,
+    private val keeperPort: Int,
+    private val state: GatewayState,
+) {
+    private val targets = mutableMapOf<TargetId, Target>()
+
+    /** Names of the gateways that keepers see. */
+    val gateways: Set<String>
+        get() = targets.values.flatMapTo(mutableSetOf(gateway)) { it.status?.gateways.orEmpty() }
+
+    fun start() {
+        scope.launch {
+            while (true) {
+                delay(SWEEP_MS)
+                targets.values.forEach { it.pool.sweep() }
+            }
+        }
+    }
+
+    fun apply(change: TargetDirectory.Change) {
+        when (change) {
+            is TargetDirectory.Change.Put -> put(change.entry)
+            is TargetDirectory.Change.Removed -> targets.remove(change.target)?.close()
+        }
+        state.changed.raise()
+    }
+
+    private fun put(entry: TargetEntry) {
+        val known = targets[entry.target]
+        val same = known != null && known.entry.bornMs == entry.bornMs && known.entry.address == entry.address
+        if (known != null && same) {
+            known.update(entry)
+        } else {
+            known?.close()
+            targets[entry.target] = Target(loop, entry, promptMemoryOf(entry.service))
+        }
+        link(targets.getValue(entry.target))
+    }
+
+    /** Dials the keepers of engines whose services are known by now. */
+    fun linkAll(): Unit = targets.values.forEach { link(it) }
+
+    private fun link(target: Target) {
+        if (target.keeper != null ||
+            state.configuration
+                ?.services
+                ?.get(target.entry.service)
+                ?.engine == null
+        ) {
+            return
+        }
+        val address = Address(target.entry.address.ip, keeperPort)
+        target.keeper = KeeperLink(loop, scope, gateway, address, target, state.changed)
+    }
+
+    private fun promptMemoryOf(service: ServiceId): Long =
+        state.configuration
+            ?.services
+            ?.get(service)
+            ?.engine
+            ?.promptMemoryTokens ?: DEFAULT_PROMPT_MEMORY_TOKENS
+
+    fun all(service: ServiceId): List<Target> = targets.values.filter { it.entry.service == service }
+
+    fun ready(service: ServiceId): List<Target> = targets.values.filter { it.entry.service == service && it.entry.ready && !it.gone }
+
+    private companion object {
+        const val SWEEP_MS = 1_000L
+
+        /** Assumed until the configuration tells. */
+        const val DEFAULT_PROMPT_MEMORY_TOKENS = 200_000L
+    }
+}
+
+/** What is accepted and known, shared by the parts of a gateway. */
+internal class GatewayState {
+    val changed = Signal()
+    var configuration: GatewayConfiguration? = null
+    var leaving = false
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -0,0 +1,431 @@
+package org.almondjunction.gateway
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
+import org.almondjunction.common.Clock
+import org.almondjunction.common.EventLog
+import org.almondjunction.common.LogFields
+import org.almondjunction.common.MetricName
+import org.almondjunction.common.Metrics
+import org.almondjunction.common.RequestId
+import org.almondjunction.common.TargetId
+import org.almondjunction.decisions.ForwardingDecision
+import org.almondjunction.decisions.ForwardingState
+import org.almondjunction.decisions.ForwardingStep
+import org.almondjunction.decisions.RepeatAllowance
+import org.almondjunction.decisions.RepeatKind
+import org.almondjunction.decisions.SendResult
+import org.almondjunction.network.BodyPart
+import org.almondjunction.network.HttpHeader
+import org.almondjunction.network.WholeBody
+
+/** Brings one request to a target and its answer back. */
+internal class Forwarder(
+    private val clock: Clock,
+    private val selector: TargetSelector,
+    private val fleet: Fleet,
+    private val state: GatewayState,
+    private val names: HeaderNames,
+    private val allowance: RepeatAllowance,
+    private val metrics: Metrics,
+) {
+    /** What is known of a request while it is forwarded. */
+    private inner class Attempt(
+        val request: ForwardedRequest,
+        val answer: CallerAnswer,
+    ) {
+        val tried = mutableSetOf<Target>()
+        val events = EventSplitter()
+        var mayHaveRun = false
+        var runs = 0
+        var refusals = 0
+        var sends = 0
+        var detail = ""
+        var outcome = "cancelled"
+        var failure: SendAnswer.Answered? = null
+        var failureBody: ByteArray? = null
+
+        val timeLeftMs get() = request.endMs - clock.nowMs()
+    }
+
+    /** Serves [request]; returns when its answer is complete or cannot be. */
+    suspend fun forward(
+        request: ForwardedRequest,
+        answer: CallerAnswer,
+    ) {
+        val attempt = Attempt(request, answer)
+        allowance.first(clock.nowMs())
+        metrics.count(MetricName.REQUESTS)
+        try {
+            val inTime = withTimeoutOrNull(attempt.timeLeftMs.coerceAtLeast(0)) { run(attempt) }
+            if (inTime == null) timedOut(attempt)
+        } finally {
+            log(attempt)
+        }
+    }
+
+    private suspend fun timedOut(attempt: Attempt) {
+        if (attempt.answer.begun) {
+            attempt.outcome = "broken off at its time limit"
+            return
+        }
+        if (attempt.mayHaveRun || attempt.sends > 0) respondUnknown(attempt, GATEWAY_TIMEOUT) else respondNotRun(attempt, null)
+    }
+
+    private suspend fun run(attempt: Attempt) {
+        while (true) {
+            val target = awaitTarget(attempt) ?: return
+            val step = coroutineScope { sendTo(this, target, attempt) }
+            when (step) {
+                null -> return
+                ForwardingStep.SendAgain -> metrics.count(MetricName.RETRIES, attempt.detail.take(MOST_REASON_CHARACTERS))
+                ForwardingStep.AnswerNotRun -> return respondNotRun(attempt, RETRY_AFTER_REFUSAL_MS)
+                ForwardingStep.AnswerUnknown -> return respondUnknown(attempt, BAD_GATEWAY)
+                ForwardingStep.PassFailure -> return passFailure(attempt)
+            }
+        }
+    }
+
+    private suspend fun awaitTarget(attempt: Attempt): Target? {
+        val request = attempt.request
+        while (true) {
+            val seen = state.changed.count
+            when (val choice = selector.choose(request, attempt.tried)) {
+                is TargetSelector.Choice.Use -> return choice.target
+                is TargetSelector.Choice.Later -> {
+                    attempt.detail = "waits for weights"
+                    if (choice.expectedMs > attempt.timeLeftMs && !attempt.answer.begun) {
+                        giveUp(attempt, "weights come too late", choice.expectedMs)
+                        return null
+                    }
+                    state.changed.await(seen, LONGEST_WAIT_MS)
+                }
+                is TargetSelector.Choice.None -> {
+                    val waitedMs = clock.nowMs() - request.arrivedMs
+                    if (waitedMs >= minOf(request.route.latencyObjectiveMs / PATIENCE_DIVISOR, LONGEST_PATIENCE_MS)) {
+                        giveUp(attempt, choice.reason, RETRY_AFTER_REFUSAL_MS)
+                        return null
+                    }
+                    state.changed.await(seen, SHORT_WAIT_MS)
+                }
+            }
+        }
+    }
+
+    private suspend fun giveUp(
+        attempt: Attempt,
+        reason: String,
+        retryAfterMs: Long,
+    ) {
+        attempt.detail = reason
+        when {
+            attempt.failure != null && !attempt.answer.begun -> passFailure(attempt)
+            attempt.mayHaveRun -> respondUnknown(attempt, BAD_GATEWAY)
+            else -> respondNotRun(attempt, retryAfterMs)
+        }
+    }
+
+    private suspend fun sendTo(
+        scope: CoroutineScope,
+        target: Target,
+        attempt: Attempt,
+    ): ForwardingStep? {
+        val request = attempt.request
+        val send = Target.Send(request.model, request.adapter, unreadTokens(target, request))
+        val exchange = Exchange(scope, target, names)
+        target.begin(send)
+        attempt.tried += target
+        attempt.sends++
+        try {
+            target.prompts.add(request.weights, request.parts)
+            val younger = if (request.route.repeat == RepeatKind.ONCE) KEPT_FOR_ONCE_MS else KEPT_MS
+            val answer =
+                unlessGone(scope, send, request.route.repeat) {
+                    exchange.send(request, headersFor(target, attempt), younger, attempt.timeLeftMs)
+                } ?: SendAnswer.Unserved(SendResult.Lost, "the target is gone")
+            return when (answer) {
+                is SendAnswer.Unserved -> unserved(target, exchange, attempt, answer)
+                is SendAnswer.Answered -> answered(target, exchange, attempt, answer, send)
+            }
+        } finally {
+            exchange.close()
+            target.end(send)
+        }
+    }
+
+    /** Runs [block] unless the target vanishes first and the request may be repeated; then returns null. */
+    private suspend fun <T : Any> unlessGone(
+        scope: CoroutineScope,
+        send: Target.Send,
+        repeat: RepeatKind,
+        block: suspend () -> T,
+    ): T? {
+        if (repeat == RepeatKind.ONCE) return block()
+        val gone = CompletableDeferred<Unit>()
+        send.onGone = { gone.complete(Unit) }
+        val work = scope.async { block() }
+        return select {
+            work.onAwait { it }
+            gone.onAwait {
+                work.cancel()
+                null
+            }
+        }
+    }
+
+    private fun unreadTokens(
+        target: Target,
+        request: ForwardedRequest,
+    ) = (request.promptTokens - target.prompts.keptTokens(request.weights, request.parts)).coerceAtLeast(0)
+
+    private fun headersFor(
+        target: Target,
+        attempt: Attempt,
+    ): List<HttpHeader> {
+        val request = attempt.request
+        val own = request.head.headers
+        val named = own.all("Connection").flatMap { value -> value.split(',').map { it.trim().lowercase() } }
+        val headers =
+            own.lines
+                .filter { header ->
+                    val name = header.name.lowercase()
+                    name !in CallerAnswer.HOP_BY_HOP &&
+                        name !in named &&
+                        name !in names.reserved &&
+                        name != names.deadlineMs.lowercase() &&
+                        (attempt.events.lastEvent == null || name != names.lastEvent.lowercase())
+                }.toMutableList()
+        headers += HttpHeader(names.deadlineMs, attempt.timeLeftMs.coerceAtLeast(1).toString())
+        headers += HttpHeader(names.targetIdentity, target.entry.target.value)
+        if (request.route.streaming) {
+            headers +=
+                HttpHeader(
+                    names.urgency,
+                    request.route.priority
+                        .coerceIn(0, LOWEST_URGENCY)
+                        .toString(),
+                )
+        }
+        attempt.events.lastEvent?.let { headers += HttpHeader(names.lastEvent, it) }
+        val framed = request.body.isNotEmpty() || own["Content-Length"] != null || own["Transfer-Encoding"] != null
+        if (framed) headers += HttpHeader("Content-Length", request.body.size.toString())
+        return headers
+    }
+
+    private suspend fun unserved(
+        target: Target,
+        exchange: Exchange,
+        attempt: Attempt,
+        answer: SendAnswer.Unserved,
+    ): ForwardingStep {
+        attempt.detail = answer.detail
+        target.weigh(failed = true)
+        if (answer.result is SendResult.Refused) exchange.finish(bodyRead = false) else exchange.close()
+        return decide(attempt, answer.result)
+    }
+
+    private fun decide(
+        attempt: Attempt,
+        result: SendResult,
+    ): ForwardingStep {
+        if (result.knownNotRun) attempt.refusals++ else attempt.runs++
+        val forwarding =
+            ForwardingState(
+                kind = attempt.request.route.repeat,
+                mayHaveRun = attempt.mayHaveRun,
+                runsLeft = attempt.request.route.maximumTargets - attempt.runs,
+                refusalsLeft = MOST_REFUSALS - attempt.refusals,
+                timeLeftMs = attempt.timeLeftMs,
+            )
+        if (!result.knownNotRun) attempt.mayHaveRun = true
+        return ForwardingDecision.after(forwarding, result) { allowance.tryRepeat(clock.nowMs(), fleet.gateways.size) }
+    }
+
+    private suspend fun answered(
+        target: Target,
+        exchange: Exchange,
+        attempt: Attempt,
+        answer: SendAnswer.Answered,
+        send: Target.Send,
+    ): ForwardingStep? {
+        val succeeded = answer.head.status in SUCCESS
+        if (succeeded && attempt.request.route.streaming) return relay(target, exchange, attempt, answer, send)
+        if (attempt.answer.begun) {
+            attempt.detail = "status ${answer.head.status} instead of the rest of a stream"
+            target.weigh(failed = true)
+            return decide(attempt, SendResult.Lost).brokenOff(attempt)
+        }
+        val body = answer.body.whole(MAXIMUM_ANSWER_BYTES)
+        if (body !is WholeBody.Read) {
+            attempt.detail = "the answer broke off"
+            target.weigh(failed = true)
+            return decide(attempt, SendResult.Lost)
+        }
+        exchange.finish(bodyRead = true)
+        val failed = answer.head.status >= FIRST_SERVER_ERROR
+        target.weigh(failed)
+        if (failed) {
+            attempt.failure = answer
+            attempt.failureBody = body.bytes
+            attempt.detail = "status ${answer.head.status}"
+            return decide(attempt, SendResult.Failed)
+        }
+        attempt.outcome = "served"
+        attempt.detail = "status ${answer.head.status}"
+        attempt.answer.pass(answer.head, body.bytes)
+        return null
+    }
+
+    private suspend fun relay(
+        target: Target,
+        exchange: Exchange,
+        attempt: Attempt,
+        answer: SendAnswer.Answered,
+        send: Target.Send,
+    ): ForwardingStep? {
+        while (true) {
+            val part = nextPart(attempt, answer, send)
+            when (part) {
+                is BodyPart.Data -> {
+                    val whole = attempt.events.feed(part.bytes)
+                    if (whole.isEmpty()) continue
+                    send.answering = true
+                    if (!attempt.answer.begun) {
+                        metrics.record(MetricName.TIME_TO_FIRST_TOKEN, clock.nowMs() - attempt.request.arrivedMs)
+                        attempt.answer.begin(answer.head)
+                    }
+                    if (!attempt.answer.add(whole)) return null
+                }
+                BodyPart.Complete -> {
+                    if (attempt.events.unfinished) return streamBroke(target, attempt, "the stream ended inside an event")
+                    exchange.finish(bodyRead = true)
+                    target.weigh(failed = false)
+                    attempt.outcome = "served"
+                    if (!attempt.answer.begun) attempt.answer.begin(answer.head)
+                    attempt.answer.end()
+                    return null
+                }
+                is BodyPart.Broken -> return streamBroke(target, attempt, part.detail)
+            }
+        }
+    }
+
+    /** A stream that may be continued elsewhere is not waited for beyond any pause of a sound target. */
+    private suspend fun nextPart(
+        attempt: Attempt,
+        answer: SendAnswer.Answered,
+        send: Target.Send,
+    ): BodyPart {
+        val route = attempt.request.route
+        if (route.repeat != RepeatKind.RESUMABLE || !send.answering) return answer.body.next()
+        return withTimeoutOrNull(maxOf(route.pauseObjectiveMs * SILENT_PAUSES, SHORTEST_SILENCE_MS)) { answer.body.next() }
+            ?: BodyPart.Broken("the stream fell silent")
+    }
+
+    private fun streamBroke(
+        target: Target,
+        attempt: Attempt,
+        detail: String,
+    ): ForwardingStep? {
+        target.weigh(failed = true)
+        attempt.detail = detail
+        attempt.events.dropUnfinished()
+        return decide(attempt, SendResult.Lost).brokenOff(attempt)
+    }
+
+    private fun ForwardingStep.brokenOff(attempt: Attempt): ForwardingStep? {
+        if (this == ForwardingStep.SendAgain || !attempt.answer.begun) return this
+        attempt.outcome = "broken off"
+        return null
+    }
+
+    private suspend fun passFailure(attempt: Attempt) {
+        val failure = attempt.failure
+        val body = attempt.failureBody
+        if (failure == null || body == null) return respondUnknown(attempt, BAD_GATEWAY)
+        attempt.outcome = "failed by its target"
+        attempt.answer.pass(failure.head, body)
+    }
+
+    private suspend fun respondNotRun(
+        attempt: Attempt,
+        retryAfterMs: Long?,
+    ) {
+        attempt.outcome = "not run"
+        metrics.count(MetricName.REFUSALS, attempt.detail.take(MOST_REASON_CHARACTERS))
+        if (!attempt.answer.begun) attempt.answer.refuse(SERVICE_UNAVAILABLE, "not run", retryAfterMs)
+    }
+
+    private suspend fun respondUnknown(
+        attempt: Attempt,
+        status: Int,
+    ) {
+        attempt.outcome = "unknown"
+        metrics.count(MetricName.UNKNOWN_OUTCOMES, attempt.detail.take(MOST_REASON_CHARACTERS))
+        if (!attempt.answer.begun) attempt.answer.refuse(status, "outcome unknown")
+    }
+
+    private fun log(attempt: Attempt) {
+        val request = attempt.request
+        EventLog.info(
+            "request",
+            LogFields(
+                requestId = RequestId(request.id),
+                target =
+                    attempt.tried
+                        .lastOrNull()
+                        ?.entry
+                        ?.target ?: TargetId("none"),
+                outcome = attempt.outcome,
+                reason = attempt.detail,
+                extra =
+                    mapOf(
+                        "route" to request.route.name,
+                        "service" to request.service.value,
+                        "model" to request.model?.let { request.weights },
+                        "sends" to attempt.sends.toString(),
+                        "tookMs" to (clock.nowMs() - request.arrivedMs).toString(),
+                        "leftMs" to attempt.timeLeftMs.toString(),
+                        "version" to state.configuration?.version.toString(),
+                    ),
+            ),
+        )
+    }
+
+    private companion object {
+        const val BAD_GATEWAY = 502
+        const val SERVICE_UNAVAILABLE = 503
+        const val GATEWAY_TIMEOUT = 504
+        const val FIRST_SERVER_ERROR = 500
+        const val LOWEST_URGENCY = 9
+        val SUCCESS = 200..299
+
+        /** Answers of plain services are held whole, so that one that breaks off is never begun. */
+        const val MAXIMUM_ANSWER_BYTES = 8L * 1024 * 1024
+        const val MOST_REASON_CHARACTERS = 40
+
+        /** Sends that targets may refuse before the caller is told; each is also taken out of the repeat budget. */
+        const val MOST_REFUSALS = 4
+
+        /** A kept connection this young has hardly been closed by its target; older ones are used where a repeat is allowed. */
+        const val KEPT_FOR_ONCE_MS = 1_500L
+        const val KEPT_MS = 60_000L
+
+        /** Re-examination of a wait, in case the change that ends it is not told. */
+        const val LONGEST_WAIT_MS = 100L
+        const val SHORT_WAIT_MS = 30L
+
+        /** Part of the latency objective after which a caller without a target is better off elsewhere. */
+        const val PATIENCE_DIVISOR = 8
+        const val LONGEST_PATIENCE_MS = 300L
+        const val RETRY_AFTER_REFUSAL_MS = 300L
+
+        /** Pauses of a stream, in multiples of its objective, after which its target counts as silent. */
+        const val SILENT_PAUSES = 3
+        const val SHORTEST_SILENCE_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -0,0 +1,138 @@
+package org.almondjunction.gateway
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.almondjunction.common.EventLog
+import org.almondjunction.common.LogFields
+import org.almondjunction.common.Metrics
+import org.almondjunction.decisions.RepeatAllowance
+import org.almondjunction.network.EventLoop
+import org.almondjunction.network.HeadResult
+import org.almondjunction.network.HttpHeader
+import org.almondjunction.network.HttpReader
+import org.almondjunction.network.HttpWriter
+import org.almondjunction.network.TcpConnection
+import org.almondjunction.network.TcpListener
+
+/**
+ * The program that stands between callers and targets.
+ *
+ * [accept] and [directory] are fed by whoever knows the accepted configuration and the platform's list of targets.
+ */
+public class Gateway(
+    private val settings: GatewaySettings,
+    private val names: HeaderNames,
+    private val loop: EventLoop,
+    private val scope: CoroutineScope,
+    private val metrics: Metrics,
+) {
+    private val clock = loop.clock
+    private val state = GatewayState()
+    private val fleet = Fleet(loop, scope, settings.name, settings.keeperPort, state)
+    private val selector = TargetSelector(clock, fleet, settings.place, state)
+    private val preparation = Preparation(clock, fleet, selector, state, settings.name)
+    private val allowance = RepeatAllowance(settings.repeatRatio, settings.repeatExtra, settings.budgetWindowMs)
+    private val forwarder = Forwarder(clock, selector, fleet, state, names, allowance, metrics)
+    private val connections = mutableSetOf<CallerConnection>()
+    private var targetsKnown = false
+
+    /** The targets that this gateway knows. */
+    public val directory: TargetDirectory = TargetDirectory(clock, settings.lapseMs) { fleet.apply(it) }
+
+    /** Version of the configuration in force; null before the first. */
+    public val version: Long? get() = state.configuration?.version
+
+    /** Whether callers may come. */
+    public val ready: Boolean get() = state.configuration != null && targetsKnown && !state.leaving
+
+    /** Begins to listen. */
+    public fun start() {
+        TcpListener(loop, settings.callers) { serve(it) }
+        TcpListener(loop, settings.readiness) { connection -> scope.launch { answerReadiness(connection) } }
+        fleet.start()
+        scope.launch {
+            while (true) {
+                delay(EXPIRY_MS)
+                directory.expire()
+            }
+        }
+        scope.launch { preparation.run() }
+    }
+
+    /** Takes [configuration] in force unless a later version already is. */
+    public fun accept(configuration: GatewayConfiguration) {
+        val current = state.configuration
+        if (current != null && current.version >= configuration.version) return
+        state.configuration = configuration
+        fleet.linkAll()
+        state.changed.raise()
+        EventLog.info("configuration in force", LogFields(extra = mapOf("version" to configuration.version.toString())))
+    }
+
+    /** Says that [directory] has been filled once. */
+    public fun targetsListed() {
+        if (!targetsKnown) EventLog.info("targets known")
+        targetsKnown = true
+    }
+
+    private fun serve(connection: TcpConnection) {
+        val caller = CallerConnection(connection, clock, state, names, forwarder, metrics)
+        connections += caller
+        scope.launch {
+            try {
+                caller.serve()
+            } finally {
+                connections -= caller
+            }
+        }
+    }
+
+    private suspend fun answerReadiness(connection: TcpConnection) {
+        val reader = HttpReader(connection)
+        while (true) {
+            val result = withTimeoutOrNull(READINESS_IDLE_MS) { reader.requestHead(MAXIMUM_READINESS_BYTES) }
+            val head = (result as? HeadResult.Read)?.head ?: break
+            val status =
+                when {
+                    head.target != settings.readinessPath -> NOT_FOUND
+                    ready -> OK
+                    else -> SERVICE_UNAVAILABLE
+                }
+            if (!connection.write(HttpWriter.response(status, listOf(HttpHeader("Content-Length", "0"))))) break
+        }
+        connection.close()
+    }
+
+    /** Leaves the balancer, finishes what is in progress and returns when nothing is left or the grace time is nearly over. */
+    public suspend fun leave() {
+        if (state.leaving) return
+        state.leaving = true
+        EventLog.info("leaving", LogFields(extra = mapOf("connections" to connections.size.toString())))
+        val endMs = clock.nowMs() + settings.graceMs - EXIT_MARGIN_MS
+        delay(BALANCER_MS)
+        while (clock.nowMs() < endMs) {
+            connections.filter { !it.busy }.forEach { it.close() }
+            if (connections.isEmpty()) break
+            delay(LEAVING_POLL_MS)
+        }
+        EventLog.info("left", LogFields(extra = mapOf("unfinished" to connections.size.toString())))
+    }
+
+    private companion object {
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val SERVICE_UNAVAILABLE = 503
+        const val EXPIRY_MS = 100L
+        const val READINESS_IDLE_MS = 10_000L
+        const val MAXIMUM_READINESS_BYTES = 4_096
+
+        /** The balancer asks each second and believes two misses; requests on open connections are served meanwhile. */
+        const val BALANCER_MS = 2_600L
+        const val LEAVING_POLL_MS = 50L
+
+        /** Time kept for the end of the process itself. */
+        const val EXIT_MARGIN_MS = 700L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/KeeperLink.kt
@@ -0,0 +1,106 @@
+package org.almondjunction.gateway
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.almondjunction.common.Address
+import org.almondjunction.common.EventLog
+import org.almondjunction.common.LogFields
+import org.almondjunction.keeper.KeeperMessage
+import org.almondjunction.keeper.MessageChannel
+import org.almondjunction.network.EventLoop
+import org.almondjunction.network.TcpConnection
+
+/** Connection to the keeper of [target], dialled again whenever it ends or falls silent. */
+internal class KeeperLink(
+    private val loop: EventLoop,
+    scope: CoroutineScope,
+    private val gateway: String,
+    private val address: Address,
+    private val target: Target,
+    private val changed: Signal,
+) : AutoCloseable {
+    private var channel: MessageChannel? = null
+    private var heardMs = 0L
+    private val job: Job = scope.launch { keep() }
+
+    /** Sends [message] if the keeper is in touch; returns whether it was handed over. */
+    suspend fun send(message: KeeperMessage): Boolean = channel?.send(message) ?: false
+
+    private suspend fun keep() {
+        while (true) {
+            val connection = TcpConnection.dial(loop, address, DIAL_TIMEOUT_MS)
+            if (connection != null) {
+                serve(connection)
+                target.update(null)
+                changed.raise()
+            }
+            delay(REDIAL_MS)
+        }
+    }
+
+    private suspend fun serve(connection: TcpConnection) {
+        val opened = MessageChannel(connection)
+        channel = opened
+        heardMs = loop.clock.nowMs()
+        try {
+            coroutineScope {
+                val talking = launch { talk(opened) }
+                if (opened.send(KeeperMessage.Greeting(gateway))) listen(opened)
+                talking.cancelAndJoin()
+            }
+        } finally {
+            channel = null
+            opened.close()
+        }
+        EventLog.info("keeper lost", LogFields(target = target.entry.target))
+    }
+
+    private suspend fun listen(opened: MessageChannel) {
+        while (true) {
+            val message = opened.receive() ?: return
+            heardMs = loop.clock.nowMs()
+            when (message) {
+                is KeeperMessage.Status -> {
+                    if (target.status == null) EventLog.info("keeper found", LogFields(target = target.entry.target))
+                    target.update(message)
+                    changed.raise()
+                }
+                is KeeperMessage.Load -> target.load = message
+                is KeeperMessage.Greeting, is KeeperMessage.Usage, is KeeperMessage.Wish -> return
+            }
+        }
+    }
+
+    private suspend fun talk(opened: MessageChannel) {
+        var silentRounds = 0
+        while (loop.clock.nowMs() - heardMs < SILENCE_MS) {
+            delay(USAGE_INTERVAL_MS)
+            val uses = target.takeUses()
+            silentRounds = if (uses.isEmpty()) silentRounds + 1 else 0
+            if (silentRounds % ROUNDS_PER_SIGN != 0) continue
+            if (!opened.send(KeeperMessage.Usage(uses))) return
+        }
+        EventLog.warn("keeper silent", LogFields(target = target.entry.target))
+        opened.close()
+    }
+
+    override fun close(): Unit = job.cancel()
+
+    private companion object {
+        const val DIAL_TIMEOUT_MS = 1_000L
+        const val REDIAL_MS = 500L
+
+        /** Time between two tellings of uses; well below the shortest idle time after which a model may be unloaded. */
+        const val USAGE_INTERVAL_MS = 500L
+
+        /** A gateway without uses shows that it lives in each third round. */
+        const val ROUNDS_PER_SIGN = 3
+
+        /** A keeper answers uses with its status every 2 s at least. */
+        const val SILENCE_MS = 5_000L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/Target.kt
@@ -0,0 +1,143 @@
+package org.almondjunction.gateway
+
+import org.almondjunction.common.Clock
+import org.almondjunction.keeper.KeeperMessage
+import org.almondjunction.keeper.Use
+import org.almondjunction.network.EventLoop
+import kotlin.math.exp
+
+/** One target as this gateway knows it: its entry, its connections, what it holds and how its answers were. */
+internal class Target(
+    loop: EventLoop,
+    entry: TargetEntry,
+    promptMemoryTokens: Long,
+) : AutoCloseable {
+    private val clock: Clock = loop.clock
+
+    var entry: TargetEntry = entry
+        private set
+    val pool = TargetPool(loop, entry.address)
+    val prompts = PromptMemory(promptMemoryTokens)
+    val inFlight = mutableSetOf<Send>()
+    var gone = false
+        private set
+
+    /** Last status of its keeper; null while its keeper is out of touch. */
+    var status: KeeperMessage.Status? = null
+        private set
+    var load = KeeperMessage.Load()
+    var keeper: KeeperLink? = null
+
+    private var failures = 0.0
+    private var sends = 0.0
+    private var weighedMs = clock.nowMs()
+    private val uses = mutableMapOf<Pair<String, String?>, Int>()
+    private val lastAskedMs = mutableMapOf<Pair<String, String?>, Long>()
+
+    /** A request on its way or being answered at this target. */
+    class Send(
+        val model: String?,
+        val adapter: String?,
+        val promptTokens: Long,
+    ) {
+        var answering = false
+        var onGone: (() -> Unit)? = null
+    }
+
+    /** Models that can take requests now, with the adapters that are loaded. */
+    val models: Map<String, Set<String>>
+        get() {
+            val current = status ?: return entry.models
+            return current.models.filter { it.model !in current.leaving }.associate { it.model to it.adapters.toSet() }
+        }
+
+    fun update(newEntry: TargetEntry) {
+        entry = newEntry
+    }
+
+    fun update(newStatus: KeeperMessage.Status?) {
+        val before = status?.models.orEmpty().map { it.model }
+        status = newStatus
+        if (newStatus != null) {
+            load = newStatus.load
+            (before - newStatus.models.map { it.model }.toSet()).forEach { prompts.forget(it) }
+        }
+    }
+
+    fun begin(send: Send) {
+        inFlight += send
+        val model = send.model ?: return
+        uses.merge(model to null, 1, Int::plus)
+        send.adapter?.let { uses.merge(model to it, 1, Int::plus) }
+    }
+
+    fun end(send: Send) {
+        inFlight -= send
+        val model = send.model ?: return
+        uses.putIfAbsent(model to null, 0)
+        send.adapter?.let { uses.putIfAbsent(model to it, 0) }
+    }
+
+    /** Returns and clears the uses since the last call, with the requests in flight. */
+    fun takeUses(): List<Use> {
+        val flying = mutableMapOf<Pair<String, String?>, Int>()
+        inFlight.forEach { send ->
+            val model = send.model ?: return@forEach
+            flying.merge(model to null, 1, Int::plus)
+            send.adapter?.let { flying.merge(model to it, 1, Int::plus) }
+        }
+        val keys = uses.keys + flying.keys
+        val taken = keys.map { key -> Use(key.first, key.second, uses[key] ?: 0, flying[key] ?: 0) }
+        uses.clear()
+        return taken
+    }
+
+    /** Returns whether a wish for [model] and [adapter] may be sent again now, and notes that it is. */
+    fun mayAsk(
+        model: String,
+        adapter: String?,
+        intervalMs: Long,
+    ): Boolean {
+        val nowMs = clock.nowMs()
+        val last = lastAskedMs[model to adapter]
+        if (last != null && nowMs - last < intervalMs) return false
+        lastAskedMs[model to adapter] = nowMs
+        return true
+    }
+
+    /** Counts how a send ended. */
+    fun weigh(failed: Boolean) {
+        decay()
+        sends += 1
+        if (failed) failures += 1
+    }
+
+    /** Recent share of sends that failed; a target without recent sends is trusted again. */
+    fun failureShare(): Double {
+        decay()
+        return failures / (sends + TRUST)
+    }
+
+    private fun decay() {
+        val nowMs = clock.nowMs()
+        val factor = exp(-(nowMs - weighedMs) / MEMORY_MS)
+        failures *= factor
+        sends *= factor
+        weighedMs = nowMs
+    }
+
+    override fun close() {
+        gone = true
+        pool.close()
+        keeper?.close()
+        inFlight.toList().forEach { it.onGone?.invoke() }
+    }
+
+    private companion object {
+        /** Sends count for about this long: the length of the shortest troubles that are worth evading. */
+        const val MEMORY_MS = 3_000.0
+
+        /** Successful sends assumed of a target without a record. */
+        const val TRUST = 1.5
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -0,0 +1,255 @@
+package org.almondjunction.gateway
+
+import org.almondjunction.common.Clock
+import org.almondjunction.common.ModelId
+import org.almondjunction.decisions.EvictionCandidate
+import org.almondjunction.decisions.EvictionPlan
+import org.almondjunction.decisions.Rendezvous
+import org.almondjunction.decisions.TargetCandidate
+import org.almondjunction.decisions.TargetChoice
+import org.almondjunction.keeper.KeeperMessage
+import org.almondjunction.keeper.ModelSize
+
+/** Finds the target for a request, and asks keepers for what is missing. */
+internal class TargetSelector(
+    private val clock: Clock,
+    private val fleet: Fleet,
+    private val place: Place,
+    private val state: GatewayState,
+) {
+    /** What there is for a request at the moment. */
+    sealed class Choice {
+        /** [target] can take it now. */
+        data class Use(
+            val target: Target,
+        ) : Choice()
+
+        /** It may be possible after [expectedMs]; a keeper has been asked. */
+        data class Later(
+            val expectedMs: Long,
+        ) : Choice()
+
+        /** There is no way known. */
+        data class None(
+            val reason: String,
+        ) : Choice()
+    }
+
+    suspend fun choose(
+        request: ForwardedRequest,
+        tried: Set<Target>,
+    ): Choice {
+        val ready = fleet.ready(request.service)
+        if (ready.isEmpty()) return Choice.None("no target")
+        val fresh = ready.filter { it !in tried }.ifEmpty { ready }
+        val model = request.model ?: return use(fresh.filter { hasRoom(it) }, request) ?: Choice.None("targets full")
+        val plan =
+            state.configuration
+                ?.services
+                ?.get(request.service)
+                ?.engine
+        val modelPlan = plan?.models?.get(ModelId(model))
+        val holders = fresh.filter { model in it.models }
+        if (holders.isEmpty()) {
+            val elsewhere = ready.any { model in it.models }
+            if (plan == null || modelPlan == null) return use(fresh, request) ?: Choice.None("no target")
+            return if (elsewhere &&
+                tried.isNotEmpty()
+            ) {
+                Choice.None("holders tried")
+            } else {
+                askForModel(ready, plan, modelPlan, mayEvict = true)
+            }
+        }
+        val adapter = request.adapter
+        if (adapter == null) return use(holders, request) ?: Choice.None("no target")
+        val equipped = holders.filter { adapter in it.models[model].orEmpty() }
+        if (equipped.isNotEmpty()) return use(equipped, request) ?: Choice.None("no target")
+        if (plan == null || modelPlan == null) return Choice.None("adapter not loaded")
+        return askForAdapter(holders, plan, model, adapter)
+    }
+
+    private fun use(
+        targets: List<Target>,
+        request: ForwardedRequest,
+    ): Choice? {
+        val candidates = targets.associateBy({ candidate(it, request) }, { it })
+        return TargetChoice.choose(candidates.keys.toList())?.let { Choice.Use(candidates.getValue(it)) }
+    }
+
+    private fun hasRoom(target: Target) = target.inFlight.size < target.entry.slots * PLAIN_QUEUE_FACTOR
+
+    private fun candidate(
+        target: Target,
+        request: ForwardedRequest,
+    ): TargetCandidate {
+        val model = request.model
+        val key = if (model == null) request.id else request.weights + request.parts.take(SHARED_PARTS).joinToString { it.id }
+        val unread = (request.promptTokens - target.prompts.keptTokens(request.weights, request.parts)).coerceAtLeast(0)
+        val ownReading = target.inFlight.filter { !it.answering }.sumOf { it.promptTokens }
+        val others = (target.load.active + target.load.queued - target.inFlight.size).coerceAtLeast(0)
+        val wait =
+            if (model == null) {
+                val beyond = (target.inFlight.size + 1 - target.entry.slots).coerceAtLeast(0)
+                target.inFlight.size * PLAIN_SHARE_MS + beyond * PLAIN_WORK_MS / target.entry.slots.coerceAtLeast(1)
+            } else {
+                ownReading / TOKENS_READ_PER_MS + others * OTHERS_READING_MS + target.load.queued * QUEUED_MS
+            }
+        return TargetCandidate(
+            target = target.entry.target,
+            distanceMs = place.distanceMs(target.entry.zone),
+            waitMs = wait,
+            workMs = if (model == null) 0.0 else unread / TOKENS_READ_PER_MS,
+            failureShare = target.failureShare(),
+            affinity = Rendezvous.share(key, target.entry.target.value),
+        )
+    }
+
+    private suspend fun askForAdapter(
+        holders: List<Target>,
+        plan: EnginePlan,
+        model: String,
+        adapter: String,
+    ): Choice {
+        val inTouch = holders.filter { it.status != null }
+        val chosen = inTouch.maxByOrNull { Rendezvous.share("$model/$adapter", it.entry.target.value) - it.failureShare() }
+        if (chosen == null) return Choice.None("no keeper in touch")
+        if (chosen.mayAsk(model, adapter, ADAPTER_ASK_INTERVAL_MS)) {
+            wish(chosen, plan, model, adapter, ADAPTER_PATIENCE_MS, mayEvict = true)
+        }
+        return Choice.Later(ADAPTER_EXPECTED_MS)
+    }
+
+    /** Asks for a model that no ready target holds. */
+    suspend fun askForModel(
+        ready: List<Target>,
+        plan: EnginePlan,
+        model: ModelPlan,
+        mayEvict: Boolean,
+    ): Choice {
+        val name = model.model.value
+        val inTouch = ready.filter { it.status != null }
+        val loading = inTouch.firstOrNull { it.status?.loading == name }
+        if (loading != null) return Choice.Later(loadMs(loading, model))
+        if (inTouch.isEmpty()) return Choice.None("no keeper in touch")
+        val best =
+            inTouch
+                .mapNotNull { target ->
+                    costOfLoad(target, plan, model, mayEvict)?.let { target to it }
+                }.minByOrNull { it.second }
+        val target = best?.first ?: return if (mayEvict) Choice.Later(model.loadFromDiskMs) else Choice.None("no room")
+        if (target.mayAsk(name, null, MODEL_ASK_INTERVAL_MS)) wish(target, plan, name, null, model.loadMs * 2, mayEvict)
+        return Choice.Later(loadMs(target, model))
+    }
+
+    private fun loadMs(
+        target: Target,
+        model: ModelPlan,
+    ): Long {
+        val status = target.status
+        return when {
+            status != null && model.model.value in status.inMemory -> model.loadFromMemoryMs
+            status != null && model.model.value in status.onDisk -> model.loadFromDiskMs
+            else -> model.loadMs
+        }
+    }
+
+    /** Returns the expected time until [target] holds [model], with the harm to others counted as time; null where there is no way. */
+    private fun costOfLoad(
+        target: Target,
+        plan: EnginePlan,
+        model: ModelPlan,
+        mayEvict: Boolean,
+    ): Double? {
+        val status = target.status ?: return null
+        val usedMb = status.models.sumOf { held -> plan.models[ModelId(held.model)]?.weightsMb ?: plan.weightsMb }
+        val reserveMb = plan.adapterSlots * (plan.models.values.maxOfOrNull { it.adapterMb } ?: 0)
+        val missingMb = usedMb + model.weightsMb + reserveMb - plan.weightsMb
+        if (missingMb > 0 && !mayEvict) return null
+        val eviction = EvictionPlan.choose(evictionCandidates(target, status, plan), missingMb) ?: return null
+        val busyMs = if (status.busy || status.loading != null) BUSY_MS else 0.0
+        val tie = Rendezvous.share(model.model.value, target.entry.target.value)
+        return loadMs(target, model) + eviction.costMs + busyMs + tie + target.failureShare() * model.loadMs
+    }
+
+    private fun evictionCandidates(
+        target: Target,
+        status: KeeperMessage.Status,
+        plan: EnginePlan,
+    ): List<EvictionCandidate> =
+        status.models.map { held ->
+            val heldPlan = plan.models[ModelId(held.model)]
+            val atHand = held.model in status.inMemory || held.model in status.onDisk
+            EvictionCandidate(
+                model = ModelId(held.model),
+                memoryMb = heldPlan?.weightsMb ?: 0,
+                requestsPerSecond = held.requestsPerSecond.toDouble(),
+                idleMs = held.idleMs,
+                inFlight = held.inFlight,
+                otherCopies = fleet.ready(target.entry.service).count { it !== target && held.model in it.models },
+                reloadMs = (if (atHand) heldPlan?.loadFromDiskMs else heldPlan?.loadMs) ?: 0,
+            )
+        }
+
+    private suspend fun wish(
+        target: Target,
+        plan: EnginePlan,
+        model: String,
+        adapter: String?,
+        patienceMs: Long,
+        mayEvict: Boolean,
+    ) {
+        val held =
+            target.models.keys +
+                target.status
+                    ?.models
+                    .orEmpty()
+                    .map { it.model } + model
+        val sizes = held.distinct().mapNotNull { plan.models[ModelId(it)] }.map { ModelSize(it.model.value, it.weightsMb, it.adapterMb) }
+        val elsewhere = held.filter { name -> fleet.ready(target.entry.service).any { it !== target && name in it.models } }
+        target.keeper?.send(
+            KeeperMessage.Wish(
+                target = target.entry.target.value,
+                model = model,
+                adapter = adapter,
+                patienceMs = patienceMs,
+                mayEvict = mayEvict,
+                memoryMb = plan.weightsMb,
+                adapterSlots = plan.adapterSlots,
+                sizes = sizes,
+                copiesElsewhere = elsewhere,
+            ),
+        )
+    }
+
+    private companion object {
+        /** Requests that a plain target may hold for each of its places, counted by this gateway alone. */
+        const val PLAIN_QUEUE_FACTOR = 3
+
+        /** Work of a short request, as on the users' sheets. */
+        const val PLAIN_WORK_MS = 40.0
+
+        /** Preference for the less busy of two targets with free places. */
+        const val PLAIN_SHARE_MS = 4.0
+
+        /** Speed at which engines read prompts, from the users' sheets. */
+        const val TOKENS_READ_PER_MS = 38.7
+
+        /** A request of another gateway is still being read for a part of its time only. */
+        const val OTHERS_READING_MS = 12.0
+
+        /** A request that waits within an engine stands for a prompt that is still to be read. */
+        const val QUEUED_MS = 120.0
+
+        /** Leading parts of a prompt that requests share; the last belongs to one session. */
+        const val SHARED_PARTS = 2
+
+        const val ADAPTER_ASK_INTERVAL_MS = 150L
+        const val ADAPTER_PATIENCE_MS = 2_000L
+        const val ADAPTER_EXPECTED_MS = 40L
+        const val MODEL_ASK_INTERVAL_MS = 400L
+
+        /** An engine that is loading takes the next order after this, on average. */
+        const val BUSY_MS = 3_000.0
+    }
+}
--- /dev/null
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -0,0 +1,364 @@
+package org.almondjunction.keeper
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import org.almondjunction.common.Clock
+import org.almondjunction.common.EventLog
+import org.almondjunction.common.LogFields
+import org.almondjunction.common.ModelId
+import org.almondjunction.common.TargetId
+import org.almondjunction.decisions.EvictionCandidate
+import org.almondjunction.decisions.EvictionPlan
+import org.almondjunction.network.TcpConnection
+
+/**
+ * Keeps one engine: alone gives it orders, and tells every gateway what it holds.
+ *
+ * What the engine reports is the only ledger; an order holds only while the engine's sequence is the one of the report that it was
+ * planned on, so an order that is carried out late cannot follow a newer one.
+ *
+ * @param firstFence fencing number of the first order; must rise with each start of this process
+ */
+public class Keeper(
+    private val scope: CoroutineScope,
+    private val clock: Clock,
+    private val engine: EngineControl,
+    firstFence: Long,
+) {
+    private class Session(
+        val channel: MessageChannel,
+    ) {
+        var gateway = ""
+        var sending = false
+        var dirty = false
+        var loadDirty = false
+        var sentMs = 0L
+    }
+
+    private val sessions = mutableSetOf<Session>()
+    private val usage = UsageBook()
+    private val orders = Mutex()
+    private val wishes = mutableSetOf<Pair<String, String?>>()
+    private val leaving = mutableSetOf<String>()
+    private var loading: String? = null
+    private var fence = firstFence
+    private var snapshot: EngineSnapshot? = null
+
+    /** Begins to watch the engine. */
+    public fun start() {
+        scope.launch {
+            while (true) {
+                refresh()
+                delay(if (wishes.isEmpty()) IDLE_POLL_MS else BUSY_POLL_MS)
+            }
+        }
+    }
+
+    /** Serves a gateway on [connection]. */
+    public fun accept(connection: TcpConnection) {
+        val session = Session(MessageChannel(connection))
+        sessions += session
+        scope.launch {
+            while (true) {
+                val message = session.channel.receive() ?: break
+                handle(session, message)
+            }
+            session.channel.close()
+            sessions -= session
+            usage.forget(session.gateway)
+            markDirty()
+        }
+    }
+
+    private fun handle(
+        session: Session,
+        message: KeeperMessage,
+    ) {
+        when (message) {
+            is KeeperMessage.Greeting -> {
+                session.gateway = message.gateway
+                markDirty()
+            }
+            is KeeperMessage.Usage -> {
+                usage.record(session.gateway, message.uses, clock.nowMs())
+                if (clock.nowMs() - session.sentMs >= STATUS_INTERVAL_MS) push(session.also { it.dirty = true })
+            }
+            is KeeperMessage.Wish -> begin(message)
+            is KeeperMessage.Status, is KeeperMessage.Load -> session.channel.close()
+        }
+    }
+
+    private suspend fun refresh(): EngineSnapshot? {
+        val before = snapshot
+        val now = engine.report()
+        if (now == null && before != null) EventLog.warn("engine lost")
+        if (now != null &&
+            before == null
+        ) {
+            EventLog.info("engine found", LogFields(extra = mapOf("models" to now.models.keys.joinToString())))
+        }
+        snapshot = now
+        when {
+            now == null -> if (before != null) markDirty()
+            now.models != before?.models || now.busy != before.busy -> markDirty()
+            now.queued != before.queued || now.active != before.active -> markLoad()
+        }
+        return now
+    }
+
+    private fun markDirty(): Unit = sessions.forEach { push(it.also { session -> session.dirty = true }) }
+
+    private fun markLoad(): Unit =
+        sessions.forEach { session ->
+            session.loadDirty = true
+            if (clock.nowMs() - session.sentMs >= LOAD_INTERVAL_MS) push(session)
+        }
+
+    private fun push(session: Session) {
+        if (session.sending || session.gateway.isEmpty()) return
+        session.sending = true
+        scope.launch {
+            while (session.dirty || session.loadDirty) {
+                val message = if (session.dirty) status() else load()
+                session.dirty = false
+                session.loadDirty = false
+                session.sentMs = clock.nowMs()
+                if (!session.channel.send(message)) break
+            }
+            session.sending = false
+        }
+    }
+
+    private fun load() = snapshot?.let { KeeperMessage.Load(it.queued, it.active, it.kvUsed) } ?: KeeperMessage.Load()
+
+    private fun status(): KeeperMessage.Status {
+        val nowMs = clock.nowMs()
+        val current = snapshot
+        return KeeperMessage.Status(
+            models =
+                current?.models.orEmpty().map { (model, adapters) ->
+                    HeldModel(
+                        model = model,
+                        adapters = adapters.toList(),
+                        requestsPerSecond = usage.ratePerSecond(model, null, nowMs).toFloat(),
+                        idleMs = usage.idleMs(model, null, nowMs),
+                        inFlight = usage.inFlight(model, null),
+                    )
+                },
+            leaving = leaving.toList(),
+            loading = loading,
+            inMemory = current?.inMemory.orEmpty(),
+            onDisk = current?.onDisk.orEmpty(),
+            gateways = sessions.map { it.gateway }.filter { it.isNotEmpty() }.distinct(),
+            load = load(),
+            busy = current?.busy ?: false,
+        )
+    }
+
+    private fun begin(wish: KeeperMessage.Wish) {
+        val key = wish.model to wish.adapter
+        if (key in wishes) return
+        if (wish.adapter == null && wishes.any { it.second == null }) return
+        wishes += key
+        scope.launch {
+            val outcome = fulfil(wish)
+            wishes -= key
+            if (loading == wish.model && wish.adapter == null) loading = null
+            leaving.clear()
+            EventLog.info(
+                "wish ended",
+                LogFields(
+                    target = TargetId(wish.target),
+                    outcome = outcome,
+                    extra = mapOf("model" to wish.model, "adapter" to wish.adapter),
+                ),
+            )
+            markDirty()
+        }
+    }
+
+    private suspend fun fulfil(wish: KeeperMessage.Wish): String {
+        val endMs = clock.nowMs() + wish.patienceMs
+        while (clock.nowMs() < endMs) {
+            val step = orders.withLock { step(wish) }
+            when (step) {
+                Step.Done -> return "held"
+                is Step.Impossible -> return step.reason
+                Step.Wait -> delay(BUSY_POLL_MS)
+            }
+        }
+        return "patience ended"
+    }
+
+    private sealed class Step {
+        data object Done : Step()
+
+        data object Wait : Step()
+
+        data class Impossible(
+            val reason: String,
+        ) : Step()
+    }
+
+    private suspend fun step(wish: KeeperMessage.Wish): Step {
+        val report = refresh() ?: return Step.Wait
+        val adapters = report.models[wish.model]
+        val adapter = wish.adapter
+        return when {
+            adapter == null && adapters != null -> Step.Done
+            adapter != null && adapters == null -> Step.Impossible("model is not held")
+            adapter != null && adapter in adapters.orEmpty() -> Step.Done
+            adapter != null && (wish.model to adapter) in report.coming -> Step.Wait
+            report.busy -> Step.Wait
+            adapter == null -> loadModel(wish, report)
+            else -> loadAdapter(wish, adapter, report)
+        }
+    }
+
+    private suspend fun loadModel(
+        wish: KeeperMessage.Wish,
+        report: EngineSnapshot,
+    ): Step {
+        val sizes = wish.sizes.associateBy { it.model }
+        val neededMb = (sizes[wish.model] ?: return Step.Impossible("size of the model is unknown")).weightsMb
+        val usedMb = usedMb(report, sizes) ?: return Step.Impossible("size of a held model is unknown")
+        val reserveMb = sizes.values.maxOf { it.adapterMb } * wish.adapterSlots - adapterMb(report, sizes)
+        val missingMb = usedMb + neededMb + reserveMb.coerceAtLeast(0) - wish.memoryMb
+        if (missingMb > 0) {
+            if (!wish.mayEvict) return Step.Impossible("no room")
+            return makeRoom(wish, report, sizes, missingMb)
+        }
+        loading = wish.model
+        markDirty()
+        return order(wish, report, EngineOrder.Kind.LOAD, wish.model, null)
+    }
+
+    private suspend fun makeRoom(
+        wish: KeeperMessage.Wish,
+        report: EngineSnapshot,
+        sizes: Map<String, ModelSize>,
+        missingMb: Long,
+    ): Step {
+        val nowMs = clock.nowMs()
+        val candidates =
+            report.models.map { (model, adapters) ->
+                EvictionCandidate(
+                    model = ModelId(model),
+                    memoryMb = sizes.getValue(model).let { it.weightsMb + it.adapterMb * adapters.size },
+                    requestsPerSecond = usage.ratePerSecond(model, null, nowMs),
+                    idleMs = usage.idleMs(model, null, nowMs),
+                    inFlight = usage.inFlight(model, null),
+                    otherCopies = if (model in wish.copiesElsewhere) 1 else 0,
+                    reloadMs = if (model in report.inMemory || model in report.onDisk) RELOAD_AT_HAND_MS else RELOAD_FROM_STORE_MS,
+                )
+            }
+        val victim =
+            EvictionPlan
+                .choose(candidates, missingMb)
+                ?.models
+                ?.firstOrNull()
+                ?.value ?: return Step.Wait
+        leaving += victim
+        markDirty()
+        return order(wish, report, EngineOrder.Kind.UNLOAD, victim, null)
+    }
+
+    private suspend fun loadAdapter(
+        wish: KeeperMessage.Wish,
+        adapter: String,
+        report: EngineSnapshot,
+    ): Step {
+        val sizes = wish.sizes.associateBy { it.model }
+        val usedMb = usedMb(report, sizes) ?: return Step.Impossible("size of a held model is unknown")
+        val adapterMb = (sizes[wish.model] ?: return Step.Impossible("size of the model is unknown")).adapterMb
+        if (report.coming.size >= MOST_ADAPTERS_IN_TRANSIT) return Step.Wait
+        val held = report.models.flatMap { (model, adapters) -> adapters.map { model to it } }
+        val full = held.size + report.coming.size + 1 > wish.adapterSlots || usedMb + adapterMb > wish.memoryMb
+        if (!full) return order(wish, report, EngineOrder.Kind.LOAD, wish.model, adapter)
+        val nowMs = clock.nowMs()
+        val victim =
+            held
+                .filter { usage.inFlight(it.first, it.second) == 0 }
+                .maxByOrNull { usage.idleMs(it.first, it.second, nowMs) } ?: return Step.Wait
+        return order(wish, report, EngineOrder.Kind.UNLOAD, victim.first, victim.second)
+    }
+
+    /** Memory that is or may be occupied; null when the size of something is unknown. */
+    private fun usedMb(
+        report: EngineSnapshot,
+        sizes: Map<String, ModelSize>,
+    ): Long? {
+        if (report.models.keys.any { it !in sizes } || report.coming.any { it.first !in sizes }) return null
+        return report.models.keys.sumOf { sizes.getValue(it).weightsMb } + adapterMb(report, sizes)
+    }
+
+    private fun adapterMb(
+        report: EngineSnapshot,
+        sizes: Map<String, ModelSize>,
+    ): Long =
+        report.models.entries.sumOf { (model, adapters) -> sizes.getValue(model).adapterMb * adapters.size } +
+            report.coming.sumOf { sizes.getValue(it.first).adapterMb }
+
+    private suspend fun order(
+        wish: KeeperMessage.Wish,
+        report: EngineSnapshot,
+        kind: EngineOrder.Kind,
+        model: String,
+        adapter: String?,
+    ): Step {
+        val order = EngineOrder(wish.target, kind, model, adapter, report.sequence, fence)
+        val reply = engine.order(order)
+        EventLog.info(
+            "order",
+            LogFields(
+                target = TargetId(wish.target),
+                outcome = reply.name.lowercase(),
+                extra =
+                    mapOf(
+                        "kind" to kind.name.lowercase(),
+                        "model" to model,
+                        "adapter" to adapter,
+                        "sequence" to report.sequence.toString(),
+                        "fence" to fence.toString(),
+                    ),
+            ),
+        )
+        return when (reply) {
+            EngineOrderReply.ACCEPTED, EngineOrderReply.CONFLICT, EngineOrderReply.LOST -> Step.Wait
+            EngineOrderReply.FENCED -> {
+                fence += FENCE_STEP
+                Step.Wait
+            }
+            EngineOrderReply.REFUSED -> Step.Impossible("the engine refused the order")
+        }
+    }
+
+    private companion object {
+        /** Time between reports while nothing is asked for; a report from the engine's own host is fresh and free. */
+        const val IDLE_POLL_MS = 100L
+
+        /** Time between reports while an order is being carried out; about a load of an adapter. */
+        const val BUSY_POLL_MS = 10L
+
+        /** Least time between two messages about the load alone. */
+        const val LOAD_INTERVAL_MS = 200L
+
+        /** Longest time between two full statuses while gateways talk. */
+        const val STATUS_INTERVAL_MS = 2_000L
+
+        /** Engines take so many adapters at a time from the store. */
+        const val MOST_ADAPTERS_IN_TRANSIT = 4
+
+        /** Typical reload of a checkpoint that the engine's host still has. */
+        const val RELOAD_AT_HAND_MS = 800L
+
+        /** Typical load from the weight store. */
+        const val RELOAD_FROM_STORE_MS = 6_000L
+
+        /** Added to a fencing number that was refused: this process alone orders its engine, so its clock had gone back. */
+        const val FENCE_STEP = 86_400_000L
+    }
+}
--- /dev/null
+++ b/keeper/src/main/kotlin/KeeperMessage.kt
@@ -0,0 +1,102 @@
+package org.almondjunction.keeper
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Messages between a gateway and the keeper of an engine. */
+@Serializable
+public sealed class KeeperMessage {
+    /** First message of a gateway. */
+    @Serializable
+    @SerialName("g")
+    public data class Greeting(
+        val gateway: String,
+    ) : KeeperMessage()
+
+    /**
+     * What a gateway has sent to the engine lately.
+     *
+     * @property uses one entry for each model or adapter that was used since the last message or has requests in flight
+     */
+    @Serializable
+    @SerialName("u")
+    public data class Usage(
+        val uses: List<Use>,
+    ) : KeeperMessage()
+
+    /** A gateway asks for a model or an adapter. */
+    @Serializable
+    @SerialName("w")
+    public data class Wish(
+        val target: String,
+        val model: String,
+        val adapter: String? = null,
+        val patienceMs: Long,
+        val mayEvict: Boolean,
+        val memoryMb: Long,
+        val adapterSlots: Int,
+        val sizes: List<ModelSize>,
+        val copiesElsewhere: List<String> = emptyList(),
+    ) : KeeperMessage()
+
+    /**
+     * What the engine holds and is about to hold.
+     *
+     * @property leaving models that are being unloaded and take no new requests
+     * @property loading model that is being loaded
+     * @property gateways names of all gateways that are connected
+     */
+    @Serializable
+    @SerialName("s")
+    public data class Status(
+        val models: List<HeldModel>,
+        val leaving: List<String> = emptyList(),
+        val loading: String? = null,
+        val inMemory: List<String> = emptyList(),
+        val onDisk: List<String> = emptyList(),
+        val gateways: List<String> = emptyList(),
+        val load: Load = Load(),
+        val busy: Boolean = false,
+    ) : KeeperMessage()
+
+    /** How much the engine has to do. */
+    @Serializable
+    @SerialName("l")
+    public data class Load(
+        val queued: Int = 0,
+        val active: Int = 0,
+        val kvUsed: Long = 0,
+    ) : KeeperMessage()
+}
+
+/** Uses of [model], or of [adapter] on it. */
+@Serializable
+public data class Use(
+    @SerialName("m") val model: String,
+    @SerialName("a") val adapter: String? = null,
+    @SerialName("c") val count: Int,
+    @SerialName("f") val inFlight: Int,
+)
+
+/** Memory that a model and each of its adapters take, and how long loads take. */
+@Serializable
+public data class ModelSize(
+    @SerialName("m") val model: String,
+    @SerialName("w") val weightsMb: Long,
+    @SerialName("a") val adapterMb: Long,
+)
+
+/**
+ * A model on the engine.
+ *
+ * @property requestsPerSecond recent demand at this engine, all gateways together
+ * @property idleMs time since its last request
+ */
+@Serializable
+public data class HeldModel(
+    @SerialName("m") val model: String,
+    @SerialName("a") val adapters: List<String>,
+    @SerialName("r") val requestsPerSecond: Float = 0f,
+    @SerialName("i") val idleMs: Long = 0,
+    @SerialName("f") val inFlight: Int = 0,
+)
--- /dev/null
+++ b/keeper/src/main/kotlin/MessageChannel.kt
@@ -0,0 +1,56 @@
+package org.almondjunction.keeper
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import org.almondjunction.network.ReadResult
+import org.almondjunction.network.TcpConnection
+
+/** Frames of a four-byte length and a CBOR message on [connection]. */
+public class MessageChannel(
+    private val connection: TcpConnection,
+) : AutoCloseable {
+    /** Whether the connection has ended. */
+    public val closed: Boolean get() = connection.closed
+
+    /** Sends [message]; returns false when the connection has ended. */
+    public suspend fun send(message: KeeperMessage): Boolean = connection.write(encode(message))
+
+    /** Returns the next message; null when the connection has ended or the peer sent something else. */
+    public suspend fun receive(): KeeperMessage? {
+        val input = connection.input
+        while (input.size < LENGTH_BYTES) if (connection.fill() != ReadResult.DATA) return null
+        val size = (0 until LENGTH_BYTES).fold(0) { sum, index -> (sum shl Byte.SIZE_BITS) or (input[index].toInt() and BYTE_MASK) }
+        if (size !in 1..MAXIMUM_FRAME_BYTES) return null
+        while (input.size < LENGTH_BYTES + size) if (connection.fill() != ReadResult.DATA) return null
+        input.skip(LENGTH_BYTES)
+        return try {
+            CODEC.decodeFromByteArray(KeeperMessage.serializer(), input.take(size))
+        } catch (_: SerializationException) {
+            null
+        } catch (_: IllegalArgumentException) {
+            null
+        }
+    }
+
+    override fun close(): Unit = connection.close()
+
+    public companion object {
+        private const val LENGTH_BYTES = 4
+        private const val BYTE_MASK = 0xFF
+
+        /** Bound on a frame; a status of 1,000 models takes about 60 KB. */
+        private const val MAXIMUM_FRAME_BYTES = 1024 * 1024
+
+        @OptIn(ExperimentalSerializationApi::class)
+        private val CODEC = Cbor { ignoreUnknownKeys = true }
+
+        internal fun encode(message: KeeperMessage): ByteArray {
+            val body = CODEC.encodeToByteArray(KeeperMessage.serializer(), message)
+            val frame = ByteArray(LENGTH_BYTES + body.size)
+            for (index in 0 until LENGTH_BYTES) frame[index] = (body.size ushr (Byte.SIZE_BITS * (LENGTH_BYTES - 1 - index))).toByte()
+            body.copyInto(frame, LENGTH_BYTES)
+            return frame
+        }
+    }
+}
--- /dev/null
+++ b/keeper/src/main/kotlin/UsageBook.kt
@@ -0,0 +1,62 @@
+package org.almondjunction.keeper
+
+import kotlin.math.exp
+
+/** Recent uses of the models and adapters of one engine, as its gateways tell them. */
+internal class UsageBook {
+    private class Entry {
+        var ratePerSecond = 0.0
+        var updatedMs = 0L
+        var lastUseMs: Long? = null
+        val inFlight = mutableMapOf<String, Int>()
+    }
+
+    private val entries = mutableMapOf<Pair<String, String?>, Entry>()
+
+    fun record(
+        gateway: String,
+        uses: List<Use>,
+        nowMs: Long,
+    ) {
+        uses.forEach { use ->
+            val entry = entries.getOrPut(use.model to use.adapter) { Entry().apply { updatedMs = nowMs } }
+            entry.decay(nowMs)
+            entry.ratePerSecond += use.count * MILLISECONDS_PER_SECOND / MEMORY_MS
+            if (use.count > 0 || use.inFlight > 0) entry.lastUseMs = nowMs
+            if (use.inFlight > 0) entry.inFlight[gateway] = use.inFlight else entry.inFlight.remove(gateway)
+        }
+    }
+
+    fun forget(gateway: String): Unit = entries.values.forEach { it.inFlight.remove(gateway) }
+
+    fun ratePerSecond(
+        model: String,
+        adapter: String?,
+        nowMs: Long,
+    ): Double = entries[model to adapter]?.also { it.decay(nowMs) }?.ratePerSecond ?: 0.0
+
+    fun idleMs(
+        model: String,
+        adapter: String?,
+        nowMs: Long,
+    ): Long = entries[model to adapter]?.lastUseMs?.let { nowMs - it } ?: NEVER_MS
+
+    fun inFlight(
+        model: String,
+        adapter: String?,
+    ): Int = entries[model to adapter]?.inFlight?.values?.sum() ?: 0
+
+    private fun Entry.decay(nowMs: Long) {
+        ratePerSecond *= exp(-(nowMs - updatedMs) / MEMORY_MS)
+        updatedMs = nowMs
+    }
+
+    private companion object {
+        /** Uses count for about this long; a few gaps between requests of a rare model at the users' sheets. */
+        const val MEMORY_MS = 10_000.0
+        const val MILLISECONDS_PER_SECOND = 1_000.0
+
+        /** Idle time of what was never used; one hour. */
+        const val NEVER_MS = 3_600_000L
+    }
+}
--- /dev/null
+++ b/network/src/main/kotlin/EventLoop.kt
@@ -0,0 +1,163 @@
+package org.almondjunction.network
+
+import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.Delay
+import kotlinx.coroutines.DisposableHandle
+import kotlinx.coroutines.InternalCoroutinesApi
+import kotlinx.coroutines.Runnable
+import org.almondjunction.common.Clock
+import org.almondjunction.common.SystemClock
+import java.nio.channels.CancelledKeyException
+import java.nio.channels.SelectableChannel
+import java.nio.channels.SelectionKey
+import java.nio.channels.Selector
+import java.util.PriorityQueue
+import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.coroutines.CoroutineContext
+
+/**
+ * One thread that waits for sockets and timers and runs every coroutine of a process.
+ *
+ * Coroutines on it share state without locks. [run] occupies the calling thread until [stop].
+ */
+@OptIn(InternalCoroutinesApi::class)
+public class EventLoop(
+    public val clock: Clock = SystemClock,
+) : CoroutineDispatcher(),
+    Delay {
+    private val selector = Selector.open()
+    private val ready = ArrayDeque<Runnable>()
+    private val posted = ConcurrentLinkedQueue<Runnable>()
+    private val timers = PriorityQueue<Timer>()
+    private var timerCount = 0L
+
+    @Volatile
+    private var thread: Thread? = null
+
+    @Volatile
+    private var stopped = false
+
+    /** Runs until [stop]; must be called once. */
+    public fun run() {
+        thread = Thread.currentThread()
+        while (!stopped) {
+            runReady()
+            if (!stopped) awaitEvents()
+        }
+        selector.close()
+    }
+
+    /** Makes [run] return after the tasks that are ready now. */
+    public fun stop() {
+        stopped = true
+        selector.wakeup()
+    }
+
+    override fun dispatch(
+        context: CoroutineContext,
+        block: Runnable,
+    ) {
+        if (Thread.currentThread() === thread) {
+            ready.addLast(block)
+        } else {
+            posted.add(block)
+            selector.wakeup()
+        }
+    }
+
+    override fun scheduleResumeAfterDelay(
+        timeMillis: Long,
+        continuation: CancellableContinuation<Unit>,
+    ) {
+        val timer = schedule(timeMillis) { with(continuation) { resumeUndispatched(Unit) } }
+        continuation.invokeOnCancellation { timer.dispose() }
+    }
+
+    override fun invokeOnTimeout(
+        timeMillis: Long,
+        block: Runnable,
+        context: CoroutineContext,
+    ): DisposableHandle = schedule(timeMillis, block)
+
+    internal fun register(
+        channel: SelectableChannel,
+        interest: Int,
+        handler: (SelectionKey) -> Unit,
+    ): SelectionKey = channel.register(selector, interest, handler)
+
+    private fun schedule(
+        delayMs: Long,
+        task: Runnable,
+    ): Timer {
+        val timer = Timer(clock.nowMs() + delayMs.coerceIn(0, LONGEST_DELAY_MS), timerCount++, task)
+        if (Thread.currentThread() === thread) {
+            timers.add(timer)
+        } else {
+            posted.add(Runnable { timers.add(timer) })
+            selector.wakeup()
+        }
+        return timer
+    }
+
+    private fun runReady() {
+        while (true) {
+            while (true) ready.addLast(posted.poll() ?: break)
+            runTimers()
+            val task = ready.removeFirstOrNull() ?: return
+            task.run()
+        }
+    }
+
+    private fun runTimers() {
+        if (timers.isEmpty()) return
+        val nowMs = clock.nowMs()
+        while (true) {
+            val timer = timers.peek() ?: return
+            if (!timer.disposed && timer.dueMs > nowMs) return
+            timers.poll()
+            if (!timer.disposed) ready.addLast(timer.task)
+        }
+    }
+
+    private fun awaitEvents() {
+        val waitMs = timers.peek()?.let { it.dueMs - clock.nowMs() }
+        when {
+            waitMs == null -> selector.select()
+            waitMs <= 0 -> selector.selectNow()
+            else -> selector.select(waitMs)
+        }
+        val keys = selector.selectedKeys().iterator()
+        while (keys.hasNext()) {
+            val key = keys.next()
+            keys.remove()
+            try {
+                @Suppress("UNCHECKED_CAST")
+                if (key.isValid) (key.attachment() as (SelectionKey) -> Unit)(key)
+            } catch (_: CancelledKeyException) {
+                // The channel was closed by a handler that ran before in this round; its owner knows.
+                continue
+            }
+        }
+    }
+
+    private class Timer(
+        val dueMs: Long,
+        val order: Long,
+        val task: Runnable,
+    ) : Comparable<Timer>,
+        DisposableHandle {
+        var disposed = false
+
+        override fun dispose() {
+            disposed = true
+        }
+
+        override fun compareTo(other: Timer): Int = compareValuesBy(this, other, { it.dueMs }, { it.order })
+    }
+
+    private companion object {
+        /** Far beyond any delay of the product; keeps sums of times from overflowing. */
+        const val LONGEST_DELAY_MS = 365L * 24 * 3_600_000
+    }
+}
--- /dev/null
+++ b/network/src/main/kotlin/HttpReader.kt
@@ -0,0 +1,220 @@
+package org.almondjunction.network
+
+/** A part of a body, or how it ended. */
+public sealed class BodyPart {
+    /** Bytes of the body, in order. */
+    public class Data(
+        public val bytes: ByteArray,
+    ) : BodyPart()
+
+    /** The body is complete. */
+    public data object Complete : BodyPart()
+
+    /** The body broke off or its framing is wrong. */
+    public data class Broken(
+        val detail: String,
+    ) : BodyPart()
+}
+
+/** Reads heads and bodies of HTTP/1.1 messages from [connection], without tolerance for messages that could be read in two ways. */
+public class HttpReader(
+    private val connection: TcpConnection,
+) {
+    private val input get() = connection.input
+
+    /** Reads the head of a request of [maximumBytes] at most. */
+    public suspend fun requestHead(maximumBytes: Int): HeadResult<RequestHead> =
+        head(maximumBytes) { lines -> HttpHeadParser.request(lines) }
+
+    /** Reads the head of a response of [maximumBytes] at most. */
+    public suspend fun responseHead(maximumBytes: Int): HeadResult<ResponseHead> =
+        head(maximumBytes) { lines -> HttpHeadParser.response(lines) }
+
+    private suspend fun <T> head(
+        maximumBytes: Int,
+        parse: (List<String>) -> HeadResult<T>,
+    ): HeadResult<T> {
+        val lines = mutableListOf<String>()
+        var total = 0
+        while (true) {
+            val line =
+                when (val result = line(maximumBytes - total)) {
+                    is LineResult.Line -> result.text
+                    LineResult.End -> return if (lines.isEmpty() && input.size == 0) HeadResult.End else HeadResult.Broken
+                    LineResult.Reset -> return if (lines.isEmpty() && input.size == 0) HeadResult.End else HeadResult.Broken
+                    LineResult.TooLong -> return HeadResult.TooLarge
+                    LineResult.Malformed -> return HeadResult.Malformed("A line ends without a carriage return.")
+                }
+            total += line.length + LINE_END_BYTES
+            if (line.isEmpty()) {
+                if (lines.isEmpty()) continue
+                return parse(lines)
+            }
+            lines += line
+        }
+    }
+
+    private sealed class LineResult {
+        data class Line(
+            val text: String,
+        ) : LineResult()
+
+        data object End : LineResult()
+
+        data object Reset : LineResult()
+
+        data object TooLong : LineResult()
+
+        data object Malformed : LineResult()
+    }
+
+    private suspend fun line(maximumBytes: Int): LineResult {
+        var searched = 0
+        while (true) {
+            val feed = input.indexOfLineFeed(searched)
+            if (feed > maximumBytes || (feed < 0 && input.size > maximumBytes)) return LineResult.TooLong
+            if (feed >= 0) {
+                if (feed == 0 || input[feed - 1] != CARRIAGE_RETURN) return LineResult.Malformed
+                val text = input.takeText(feed - 1)
+                input.skip(LINE_END_BYTES)
+                return LineResult.Line(text)
+            }
+            searched = input.size
+            when (connection.fill()) {
+                ReadResult.DATA -> Unit
+                ReadResult.END -> return LineResult.End
+                ReadResult.RESET -> return LineResult.Reset
+            }
+        }
+    }
+
+    /** Returns a reader of the body that follows a head. */
+    public fun body(framing: BodyFraming): BodyReader =
+        when (framing) {
+            BodyFraming.None -> BodyReader { BodyPart.Complete }
+            is BodyFraming.Length -> lengthBody(framing.bytes)
+            BodyFraming.Chunked -> chunkedBody()
+            BodyFraming.UntilEnd -> BodyReader { untilEnd() }
+        }
+
+    private fun lengthBody(length: Long): BodyReader {
+        var left = length
+        return BodyReader {
+            when {
+                left == 0L -> BodyPart.Complete
+                input.size == 0 && connection.fill() != ReadResult.DATA -> BodyPart.Broken("The body ended $left bytes early.")
+                else -> BodyPart.Data(input.take(minOf(left, input.size.toLong()).toInt())).also { left -= it.bytes.size }
+            }
+        }
+    }
+
+    private suspend fun untilEnd(): BodyPart {
+        if (input.size > 0) return BodyPart.Data(input.take(input.size))
+        return when (connection.fill()) {
+            ReadResult.DATA -> BodyPart.Data(input.take(input.size))
+            ReadResult.END -> BodyPart.Complete
+            ReadResult.RESET -> BodyPart.Broken("The connection was reset inside a body without length.")
+        }
+    }
+
+    private fun chunkedBody(): BodyReader {
+        var left = 0L
+        var first = true
+        return BodyReader {
+            if (left == 0L) {
+                if (!first && !chunkEnd()) return@BodyReader BodyPart.Broken("A chunk does not end where its size says.")
+                first = false
+                left = chunkSize() ?: return@BodyReader BodyPart.Broken("The size of a chunk cannot be read.")
+                if (left == 0L) return@BodyReader if (trailers()) BodyPart.Complete else BodyPart.Broken("The trailer broke off.")
+            }
+            if (input.size == 0 && connection.fill() != ReadResult.DATA) {
+                return@BodyReader BodyPart.Broken("A chunk ended $left bytes early.")
+            }
+            BodyPart.Data(input.take(minOf(left, input.size.toLong()).toInt())).also { left -= it.bytes.size }
+        }
+    }
+
+    private suspend fun chunkEnd(): Boolean = (line(0 + LINE_END_BYTES) as? LineResult.Line)?.text?.isEmpty() == true
+
+    private suspend fun chunkSize(): Long? {
+        val line = (line(MAXIMUM_CHUNK_LINE_BYTES) as? LineResult.Line)?.text ?: return null
+        val digits = line.substringBefore(';').trimEnd(' ', '\t')
+        if (digits.isEmpty() || digits.length > MAXIMUM_CHUNK_DIGITS || !digits.all { it.isHexDigit() }) return null
+        return digits.toLong(HEXADECIMAL)
+    }
+
+    private fun Char.isHexDigit() = this in '0'..'9' || this in 'a'..'f' || this in 'A'..'F'
+
+    private suspend fun trailers(): Boolean {
+        repeat(MAXIMUM_TRAILERS) {
+            val line = (line(MAXIMUM_CHUNK_LINE_BYTES) as? LineResult.Line)?.text ?: return false
+            if (line.isEmpty()) return true
+        }
+        return false
+    }
+
+    private companion object {
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val LINE_END_BYTES = 2
+        const val HEXADECIMAL = 16
+        const val MAXIMUM_CHUNK_DIGITS = 15
+
+        /** Bound on one line of chunk size or trailer, as servers commonly set it. */
+        const val MAXIMUM_CHUNK_LINE_BYTES = 4_096
+        const val MAXIMUM_TRAILERS = 64
+    }
+}
+
+/** Reads one body part by part. */
+public class BodyReader(
+    private val read: suspend () -> BodyPart,
+) {
+    /** Returns the next part; after [BodyPart.Complete] or [BodyPart.Broken] there is none. */
+    public suspend fun next(): BodyPart = read()
+
+    /** Returns the whole body; null when it is longer than [maximumBytes] or broke off. */
+    public suspend fun whole(maximumBytes: Long): WholeBody {
+        val parts = mutableListOf<ByteArray>()
+        var size = 0L
+        while (true) {
+            when (val part = next()) {
+                is BodyPart.Data -> {
+                    size += part.bytes.size
+                    if (size > maximumBytes) return WholeBody.TooLarge
+                    parts += part.bytes
+                }
+                BodyPart.Complete -> return WholeBody.Read(parts.singleOrNull() ?: join(parts, size.toInt()))
+                is BodyPart.Broken -> return WholeBody.Broken(part.detail)
+            }
+        }
+    }
+
+    private fun join(
+        parts: List<ByteArray>,
+        size: Int,
+    ): ByteArray {
+        val bytes = ByteArray(size)
+        var position = 0
+        parts.forEach { part ->
+            part.copyInto(bytes, position)
+            position += part.size
+        }
+        return bytes
+    }
+}
+
+/** Outcome of reading a whole body. */
+public sealed class WholeBody {
+    /** All of it. */
+    public class Read(
+        public val bytes: ByteArray,
+    ) : WholeBody()
+
+    /** It is over the limit. */
+    public data object TooLarge : WholeBody()
+
+    /** It broke off. */
+    public data class Broken(
+        val detail: String,
+    ) : WholeBody()
+}
--- a/platform/src/main/kotlin/HttpObjectStore.kt
+++ b/objectstore/src/main/kotlin/HttpObjectStore.kt
@@ -1,4 +1,4 @@
-package org.almondjunction.platform
+package org.almondjunction.objectstore
 
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
--- a/platform/src/main/kotlin/ObjectStore.kt
+++ b/objectstore/src/main/kotlin/ObjectStore.kt
@@ -1,4 +1,4 @@
-package org.almondjunction.platform
+package org.almondjunction.objectstore
 
 import org.almondjunction.decisions.Fleet
 import org.almondjunction.decisions.StoreCall
