Loads: sizes are kept, one wish for a model at a time, adapters beside a load

Cause: (1) a wish named the sizes of the models that its gateway knew of, so one that came after a load was refused; (2) a keeper showed a load only after it had made room, and gateways asked other keepers meanwhile: the same model was loaded on three engines at once; (3) adapters waited for a load of a model, up to 6 s. Ruled out: processor time (0.01 of a core for each process). Change: keepers remember sizes; a load shows from the wish on; a gateway stays with the keeper that it asked; adapters are ordered while a model is loading, and only unloading one waits, since the engine answers that with a conflict.

--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -35,6 +35,13 @@
         ) : Choice()
     }
 
+    private class Asked(
+        val target: Target,
+        val untilMs: Long,
+    )
+
+    private val asked = mutableMapOf<String, Asked>()
+
     suspend fun choose(
         request: ForwardedRequest,
         tried: Set<Target>,
@@ -131,6 +138,13 @@
         val inTouch = ready.filter { it.status != null }
         val loading = inTouch.firstOrNull { it.status?.loading == name }
         if (loading != null) return Choice.Later(loadMs(loading, model))
+        val pending = asked[name]
+        if (pending != null &&
+            pending.untilMs > clock.nowMs() &&
+            pending.target in inTouch
+        ) {
+            return Choice.Later(loadMs(pending.target, model))
+        }
         if (inTouch.isEmpty()) return Choice.None("no keeper in touch")
         val best =
             inTouch
@@ -138,7 +152,8 @@
                     costOfLoad(target, plan, model, mayEvict)?.let { target to it }
                 }.minByOrNull { it.second }
         val target = best?.first ?: return if (mayEvict) Choice.Later(model.loadFromDiskMs) else Choice.None("no room")
-        if (target.mayAsk(name, null, MODEL_ASK_INTERVAL_MS)) wish(target, plan, name, null, model.loadMs * 2, mayEvict)
+        asked[name] = Asked(target, clock.nowMs() + MODEL_ASK_INTERVAL_MS)
+        wish(target, plan, name, null, model.loadMs * 2, mayEvict)
         return Choice.Later(loadMs(target, model))
     }
 
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -43,6 +43,7 @@
     private val orders = Mutex()
     private val wishes = mutableSetOf<Pair<String, String?>>()
     private val leaving = mutableSetOf<String>()
+    private val sizes = mutableMapOf<String, ModelSize>()
     private var loading: String? = null
     private var fence = firstFence
     private var snapshot: EngineSnapshot? = null
@@ -163,6 +164,11 @@
         if (key in wishes) return
         if (wish.adapter == null && wishes.any { it.second == null }) return
         wishes += key
+        wish.sizes.forEach { sizes[it.model] = it }
+        if (wish.adapter == null) {
+            loading = wish.model
+            markDirty()
+        }
         scope.launch {
             val outcome = fulfil(wish)
             wishes -= key
@@ -212,9 +218,9 @@
             adapter != null && adapters == null -> Step.Impossible("model is not held")
             adapter != null && adapter in adapters.orEmpty() -> Step.Done
             adapter != null && (wish.model to adapter) in report.coming -> Step.Wait
+            adapter != null -> loadAdapter(wish, adapter, report)
             report.busy -> Step.Wait
-            adapter == null -> loadModel(wish, report)
-            else -> loadAdapter(wish, adapter, report)
+            else -> loadModel(wish, report)
         }
     }
 
@@ -222,24 +228,20 @@
         wish: KeeperMessage.Wish,
         report: EngineSnapshot,
     ): Step {
-        val sizes = wish.sizes.associateBy { it.model }
         val neededMb = (sizes[wish.model] ?: return Step.Impossible("size of the model is unknown")).weightsMb
-        val usedMb = usedMb(report, sizes) ?: return Step.Impossible("size of a held model is unknown")
-        val reserveMb = sizes.values.maxOf { it.adapterMb } * wish.adapterSlots - adapterMb(report, sizes)
+        val usedMb = usedMb(report) ?: return Step.Impossible("size of a held model is unknown")
+        val reserveMb = sizes.values.maxOf { it.adapterMb } * wish.adapterSlots - adapterMb(report)
         val missingMb = usedMb + neededMb + reserveMb.coerceAtLeast(0) - wish.memoryMb
         if (missingMb > 0) {
             if (!wish.mayEvict) return Step.Impossible("no room")
-            return makeRoom(wish, report, sizes, missingMb)
+            return makeRoom(wish, report, missingMb)
         }
-        loading = wish.model
-        markDirty()
         return order(wish, report, EngineOrder.Kind.LOAD, wish.model, null)
     }
 
     private suspend fun makeRoom(
         wish: KeeperMessage.Wish,
         report: EngineSnapshot,
-        sizes: Map<String, ModelSize>,
         missingMb: Long,
     ): Step {
         val nowMs = clock.nowMs()
@@ -271,13 +273,13 @@
         adapter: String,
         report: EngineSnapshot,
     ): Step {
-        val sizes = wish.sizes.associateBy { it.model }
-        val usedMb = usedMb(report, sizes) ?: return Step.Impossible("size of a held model is unknown")
+        val usedMb = usedMb(report) ?: return Step.Impossible("size of a held model is unknown")
         val adapterMb = (sizes[wish.model] ?: return Step.Impossible("size of the model is unknown")).adapterMb
         if (report.coming.size >= MOST_ADAPTERS_IN_TRANSIT) return Step.Wait
         val held = report.models.flatMap { (model, adapters) -> adapters.map { model to it } }
         val full = held.size + report.coming.size + 1 > wish.adapterSlots || usedMb + adapterMb > wish.memoryMb
         if (!full) return order(wish, report, EngineOrder.Kind.LOAD, wish.model, adapter)
+        if (report.busy) return Step.Wait
         val nowMs = clock.nowMs()
         val victim =
             held
@@ -287,18 +289,12 @@
     }
 
     /** Memory that is or may be occupied; null when the size of something is unknown. */
-    private fun usedMb(
-        report: EngineSnapshot,
-        sizes: Map<String, ModelSize>,
-    ): Long? {
+    private fun usedMb(report: EngineSnapshot): Long? {
         if (report.models.keys.any { it !in sizes } || report.coming.any { it.first !in sizes }) return null
-        return report.models.keys.sumOf { sizes.getValue(it).weightsMb } + adapterMb(report, sizes)
+        return report.models.keys.sumOf { sizes.getValue(it).weightsMb } + adapterMb(report)
     }
 
-    private fun adapterMb(
-        report: EngineSnapshot,
-        sizes: Map<String, ModelSize>,
-    ): Long =
+    private fun adapterMb(report: EngineSnapshot): Long =
         report.models.entries.sumOf { (model, adapters) -> sizes.getValue(model).adapterMb * adapters.size } +
             report.coming.sumOf { sizes.getValue(it.first).adapterMb }
 
