--- a/gateway/src/main/kotlin/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/ForwardedRequest.kt
@@ -28,6 +28,9 @@
     /** When a final answer must be there. */
     val endMs: Long get() = minOf(arrivedMs + route.timeoutMs, deadlineMs ?: Long.MAX_VALUE)
 
+    /** When its caller has most likely left if nothing has reached it. */
+    val patienceEndMs: Long get() = minOf(endMs, arrivedMs + route.callerPatienceMs)
+
     companion object {
         fun of(
             head: RequestHead,
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -38,7 +38,8 @@
         val request: ForwardedRequest,
         val answer: CallerAnswer,
     ) {
-        val tried = mutableSetOf<Target>()
+        val tried = mutableMapOf<Target, Long>()
+        var lastTarget: Target? = null
         val events = EventSplitter()
         var mayHaveRun = false
         var runs = 0
@@ -92,16 +93,18 @@
 
     private suspend fun awaitTarget(attempt: Attempt): Target? {
         val request = attempt.request
+        var waits = false
         while (true) {
             val seen = state.changed.count
             when (val choice = selector.choose(request, attempt.tried)) {
                 is TargetSelector.Choice.Use -> return choice.target
                 is TargetSelector.Choice.Later -> {
                     attempt.detail = "waits for weights"
-                    if (choice.expectedMs > attempt.timeLeftMs && !attempt.answer.begun) {
+                    if (!waits && choice.expectedMs > request.patienceEndMs - clock.nowMs() && !attempt.answer.begun) {
                         giveUp(attempt, "weights come too late", choice.expectedMs)
                         return null
                     }
+                    waits = true
                     state.changed.await(seen, LONGEST_WAIT_MS)
                 }
                 is TargetSelector.Choice.None -> {
@@ -138,7 +141,8 @@
         val send = Target.Send(request.model, request.adapter, unreadTokens(target, request))
         val exchange = Exchange(scope, target, names)
         target.begin(send)
-        attempt.tried += target
+        attempt.tried[target] = clock.nowMs()
+        attempt.lastTarget = target
         attempt.sends++
         try {
             target.prompts.add(request.weights, request.parts)
@@ -376,10 +380,7 @@
             LogFields(
                 requestId = RequestId(request.id),
                 target =
-                    attempt.tried
-                        .lastOrNull()
-                        ?.entry
-                        ?.target ?: TargetId("none"),
+                    attempt.lastTarget?.entry?.target ?: TargetId("none"),
                 outcome = attempt.outcome,
                 reason = attempt.detail,
                 extra =
@@ -412,7 +413,7 @@
         const val MOST_REFUSALS = 4
 
         /** A kept connection this young has hardly been closed by its target; older ones are used where a repeat is allowed. */
-        const val KEPT_FOR_ONCE_MS = 1_500L
+        const val KEPT_FOR_ONCE_MS = 10_000L
         const val KEPT_MS = 60_000L
 
         /** Re-examination of a wait, in case the change that ends it is not told. */
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -32,7 +32,7 @@
     private val state = GatewayState()
     private val fleet = Fleet(loop, scope, settings.name, settings.keeperPort, state)
     private val selector = TargetSelector(clock, fleet, settings.place, state)
-    private val preparation = Preparation(clock, fleet, selector, state, settings.name)
+    private val preparation = Preparation(fleet, selector, state, settings.name)
     private val allowance = RepeatAllowance(settings.repeatRatio, settings.repeatExtra, settings.budgetWindowMs)
     private val forwarder = Forwarder(clock, selector, fleet, state, names, allowance, metrics)
     private val connections = mutableSetOf<CallerConnection>()
--- a/gateway/src/main/kotlin/GatewayConfiguration.kt
+++ b/gateway/src/main/kotlin/GatewayConfiguration.kt
@@ -33,6 +33,7 @@
  * @property maximumTargets targets that may run one request
  * @property streaming whether the answer is a series of events
  * @property pauseObjectiveMs longest pause between events that is still on time
+ * @property callerPatienceMs time after which callers leave if nothing has reached them
  */
 public data class Route(
     val name: String,
@@ -46,6 +47,7 @@
     val priority: Int,
     val maximumTargets: Int,
     val pauseObjectiveMs: Long = 0,
+    val callerPatienceMs: Long = Long.MAX_VALUE / 2,
 ) {
     /** Returns the service that takes the request called [requestId]. */
     public fun serviceFor(requestId: String): ServiceId {
--- a/gateway/src/main/kotlin/Preparation.kt
+++ b/gateway/src/main/kotlin/Preparation.kt
@@ -1,8 +1,8 @@
 package org.almondjunction.gateway
 
 import kotlinx.coroutines.delay
-import org.almondjunction.common.Clock
 import org.almondjunction.decisions.Rendezvous
+import kotlin.math.ceil
 
 /**
  * Has models loaded that no target holds, where there is room, before callers ask for them.
@@ -10,7 +10,6 @@
  * Gateways share the work: each model is looked after by the one that comes first for it among those that keepers see.
  */
 internal class Preparation(
-    private val clock: Clock,
     private val fleet: Fleet,
     private val selector: TargetSelector,
     private val state: GatewayState,
@@ -31,17 +30,55 @@
             val plan = service.engine ?: return@forEach
             val ready = fleet.ready(service.service)
             if (ready.isEmpty() || ready.any { it.status == null }) return@forEach
-            val held = ready.flatMapTo(mutableSetOf()) { it.models.keys }
             plan.models.values
-                .filter { it.model.value !in held }
                 .filter { Rendezvous.order(it.model.value, gateways) { name -> name }.first() == gateway }
-                .forEach { selector.askForModel(ready, plan, it, mayEvict = false) }
+                .forEach { prepare(it, plan, ready) }
         }
     }
 
+    private suspend fun prepare(
+        model: ModelPlan,
+        plan: EnginePlan,
+        ready: List<Target>,
+    ) {
+        val name = model.model.value
+        val (holders, others) =
+            ready.partition { target ->
+                target.status
+                    ?.models
+                    .orEmpty()
+                    .any { it.model == name }
+            }
+        if (holders.isEmpty()) {
+            val near = ready.filter { it.hasAtHand(name) }
+            selector.askForModel(near.ifEmpty { ready }, plan, model, mayEvict = false)
+            return
+        }
+        val requestsPerSecond =
+            holders.sumOf { holder ->
+                holder.status
+                    ?.models
+                    ?.first { it.model == name }
+                    ?.requestsPerSecond
+                    ?.toDouble()
+                    ?: 0.0
+            }
+        val wanted = ceil(requestsPerSecond / REQUESTS_PER_SECOND_OF_COPY).toInt().coerceAtMost(MOST_COPIES)
+        val near = others.filter { it.hasAtHand(name) }.ifEmpty { others.takeIf { holders.size == 1 }.orEmpty() }
+        if (holders.size >= wanted || near.isEmpty() || others.any { it.status?.loading == name }) return
+        selector.askForModel(near, plan, model, mayEvict = true, highestCostMs = COPY_WORTH_MS)
+    }
+
     private companion object {
         /** Time in which gateways and keepers have found each other after a start of all hosts. */
         const val SETTLE_MS = 3_000L
         const val INTERVAL_MS = 500L
+
+        /** Demand above which a model has one more copy: what an engine serves beside others without delay, and a loss then leaves one. */
+        const val REQUESTS_PER_SECOND_OF_COPY = 1.5
+        const val MOST_COPIES = 3
+
+        /** Eviction cost up to which a further copy is worth it: a rare model that can be loaded again from its host's disk. */
+        const val COPY_WORTH_MS = 100.0
     }
 }
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -28,6 +28,7 @@
     var load = KeeperMessage.Load()
     var keeper: KeeperLink? = null
 
+    private var loadingSinceMs = 0L
     private var failures = 0.0
     private var sends = 0.0
     private var weighedMs = clock.nowMs()
@@ -55,8 +56,15 @@
         entry = newEntry
     }
 
+    /** How long the load that its keeper tells of has been in progress. */
+    val loadingForMs: Long get() = clock.nowMs() - loadingSinceMs
+
+    /** Whether its host has a copy of the weights of [model]. */
+    fun hasAtHand(model: String): Boolean = status?.let { model in it.inMemory || model in it.onDisk } ?: false
+
     fun update(newStatus: KeeperMessage.Status?) {
         val before = status?.models.orEmpty().map { it.model }
+        if (newStatus?.loading != status?.loading) loadingSinceMs = clock.nowMs()
         status = newStatus
         if (newStatus != null) {
             load = newStatus.load
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -38,18 +38,20 @@
     private class Asked(
         val target: Target,
         val untilMs: Long,
+        val expectedMs: Long,
     )
 
     private val asked = mutableMapOf<String, Asked>()
 
     suspend fun choose(
         request: ForwardedRequest,
-        tried: Set<Target>,
+        tried: Map<Target, Long>,
     ): Choice {
         val ready = fleet.ready(request.service)
         if (ready.isEmpty()) return Choice.None("no target")
-        val fresh = ready.filter { it !in tried }.ifEmpty { ready }
-        val model = request.model ?: return use(fresh.filter { hasRoom(it) }, request) ?: Choice.None("targets full")
+        val nowMs = clock.nowMs()
+        val fresh = ready.filter { target -> tried[target]?.let { nowMs >= it + TRY_AGAIN_MS } ?: true }
+        val model = request.model ?: return use(fresh.ifEmpty { ready }.filter { hasRoom(it) }, request) ?: Choice.None("targets full")
         val plan =
             state.configuration
                 ?.services
@@ -119,42 +121,53 @@
         adapter: String,
     ): Choice {
         val inTouch = holders.filter { it.status != null }
-        val chosen = inTouch.maxByOrNull { Rendezvous.share("$model/$adapter", it.entry.target.value) - it.failureShare() }
+        val free = inTouch.filter { it.status?.busy == false && it.status?.loading == null }
+        val chosen = free.ifEmpty { inTouch }.maxByOrNull { Rendezvous.share("$model/$adapter", it.entry.target.value) - it.failureShare() }
         if (chosen == null) return Choice.None("no keeper in touch")
         if (chosen.mayAsk(model, adapter, ADAPTER_ASK_INTERVAL_MS)) {
             wish(chosen, plan, model, adapter, ADAPTER_PATIENCE_MS, mayEvict = true)
         }
-        return Choice.Later(ADAPTER_EXPECTED_MS)
+        return Choice.Later(if (free.isEmpty()) ADAPTER_BEHIND_LOAD_MS else ADAPTER_EXPECTED_MS)
     }
 
-    /** Asks for a model that no ready target holds. */
+    /**
+     * Asks one of [ready] for a model that none of them holds.
+     *
+     * @param highestCostMs cost of eviction, see [EvictionPlan], above which nothing is asked for
+     */
     suspend fun askForModel(
         ready: List<Target>,
         plan: EnginePlan,
         model: ModelPlan,
         mayEvict: Boolean,
+        highestCostMs: Double = Double.MAX_VALUE,
     ): Choice {
         val name = model.model.value
         val inTouch = ready.filter { it.status != null }
         val loading = inTouch.firstOrNull { it.status?.loading == name }
-        if (loading != null) return Choice.Later(loadMs(loading, model))
-        val pending = asked[name]
-        if (pending != null &&
-            pending.untilMs > clock.nowMs() &&
-            pending.target in inTouch
-        ) {
-            return Choice.Later(loadMs(pending.target, model))
-        }
+        if (loading != null) return Choice.Later(remainingLoadMs(loading, plan))
+        asked[name]?.takeIf { it.untilMs > clock.nowMs() && it.target in inTouch }?.let { return Choice.Later(it.expectedMs) }
         if (inTouch.isEmpty()) return Choice.None("no keeper in touch")
         val best =
             inTouch
                 .mapNotNull { target ->
-                    costOfLoad(target, plan, model, mayEvict)?.let { target to it }
+                    costOfLoad(target, plan, model, mayEvict, highestCostMs)?.let { target to it }
                 }.minByOrNull { it.second }
         val target = best?.first ?: return if (mayEvict) Choice.Later(model.loadFromDiskMs) else Choice.None("no room")
-        asked[name] = Asked(target, clock.nowMs() + MODEL_ASK_INTERVAL_MS)
+        val expectedMs = remainingLoadMs(target, plan) + loadMs(target, model)
+        asked[name] = Asked(target, clock.nowMs() + MODEL_ASK_INTERVAL_MS, expectedMs)
         wish(target, plan, name, null, model.loadMs * 2, mayEvict)
-        return Choice.Later(loadMs(target, model))
+        return Choice.Later(expectedMs)
+    }
+
+    /** Returns how long the load that is in progress at [target] will still take; 0 where there is none. */
+    private fun remainingLoadMs(
+        target: Target,
+        plan: EnginePlan,
+    ): Long {
+        val name = target.status?.loading ?: return 0
+        val model = plan.models[ModelId(name)] ?: return 0
+        return (loadMs(target, model) - target.loadingForMs).coerceAtLeast(SHORTEST_LOAD_MS)
     }
 
     private fun loadMs(
@@ -175,6 +188,7 @@
         plan: EnginePlan,
         model: ModelPlan,
         mayEvict: Boolean,
+        highestCostMs: Double,
     ): Double? {
         val status = target.status ?: return null
         val usedMb = status.models.sumOf { held -> plan.models[ModelId(held.model)]?.weightsMb ?: plan.weightsMb }
@@ -182,9 +196,11 @@
         val missingMb = usedMb + model.weightsMb + reserveMb - plan.weightsMb
         if (missingMb > 0 && !mayEvict) return null
         val eviction = EvictionPlan.choose(evictionCandidates(target, status, plan), missingMb) ?: return null
-        val busyMs = if (status.busy || status.loading != null) BUSY_MS else 0.0
+        if (eviction.costMs > highestCostMs) return null
+        val storeMs = if (target.hasAtHand(model.model.value)) 0 else STORE_LOAD_MS
         val tie = Rendezvous.share(model.model.value, target.entry.target.value)
-        return loadMs(target, model) + eviction.costMs + busyMs + tie + target.failureShare() * model.loadMs
+        val failures = target.failureShare() * model.loadMs
+        return remainingLoadMs(target, plan) + loadMs(target, model) + storeMs + eviction.costMs * EVICTION_HORIZON_S + tie + failures
     }
 
     private fun evictionCandidates(
@@ -262,9 +278,21 @@
         const val ADAPTER_ASK_INTERVAL_MS = 150L
         const val ADAPTER_PATIENCE_MS = 2_000L
         const val ADAPTER_EXPECTED_MS = 40L
+
+        /** An adapter waits for the load of a model on the same engine; most of those come from its host's own copies. */
+        const val ADAPTER_BEHIND_LOAD_MS = 600L
+
+        /** A target that refused a request, for an order or a full queue, is asked again after this. */
+        const val TRY_AGAIN_MS = 150L
         const val MODEL_ASK_INTERVAL_MS = 400L
 
-        /** An engine that is loading takes the next order after this, on average. */
-        const val BUSY_MS = 3_000.0
+        /** Least time that a load in progress is expected to take still. */
+        const val SHORTEST_LOAD_MS = 100L
+
+        /** What a load from the weight store costs beyond its time: it occupies the engine's orders and the store. */
+        const val STORE_LOAD_MS = 8_000L
+
+        /** Time over which the absence of an unloaded model is counted; about the time until it is needed and loaded again. */
+        const val EVICTION_HORIZON_S = 3
     }
 }
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -99,7 +99,7 @@
         if (now != null &&
             before == null
         ) {
-            EventLog.info("engine found", LogFields(extra = mapOf("models" to now.models.keys.joinToString())))
+            EventLog.info("engine found", LogFields(extra = describe(now)))
         }
         snapshot = now
         when {
@@ -110,6 +110,14 @@
         return now
     }
 
+    private fun describe(report: EngineSnapshot) =
+        mapOf(
+            "models" to report.models.keys.joinToString(),
+            "inMemory" to report.inMemory.joinToString(),
+            "onDisk" to report.onDisk.joinToString(),
+            "sequence" to report.sequence.toString(),
+        )
+
     private fun markDirty(): Unit = sessions.forEach { push(it.also { session -> session.dirty = true }) }
 
     private fun markLoad(): Unit =
@@ -214,12 +222,12 @@
         val adapters = report.models[wish.model]
         val adapter = wish.adapter
         return when {
-            adapter == null && adapters != null -> Step.Done
+            adapter == null && adapters != null -> Step.Done.also { usage.touch(wish.model, clock.nowMs()) }
             adapter != null && adapters == null -> Step.Impossible("model is not held")
             adapter != null && adapter in adapters.orEmpty() -> Step.Done
             adapter != null && (wish.model to adapter) in report.coming -> Step.Wait
-            adapter != null -> loadAdapter(wish, adapter, report)
             report.busy -> Step.Wait
+            adapter != null -> loadAdapter(wish, adapter, report)
             else -> loadModel(wish, report)
         }
     }
@@ -279,7 +287,6 @@
         val held = report.models.flatMap { (model, adapters) -> adapters.map { model to it } }
         val full = held.size + report.coming.size + 1 > wish.adapterSlots || usedMb + adapterMb > wish.memoryMb
         if (!full) return order(wish, report, EngineOrder.Kind.LOAD, wish.model, adapter)
-        if (report.busy) return Step.Wait
         val nowMs = clock.nowMs()
         val victim =
             held
@@ -319,6 +326,8 @@
                         "adapter" to adapter,
                         "sequence" to report.sequence.toString(),
                         "fence" to fence.toString(),
+                        "holds" to report.models.keys.joinToString(),
+                        "onDisk" to report.onDisk.joinToString(),
                     ),
             ),
         )
--- a/keeper/src/main/kotlin/UsageBook.kt
+++ b/keeper/src/main/kotlin/UsageBook.kt
@@ -27,6 +27,15 @@
         }
     }
 
+    /** Counts [model] as used now, though no request has come yet: it was loaded for some. */
+    fun touch(
+        model: String,
+        nowMs: Long,
+    ) {
+        val entry = entries.getOrPut(model to null) { Entry().apply { updatedMs = nowMs } }
+        entry.lastUseMs = nowMs
+    }
+
     fun forget(gateway: String): Unit = entries.values.forEach { it.inFlight.remove(gateway) }
 
     fun ratePerSecond(
