Wishes wait in a queue; tests of forwarding, repeats, eviction, reading, keeper

Change: WishQueue, the most asked for and longest waiting first; statuses show what waits; a load is kept off engines with much demand; absent engines are tried twice a second. Tests for the decisions of the gateway and keeper, each a table or a property with a fixed seed.

--- /dev/null
+++ b/decisions/src/test/kotlin/EvictionPlanTest.kt
@@ -0,0 +1,49 @@
+package org.almondjunction.decisions
+
+import org.almondjunction.common.ModelId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+/** Loads of heavy days: demand that moves on, rare models at once, copies of busy models. */
+class EvictionPlanTest {
+    private fun held(
+        name: String,
+        memoryMb: Long = 70_000,
+        requestsPerSecond: Double = 0.05,
+        idleMs: Long = 20_000,
+        inFlight: Int = 0,
+        otherCopies: Int = 0,
+        reloadMs: Long = 800,
+    ) = EvictionCandidate(ModelId(name), memoryMb, requestsPerSecond, idleMs, inFlight, otherCopies, reloadMs)
+
+    private data class Case(
+        val pattern: String,
+        val held: List<EvictionCandidate>,
+        val neededMb: Long,
+        val expected: List<String>?,
+    )
+
+    private val cases =
+        listOf(
+            Case("room enough", listOf(held("a")), 0, emptyList()),
+            Case("a model in use stays", listOf(held("a", inFlight = 1), held("b", requestsPerSecond = 3.0)), 60_000, listOf("b")),
+            Case("nothing can go", listOf(held("a", inFlight = 1), held("b", idleMs = 100)), 60_000, null),
+            Case(
+                "model shift: the one that fell silent goes",
+                listOf(held("new", requestsPerSecond = 4.0), held("old")),
+                60_000,
+                listOf("old"),
+            ),
+            Case("a copy goes before the last replica", listOf(held("last"), held("copy", otherCopies = 1)), 60_000, listOf("copy")),
+            Case("what its host can load again goes first", listOf(held("remote", reloadMs = 6_000), held("disk")), 60_000, listOf("disk")),
+            Case("two small ones for a large one", listOf(held("s1", 34_300), held("s2", 34_300)), 60_000, listOf("s1", "s2")),
+            Case("one of the right size instead of two", listOf(held("s1", 34_300), held("s2", 34_300), held("b")), 60_000, listOf("b")),
+            Case("together too small", listOf(held("s1", 34_300)), 60_000, null),
+        )
+
+    @Test
+    fun `the models that make way cost callers least`() =
+        cases.forEach { case ->
+            assertEquals(case.expected, EvictionPlan.choose(case.held, case.neededMb)?.models?.map { it.value }, case.pattern)
+        }
+}
--- /dev/null
+++ b/decisions/src/test/kotlin/RepeatAllowanceTest.kt
@@ -0,0 +1,48 @@
+package org.almondjunction.decisions
+
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import kotlinx.coroutines.runBlocking
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class RepeatAllowanceTest {
+    @Test
+    fun `repeats of all gateways stay within the ratio and the common extra in every window`() =
+        runBlocking<Unit> {
+            checkAll(PropTestConfig(seed = 771, iterations = 200), Arb.long()) { seed ->
+                val random = Random(seed)
+                val count = random.nextInt(1, 8)
+                val gateways = List(count) { RepeatAllowance(ratio = 0.2, extra = 58.0, windowMs = 10_000) }
+                val firsts = mutableListOf<Long>()
+                val repeats = mutableListOf<Long>()
+                var nowMs = 0L
+                repeat(600) {
+                    nowMs += random.nextLong(0, 120)
+                    val gateway = gateways.random(random)
+                    if (random.nextInt(3) == 0) {
+                        gateway.first(nowMs)
+                        firsts += nowMs
+                    } else if (gateway.tryRepeat(nowMs, count)) {
+                        repeats += nowMs
+                    }
+                    val sent = firsts.count { it > nowMs - 10_000 }
+                    val again = repeats.count { it > nowMs - 10_000 }
+                    assertTrue(again <= 0.2 * sent + 58, "seed $seed: $again repeats for $sent requests")
+                }
+            }
+        }
+
+    @Test
+    fun `a spent budget returns with its window`() {
+        val allowance = RepeatAllowance(ratio = 0.0, extra = 10.0, windowMs = 1_000)
+        val granted = (0 until 20).count { allowance.tryRepeat(nowMs = 0, gateways = 1) }
+        assertEquals(6, granted)
+        assertEquals(false, allowance.tryRepeat(nowMs = 999, gateways = 1))
+        assertEquals(true, allowance.tryRepeat(nowMs = 1_000, gateways = 1))
+    }
+}
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -146,6 +146,12 @@
         val inTouch = ready.filter { it.status != null }
         val loading = inTouch.firstOrNull { it.status?.loading == name }
         if (loading != null) return Choice.Later(remainingLoadMs(loading, plan))
+        val wished = inTouch.firstOrNull { name in it.status?.wished.orEmpty() }
+        if (wished != null) {
+            val expectedMs = remainingLoadMs(wished, plan) + loadMs(wished, model)
+            if (wished.mayAsk(name, null, MODEL_ASK_INTERVAL_MS)) wish(wished, plan, name, null, model.loadMs * 2, mayEvict)
+            return Choice.Later(expectedMs)
+        }
         asked[name]?.takeIf { it.untilMs > clock.nowMs() && it.target in inTouch }?.let { return Choice.Later(it.expectedMs) }
         if (inTouch.isEmpty()) return Choice.None("no keeper in touch")
         val best =
@@ -167,7 +173,12 @@
     ): Long {
         val name = target.status?.loading ?: return 0
         val model = plan.models[ModelId(name)] ?: return 0
-        return (loadMs(target, model) - target.loadingForMs).coerceAtLeast(SHORTEST_LOAD_MS)
+        val queuedMs =
+            target.status
+                ?.wished
+                .orEmpty()
+                .size * model.loadFromDiskMs
+        return (loadMs(target, model) - target.loadingForMs).coerceAtLeast(SHORTEST_LOAD_MS) + queuedMs
     }
 
     private fun loadMs(
@@ -200,7 +211,9 @@
         val storeMs = if (target.hasAtHand(model.model.value)) 0 else STORE_LOAD_MS
         val tie = Rendezvous.share(model.model.value, target.entry.target.value)
         val failures = target.failureShare() * model.loadMs
-        return remainingLoadMs(target, plan) + loadMs(target, model) + storeMs + eviction.costMs * EVICTION_HORIZON_S + tie + failures
+        val othersMs = loadMs(target, model) * status.models.sumOf { it.requestsPerSecond.toDouble() } * SHARE_HELD_UP
+        return remainingLoadMs(target, plan) + loadMs(target, model) + storeMs + eviction.costMs * EVICTION_HORIZON_S + tie + failures +
+            othersMs
     }
 
     private fun evictionCandidates(
@@ -286,6 +299,9 @@
         const val TRY_AGAIN_MS = 150L
         const val MODEL_ASK_INTERVAL_MS = 400L
 
+        /** Part of a target's requests that a load holds up, since it needs an adapter that is not loaded. */
+        const val SHARE_HELD_UP = 0.15
+
         /** Least time that a load in progress is expected to take still. */
         const val SHORTEST_LOAD_MS = 100L
 
--- /dev/null
+++ b/gateway/src/test/kotlin/EventSplitterTest.kt
@@ -0,0 +1,46 @@
+package org.almondjunction.gateway
+
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import kotlinx.coroutines.runBlocking
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class EventSplitterTest {
+    @Test
+    fun `only whole events leave, however the bytes are cut`() =
+        runBlocking<Unit> {
+            checkAll(PropTestConfig(seed = 12, iterations = 300), Arb.long()) { seed ->
+                val random = Random(seed)
+                val lineEnd = if (random.nextBoolean()) "\n" else "\r\n"
+                val events = List(random.nextInt(0, 8)) { "id: $it${lineEnd}data: ${"x".repeat(random.nextInt(0, 40))}$lineEnd$lineEnd" }
+                val torn = if (random.nextBoolean()) "id: 99${lineEnd}data: torn" else ""
+                val bytes = (events.joinToString("") + torn).toByteArray()
+                val splitter = EventSplitter()
+                val out = StringBuilder()
+                var position = 0
+                while (position < bytes.size) {
+                    val end = minOf(bytes.size, position + random.nextInt(1, 30))
+                    out.append(splitter.feed(bytes.copyOfRange(position, end)).decodeToString())
+                    position = end
+                }
+                assertEquals(events.joinToString(""), out.toString(), "seed $seed")
+                assertEquals(torn.isNotEmpty(), splitter.unfinished, "seed $seed")
+                assertEquals(events.indices.lastOrNull()?.toString(), splitter.lastEvent, "seed $seed")
+            }
+        }
+
+    @Test
+    fun `after a break the unfinished event is dropped and the next source begins with a whole one`() {
+        val splitter = EventSplitter()
+        splitter.feed("id: 1\ndata: a\n\nid: 2\nda".toByteArray())
+        splitter.dropUnfinished()
+        assertEquals("id: 2\ndata: b\n\n", splitter.feed("id: 2\ndata: b\n\n".toByteArray()).decodeToString())
+        assertEquals("2", splitter.lastEvent)
+        assertTrue(!splitter.unfinished)
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/TargetDirectoryTest.kt
@@ -0,0 +1,60 @@
+package org.almondjunction.gateway
+
+import org.almondjunction.common.Address
+import org.almondjunction.common.ServiceId
+import org.almondjunction.common.TargetId
+import org.almondjunction.common.VirtualClock
+import org.almondjunction.common.ZoneId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class TargetDirectoryTest {
+    private val clock = VirtualClock()
+    private val ready = mutableMapOf<String, Boolean>()
+    private val directory =
+        TargetDirectory(clock, graceMs = 2_000) { change ->
+            when (change) {
+                is TargetDirectory.Change.Put -> ready[change.entry.target.value] = change.entry.ready
+                is TargetDirectory.Change.Removed -> ready -= change.target.value
+            }
+        }
+
+    private fun entry(
+        name: String,
+        ready: Boolean = true,
+        bornMs: Long = 1,
+        sequence: Long = 1,
+    ) = TargetEntry(TargetId(name), ServiceId("s"), Address("10.0.0.1", 80), ZoneId("z"), ready, 4, bornMs, sequence, emptyMap())
+
+    @Test
+    fun `an older telling never brings a leaving target back`() {
+        directory.put(entry("a", ready = false, sequence = 5))
+        directory.put(entry("a", ready = true, sequence = 4))
+        directory.put(entry("a", ready = true, sequence = 5))
+        assertEquals(mapOf("a" to false), ready)
+        directory.put(entry("a", ready = true, bornMs = 2, sequence = 1))
+        assertEquals(mapOf("a" to true), ready)
+        directory.put(entry("a", ready = false, bornMs = 1, sequence = 9))
+        assertEquals(mapOf("a" to true), ready)
+    }
+
+    @Test
+    fun `entries that lapsed with the store are kept until they had time to return`() {
+        directory.replaceAll(listOf(entry("a"), entry("b"), entry("leaving", ready = false)), trusted = true)
+        directory.replaceAll(emptyList(), trusted = false)
+        assertEquals(setOf("a", "b"), ready.keys)
+        clock.advanceBy(1_500)
+        directory.put(entry("a", sequence = 2))
+        clock.advanceBy(600)
+        directory.expire()
+        assertEquals(setOf("a"), ready.keys)
+    }
+
+    @Test
+    fun `what vanishes from a trusted list is gone at once`() {
+        directory.replaceAll(listOf(entry("a"), entry("b")), trusted = true)
+        directory.replaceAll(listOf(entry("b")), trusted = true)
+        directory.remove(TargetId("b"), trusted = true)
+        assertEquals(emptySet(), ready.keys)
+    }
+}
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -43,6 +43,7 @@
     private val orders = Mutex()
     private val wishes = mutableSetOf<Pair<String, String?>>()
     private val leaving = mutableSetOf<String>()
+    private val modelWishes = WishQueue()
     private val sizes = mutableMapOf<String, ModelSize>()
     private var loading: String? = null
     private var fence = firstFence
@@ -53,7 +54,7 @@
         scope.launch {
             while (true) {
                 refresh()
-                delay(if (wishes.isEmpty()) IDLE_POLL_MS else BUSY_POLL_MS)
+                delay(if (snapshot == null) ABSENT_POLL_MS else IDLE_POLL_MS)
             }
         }
     }
@@ -159,6 +160,7 @@
                 },
             leaving = leaving.toList(),
             loading = loading,
+            wished = modelWishes.models(nowMs),
             inMemory = current?.inMemory.orEmpty(),
             onDisk = current?.onDisk.orEmpty(),
             gateways = sessions.map { it.gateway }.filter { it.isNotEmpty() }.distinct(),
@@ -168,11 +170,20 @@
     }
 
     private fun begin(wish: KeeperMessage.Wish) {
-        val key = wish.model to wish.adapter
-        if (key in wishes) return
-        if (wish.adapter == null && wishes.any { it.second == null }) return
-        wishes += key
         wish.sizes.forEach { sizes[it.model] = it }
+        if (wish.adapter == null) modelWishes.add(wish, clock.nowMs())
+        val next = if (wish.adapter == null) nextModelWish() else wish
+        if (next != null) carryOut(next)
+    }
+
+    private fun nextModelWish(): KeeperMessage.Wish? {
+        if (wishes.any { it.second == null }) return null
+        return modelWishes.take(clock.nowMs(), snapshot?.models?.keys.orEmpty())
+    }
+
+    private fun carryOut(wish: KeeperMessage.Wish) {
+        val key = wish.model to wish.adapter
+        if (!wishes.add(key)) return
         if (wish.adapter == null) {
             loading = wish.model
             markDirty()
@@ -181,7 +192,7 @@
             val outcome = fulfil(wish)
             wishes -= key
             if (loading == wish.model && wish.adapter == null) loading = null
-            leaving.clear()
+            if (wish.adapter == null) leaving.clear()
             EventLog.info(
                 "wish ended",
                 LogFields(
@@ -191,6 +202,7 @@
                 ),
             )
             markDirty()
+            if (wish.adapter == null) nextModelWish()?.let { carryOut(it) }
         }
     }
 
@@ -345,6 +357,9 @@
         /** Time between reports while nothing is asked for; a report from the engine's own host is fresh and free. */
         const val IDLE_POLL_MS = 100L
 
+        /** Time between reports while the engine does not answer; each try is a new connection. */
+        const val ABSENT_POLL_MS = 500L
+
         /** Time between reports while an order is being carried out; about a load of an adapter. */
         const val BUSY_POLL_MS = 10L
 
--- a/keeper/src/main/kotlin/KeeperMessage.kt
+++ b/keeper/src/main/kotlin/KeeperMessage.kt
@@ -44,6 +44,7 @@
      *
      * @property leaving models that are being unloaded and take no new requests
      * @property loading model that is being loaded
+     * @property wished models that will be loaded after it
      * @property gateways names of all gateways that are connected
      */
     @Serializable
@@ -52,6 +53,7 @@
         val models: List<HeldModel>,
         val leaving: List<String> = emptyList(),
         val loading: String? = null,
+        val wished: List<String> = emptyList(),
         val inMemory: List<String> = emptyList(),
         val onDisk: List<String> = emptyList(),
         val gateways: List<String> = emptyList(),
--- /dev/null
+++ b/keeper/src/test/kotlin/KeeperTest.kt
@@ -0,0 +1,159 @@
+package org.almondjunction.keeper
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.almondjunction.common.Address
+import org.almondjunction.network.EventLoop
+import org.almondjunction.network.TcpConnection
+import org.almondjunction.network.TcpListener
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** An engine in memory that judges every order; orders may be lost before or after they take effect, or take effect late. */
+private class FakeEngine(
+    private val random: Random,
+    private val scope: CoroutineScope,
+) : EngineControl {
+    val held = mutableMapOf("m1" to mutableSetOf<String>())
+    val faults = mutableListOf<String>()
+    var orders = 0
+    private var sequence = 0L
+    private var busy = false
+    private var fence = 0L
+
+    override suspend fun report() = EngineSnapshot(held.mapValues { it.value.toSet() }, busy, sequence, onDisk = listOf("m1", "m2", "m3"))
+
+    override suspend fun order(order: EngineOrder): EngineOrderReply {
+        orders++
+        if (order.fence < fence) return EngineOrderReply.FENCED
+        return when (random.nextInt(4)) {
+            0 -> EngineOrderReply.LOST
+            1 -> {
+                scope.launch {
+                    delay(random.nextLong(1, 60))
+                    take(order)
+                }
+                EngineOrderReply.LOST
+            }
+            else -> take(order)
+        }
+    }
+
+    private fun take(order: EngineOrder): EngineOrderReply {
+        if (busy || order.expectedSequence != sequence) return EngineOrderReply.CONFLICT
+        sequence++
+        fence = order.fence
+        val adapter = order.adapter
+        when {
+            order.kind == EngineOrder.Kind.UNLOAD && adapter == null -> held -= order.model
+            order.kind == EngineOrder.Kind.UNLOAD -> held[order.model]?.remove(adapter)
+            adapter != null -> held[order.model]?.add(adapter) ?: faults.add("adapter without its model")
+            else -> load(order.model)
+        }
+        if (held.size * MODEL_MB > MEMORY_MB) faults += "holds ${held.keys}"
+        if (held.values.sumOf { it.size } > SLOTS) faults += "too many adapters: $held"
+        return EngineOrderReply.ACCEPTED
+    }
+
+    private fun load(model: String) {
+        busy = true
+        if ((held.size + 1) * MODEL_MB > MEMORY_MB) faults += "ordered to load $model beside ${held.keys}"
+        scope.launch {
+            delay(5)
+            held[model] = mutableSetOf()
+            busy = false
+        }
+    }
+
+    companion object {
+        const val MODEL_MB = 40L
+        const val MEMORY_MB = 100L
+        const val SLOTS = 2
+    }
+}
+
+class KeeperTest {
+    private fun wish(
+        model: String,
+        adapter: String? = null,
+    ) = KeeperMessage.Wish(
+        target = "t",
+        model = model,
+        adapter = adapter,
+        patienceMs = 2_000,
+        mayEvict = true,
+        memoryMb = FakeEngine.MEMORY_MB,
+        adapterSlots = FakeEngine.SLOTS,
+        sizes = listOf("m1", "m2", "m3").map { ModelSize(it, FakeEngine.MODEL_MB, 1) },
+    )
+
+    /** Plays wishes of two gateways over loopback until each has seen [wanted] in a status. */
+    private fun play(
+        seed: Int,
+        wishes: List<KeeperMessage.Wish>,
+        wanted: (KeeperMessage.Status) -> Boolean,
+    ): FakeEngine {
+        val loop = EventLoop()
+        val scope = CoroutineScope(SupervisorJob() + loop)
+        val engine = FakeEngine(Random(seed), scope)
+        val keeper = Keeper(scope, loop.clock, engine, firstFence = 7)
+        val listener = TcpListener(loop, Address("127.0.0.1", 0)) { keeper.accept(it) }
+        keeper.start()
+        scope.launch {
+            val gateways = List(2) { index -> launch { gateway(loop, listener.port, "g$index", wishes, wanted) } }
+            gateways.forEach { it.join() }
+            loop.stop()
+        }
+        loop.run()
+        listener.close()
+        return engine
+    }
+
+    private suspend fun CoroutineScope.gateway(
+        loop: EventLoop,
+        port: Int,
+        name: String,
+        wishes: List<KeeperMessage.Wish>,
+        wanted: (KeeperMessage.Status) -> Boolean,
+    ) {
+        val connection = checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), 10_000))
+        val channel = MessageChannel(connection)
+        channel.send(KeeperMessage.Greeting(name))
+        val asking: Job =
+            launch {
+                while (true) {
+                    wishes.forEach { channel.send(it) }
+                    delay(20)
+                }
+            }
+        while (true) {
+            val status = channel.receive() as? KeeperMessage.Status ?: continue
+            if (wanted(status)) break
+        }
+        asking.cancel()
+    }
+
+    @Test
+    fun `orders that are lost or carried out late never overfill the engine`() {
+        for (seed in 1..6) {
+            val wishes = listOf(wish("m2"), wish("m2", "a1"), wish("m2", "a2"), wish("m2", "a3"), wish("m3"))
+            val engine = play(seed, wishes) { status -> status.models.any { it.model == "m3" } }
+            assertEquals(emptyList(), engine.faults, "seed $seed")
+        }
+    }
+
+    @Test
+    fun `every gateway hears what the engine holds and who else is connected`() {
+        val engine =
+            play(seed = 3, listOf(wish("m2"))) { status ->
+                status.models.any { it.model == "m2" } &&
+                    status.gateways.toSet() == setOf("g0", "g1")
+            }
+        assertTrue(engine.orders > 0)
+    }
+}
