Keepers tell when their engine is away; a queue holds no model back

Change: statuses say whether the engine answers, gateways leave such a target at once and repeat there what may be repeated; a wish that nothing can make way for for 0.6 s leaves its turn; a queue at one keeper does not keep a gateway from the next. Wishes for preparation never queue.

--- a/gateway/src/main/kotlin/Fleet.kt
+++ b/gateway/src/main/kotlin/Fleet.kt
@@ -104,7 +104,13 @@
 
     fun all(service: ServiceId): List<Target> = targets.values.filter { it.entry.service == service }
 
-    fun ready(service: ServiceId): List<Target> = targets.values.filter { it.entry.service == service && it.entry.ready && !it.gone }
+    fun ready(service: ServiceId): List<Target> =
+        targets.values.filter {
+            it.entry.service == service &&
+                it.entry.ready &&
+                !it.gone &&
+                it.answering
+        }
 
     private companion object {
         const val SWEEP_MS = 1_000L
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -45,6 +45,9 @@
         var onGone: (() -> Unit)? = null
     }
 
+    /** Whether its keeper, as far as one is in touch, gets answers from it. */
+    val answering: Boolean get() = status?.answering ?: true
+
     /** Models that can take requests now, with the adapters that are loaded. */
     val models: Map<String, Set<String>>
         get() {
@@ -65,7 +68,9 @@
     fun update(newStatus: KeeperMessage.Status?) {
         val before = status?.models.orEmpty().map { it.model }
         if (newStatus?.loading != status?.loading) loadingSinceMs = clock.nowMs()
+        val wasAnswering = answering
         status = newStatus
+        if (wasAnswering && !answering) inFlight.toList().forEach { it.onGone?.invoke() }
         if (newStatus != null) {
             load = newStatus.load
             (before - newStatus.models.map { it.model }.toSet()).forEach { prompts.forget(it) }
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -146,12 +146,6 @@
         val inTouch = ready.filter { it.status != null }
         val loading = inTouch.firstOrNull { it.status?.loading == name }
         if (loading != null) return Choice.Later(remainingLoadMs(loading, plan))
-        val wished = inTouch.firstOrNull { name in it.status?.wished.orEmpty() }
-        if (wished != null) {
-            val expectedMs = remainingLoadMs(wished, plan) + loadMs(wished, model)
-            if (wished.mayAsk(name, null, MODEL_ASK_INTERVAL_MS)) wish(wished, plan, name, null, model.loadMs * 2, mayEvict)
-            return Choice.Later(expectedMs)
-        }
         asked[name]?.takeIf { it.untilMs > clock.nowMs() && it.target in inTouch }?.let { return Choice.Later(it.expectedMs) }
         if (inTouch.isEmpty()) return Choice.None("no keeper in touch")
         val best =
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -48,6 +48,7 @@
     private var loading: String? = null
     private var fence = firstFence
     private var snapshot: EngineSnapshot? = null
+    private var misses = 0
 
     /** Begins to watch the engine. */
     public fun start() {
@@ -96,6 +97,8 @@
     private suspend fun refresh(): EngineSnapshot? {
         val before = snapshot
         val now = engine.report()
+        if (now == null && before != null && ++misses < MISSES_OF_ABSENCE) return null
+        misses = 0
         if (now == null && before != null) EventLog.warn("engine lost")
         if (now != null &&
             before == null
@@ -166,11 +169,13 @@
             gateways = sessions.map { it.gateway }.filter { it.isNotEmpty() }.distinct(),
             load = load(),
             busy = current?.busy ?: false,
+            answering = current != null,
         )
     }
 
     private fun begin(wish: KeeperMessage.Wish) {
         wish.sizes.forEach { sizes[it.model] = it }
+        if (wish.adapter == null && !wish.mayEvict && wishes.any { it.second == null }) return
         if (wish.adapter == null) modelWishes.add(wish, clock.nowMs())
         val next = if (wish.adapter == null) nextModelWish() else wish
         if (next != null) carryOut(next)
@@ -208,9 +213,16 @@
 
     private suspend fun fulfil(wish: KeeperMessage.Wish): String {
         val endMs = clock.nowMs() + wish.patienceMs
+        var stuckMs: Long? = null
         while (clock.nowMs() < endMs) {
             val step = orders.withLock { step(wish) }
+            if (step != Step.Stuck) stuckMs = null
             when (step) {
+                Step.Stuck -> {
+                    val sinceMs = stuckMs ?: clock.nowMs().also { stuckMs = it }
+                    if (clock.nowMs() - sinceMs > LONGEST_STUCK_MS) return "nothing can make way"
+                    delay(BUSY_POLL_MS)
+                }
                 Step.Done -> return "held"
                 is Step.Impossible -> return step.reason
                 Step.Wait -> delay(BUSY_POLL_MS)
@@ -224,13 +236,16 @@
 
         data object Wait : Step()
 
+        /** Nothing can be done before something else ends. */
+        data object Stuck : Step()
+
         data class Impossible(
             val reason: String,
         ) : Step()
     }
 
     private suspend fun step(wish: KeeperMessage.Wish): Step {
-        val report = refresh() ?: return Step.Wait
+        val report = refresh() ?: return if (snapshot == null) Step.Impossible("the engine does not answer") else Step.Wait
         val adapters = report.models[wish.model]
         val adapter = wish.adapter
         return when {
@@ -282,7 +297,7 @@
                 .choose(candidates, missingMb)
                 ?.models
                 ?.firstOrNull()
-                ?.value ?: return Step.Wait
+                ?.value ?: return Step.Stuck
         leaving += victim
         markDirty()
         return order(wish, report, EngineOrder.Kind.UNLOAD, victim, null)
@@ -360,6 +375,12 @@
         /** Time between reports while the engine does not answer; each try is a new connection. */
         const val ABSENT_POLL_MS = 500L
 
+        /** Reports in a row that must fail before the engine counts as away. */
+        const val MISSES_OF_ABSENCE = 2
+
+        /** Time after which a wish that nothing can make way for leaves its turn to the next; about the end of a running stream. */
+        const val LONGEST_STUCK_MS = 600L
+
         /** Time between reports while an order is being carried out; about a load of an adapter. */
         const val BUSY_POLL_MS = 10L
 
--- a/keeper/src/main/kotlin/KeeperMessage.kt
+++ b/keeper/src/main/kotlin/KeeperMessage.kt
@@ -45,6 +45,7 @@
      * @property leaving models that are being unloaded and take no new requests
      * @property loading model that is being loaded
      * @property wished models that will be loaded after it
+     * @property answering whether the engine answers its keeper
      * @property gateways names of all gateways that are connected
      */
     @Serializable
@@ -59,6 +60,7 @@
         val gateways: List<String> = emptyList(),
         val load: Load = Load(),
         val busy: Boolean = false,
+        val answering: Boolean = true,
     ) : KeeperMessage()
 
     /** How much the engine has to do. */
