--- a/keeper/src/main/kotlin/EngineControl.kt
+++ b/keeper/src/main/kotlin/EngineControl.kt
@@ -14,6 +14,7 @@
  *
  * @property busy whether it is loading or unloading a model
  * @property sequence number of orders that it has accepted since its start
+ * @property closing whether it closed the connection with this report, as one that is leaving does
  * @property coming adapters on their way, as model and adapter
  */
 public data class EngineSnapshot(
@@ -26,6 +27,7 @@
     val coming: Set<Pair<String, String>> = emptySet(),
     val inMemory: List<String> = emptyList(),
     val onDisk: List<String> = emptyList(),
+    val closing: Boolean = false,
 )
 
 /**
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -50,16 +50,28 @@
     private var snapshot: EngineSnapshot? = null
     private var misses = 0
 
+    /** When the engine was last heard, or a gateway last came for it. */
+    private var expectedMs = clock.nowMs()
+
     /** Begins to watch the engine. */
     public fun start() {
         scope.launch {
             while (true) {
                 refresh()
-                delay(if (snapshot == null) ABSENT_POLL_MS else IDLE_POLL_MS)
+                delay(pollMs())
             }
         }
     }
 
+    /** An engine that has been away for long is looked for less often, until a gateway knows of it again. */
+    private fun pollMs(): Long =
+        when {
+            snapshot?.closing == true -> CLOSING_POLL_MS
+            snapshot != null -> IDLE_POLL_MS
+            clock.nowMs() - expectedMs < EXPECTED_MS -> ABSENT_POLL_MS
+            else -> LONG_ABSENT_POLL_MS
+        }
+
     /** Serves a gateway on [connection]. */
     public fun accept(connection: TcpConnection) {
         val session = Session(MessageChannel(connection))
@@ -83,6 +95,7 @@
         when (message) {
             is KeeperMessage.Greeting -> {
                 session.gateway = message.gateway
+                expectedMs = clock.nowMs()
                 markDirty()
             }
             is KeeperMessage.Usage -> {
@@ -106,6 +119,7 @@
             EventLog.info("engine found", LogFields(extra = describe(now)))
         }
         snapshot = now
+        if (now != null) expectedMs = clock.nowMs()
         when {
             now == null -> if (before != null) markDirty()
             now.models != before?.models || now.busy != before.busy -> markDirty()
@@ -372,8 +386,15 @@
         /** Time between reports while nothing is asked for; a report from the engine's own host is fresh and free. */
         const val IDLE_POLL_MS = 100L
 
+        /** Time between reports while each needs a new connection, since the engine is leaving. */
+        const val CLOSING_POLL_MS = 1_000L
+
         /** Time between reports while the engine does not answer; each try is a new connection. */
         const val ABSENT_POLL_MS = 500L
+        const val LONG_ABSENT_POLL_MS = 3_000L
+
+        /** Time for which an engine that went away is expected back; longer than most restarts. */
+        const val EXPECTED_MS = 8_000L
 
         /** Reports in a row that must fail before the engine counts as away. */
         const val MISSES_OF_ABSENCE = 2
