Gateway over loopback before scripted targets

Change: GatewayTest: tables for requests that may run once and that may be repeated, a stream that goes on elsewhere and one that must not, the caller's close, reserved headers, the shrinking deadline. Its protections were not taken out to see it fail.

--- /dev/null
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -0,0 +1,249 @@
+package org.almondjunction.gateway
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.launch
+import org.almondjunction.common.Address
+import org.almondjunction.common.Location
+import org.almondjunction.common.Metrics
+import org.almondjunction.common.RegionId
+import org.almondjunction.common.ServiceId
+import org.almondjunction.common.TargetId
+import org.almondjunction.common.ZoneId
+import org.almondjunction.decisions.RepeatKind
+import org.almondjunction.network.BodyFraming
+import org.almondjunction.network.EventLoop
+import org.almondjunction.network.HeadResult
+import org.almondjunction.network.HttpHeadParser
+import org.almondjunction.network.HttpReader
+import org.almondjunction.network.ReadResult
+import org.almondjunction.network.RequestHead
+import org.almondjunction.network.TcpConnection
+import org.almondjunction.network.TcpListener
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import kotlin.concurrent.thread
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** A gateway before two targets on loopback whose answers are scripted, one for each request that reaches either of them. */
+class GatewayTest {
+    private val loop = EventLoop()
+    private val scope = CoroutineScope(SupervisorJob() + loop)
+    private val names =
+        HeaderNames(
+            "Id",
+            "Deadline",
+            "Model",
+            "Tokens",
+            "Parts",
+            "Last-Event",
+            "Signature",
+            "Target",
+            "Answering",
+            "Not-Run",
+            "Urgency",
+            setOf("target"),
+        )
+    private val callersPort = freePort()
+    private val settings =
+        GatewaySettings(
+            name = "g",
+            place = Place(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r"))),
+            callers = Address(LOOPBACK, callersPort),
+            readiness = Address(LOOPBACK, freePort()),
+            readinessPath = "/ready",
+            keeperPort = 1,
+        )
+    private val gateway = Gateway(settings, names, loop, scope, Metrics())
+    private val script = ArrayDeque<suspend (TcpConnection, RequestHead) -> Unit>()
+    private val seen = mutableListOf<RequestHead>()
+    private val loopThread = thread { loop.run() }
+
+    private fun freePort() = ServerSocket(0).use { it.localPort }
+
+    private fun start(
+        repeat: RepeatKind,
+        streaming: Boolean,
+    ) {
+        val started = CountDownLatch(1)
+        scope.launch {
+            val service = ServiceId("s")
+            gateway.start()
+            val route =
+                Route("r", "h", "/", repeat, streaming, listOf(Destination(service, 1.0)), 20_000, 10_000, 0, maximumTargets = 2)
+            gateway.accept(GatewayConfiguration(1, listOf(route), mapOf(service to ServicePlan(service, 9))))
+            repeat(2) { index ->
+                val listener = TcpListener(loop, Address(LOOPBACK, 0)) { connection -> scope.launch { target(connection) } }
+                val address = Address(LOOPBACK, listener.port)
+                gateway.directory.put(TargetEntry(TargetId("t$index"), service, address, ZoneId("z"), true, 4, 1, 1, emptyMap()))
+            }
+            started.countDown()
+        }
+        started.await()
+    }
+
+    private suspend fun target(connection: TcpConnection) {
+        val reader = HttpReader(connection)
+        while (true) {
+            val head = (reader.requestHead(9_999) as? HeadResult.Read)?.head ?: break
+            reader.body(HttpHeadParser.framingOf(head) ?: BodyFraming.None).whole(9_999)
+            seen += head
+            script.removeFirst()(connection, head)
+        }
+    }
+
+    private fun raw(text: String): suspend (TcpConnection, RequestHead) -> Unit = { connection, _ -> connection.write(text.toByteArray()) }
+
+    private fun thenClose(text: String): suspend (TcpConnection, RequestHead) -> Unit =
+        { connection, _ ->
+            connection.write(text.toByteArray())
+            connection.close()
+        }
+
+    private fun ask(
+        body: String = "",
+        extra: String = "",
+    ): String =
+        Socket(LOOPBACK, callersPort).use { socket ->
+            val head = "POST /x?y HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\nConnection: close\r\n$extra"
+            socket.getOutputStream().write((head + "Content-Length: ${body.length}\r\n\r\n$body").toByteArray())
+            socket.getInputStream().readAllBytes().decodeToString()
+        }
+
+    @AfterTest
+    fun stop() {
+        loop.stop()
+        loopThread.join()
+    }
+
+    private val served = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok"
+    private val refused = "HTTP/1.1 503 X\r\nId: 7\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    private val failed = "HTTP/1.1 500 X\r\nId: 7\r\nSignature: f\r\nContent-Length: 3\r\n\r\nbad"
+    private val torn = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\nContent-Length: 9\r\n\r\nok"
+    private val unsigned = "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nok"
+    private val alien = "HTTP/1.1 200 OK\r\nId: 6\r\nSignature: o\r\nContent-Length: 5\r\n\r\nalien"
+    private val another = "HTTP/1.1 421 X\r\nId: 7\r\nAnswering: t9\r\nContent-Length: 0\r\n\r\n"
+
+    private data class Case(
+        val kind: RepeatKind,
+        val answers: List<String>,
+        val expectedStatus: Int,
+        val expectedBody: String? = null,
+    )
+
+    private fun check(case: Case) {
+        script.clear()
+        seen.clear()
+        case.answers.forEach { script += if (it === torn || it.isEmpty()) thenClose(it) else raw(it) }
+        val answer = ask(body = "abc")
+        assertEquals(case.expectedStatus, answer.substringAfter(' ').take(3).toInt(), "$case: $answer")
+        case.expectedBody?.let { assertEquals(it, answer.substringAfter("\r\n\r\n"), "$case") }
+        if (case.expectedStatus in listOf(502, 503)) assertTrue("Signature" !in answer, "$case: $answer")
+        assertEquals(case.answers.size, seen.size, "$case")
+    }
+
+    @Test
+    fun `a request that may run once is sent again only where it is known not to have run`() {
+        start(RepeatKind.ONCE, streaming = false)
+        listOf(
+            Case(RepeatKind.ONCE, listOf(served), 200, "ok"),
+            Case(RepeatKind.ONCE, listOf(refused, served), 200, "ok"),
+            Case(RepeatKind.ONCE, listOf(another, served), 200, "ok"),
+            Case(RepeatKind.ONCE, listOf(failed), 500, "bad"),
+            Case(RepeatKind.ONCE, listOf(torn), 502),
+            Case(RepeatKind.ONCE, listOf(unsigned), 502),
+            Case(RepeatKind.ONCE, listOf(""), 502),
+            Case(RepeatKind.ONCE, listOf(alien + served), 200, "ok"),
+            Case(RepeatKind.ONCE, listOf("nonsense\r\n\r\n"), 502),
+        ).forEach { check(it) }
+    }
+
+    @Test
+    fun `a request that may be repeated is sent to another target within its limit`() {
+        start(RepeatKind.IDEMPOTENT, streaming = false)
+        listOf(
+            Case(RepeatKind.IDEMPOTENT, listOf(failed, served), 200, "ok"),
+            Case(RepeatKind.IDEMPOTENT, listOf(failed, failed), 500, "bad"),
+            Case(RepeatKind.IDEMPOTENT, listOf(torn, served), 200, "ok"),
+            Case(RepeatKind.IDEMPOTENT, listOf("", unsigned), 502),
+        ).forEach { check(it) }
+    }
+
+    private fun chunk(text: String) = "${text.length.toString(16)}\r\n$text\r\n"
+
+    private val streamHead = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s1\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+    private fun events(vararg ids: Int) = ids.joinToString("") { "id: $it\ndata: e$it\n\n" }
+
+    private fun unchunk(answer: String): String {
+        val out = StringBuilder()
+        var rest = answer.substringAfter("\r\n\r\n")
+        while (rest.isNotEmpty()) {
+            val size = rest.substringBefore("\r\n").toInt(16)
+            if (size == 0) return "$out|end"
+            out.append(rest.substringAfter("\r\n").take(size))
+            rest = rest.substringAfter("\r\n").drop(size + 2)
+        }
+        return "$out|cut"
+    }
+
+    @Test
+    fun `a stream that broke off goes on at another target after its last whole event`() {
+        start(RepeatKind.RESUMABLE, streaming = true)
+        script += thenClose(streamHead + chunk(events(1, 2) + "id: 3\nda"))
+        script += raw(streamHead.replace("s1", "s2") + chunk(events(3, 4)) + "0\r\n\r\n")
+        val answer = ask()
+        assertEquals(events(1, 2, 3, 4) + "|end", unchunk(answer))
+        assertTrue("Signature: s1" in answer && "s2" !in answer, answer)
+        assertEquals(listOf(null, "2"), seen.map { it.headers["Last-Event"] })
+    }
+
+    @Test
+    fun `a stream that may run once is cut where its target cut it, and never looks complete`() {
+        start(RepeatKind.ONCE, streaming = true)
+        script += thenClose(streamHead + chunk(events(1) + "id: 2\nda"))
+        assertEquals(events(1) + "|cut", unchunk(ask()))
+        assertEquals(1, seen.size)
+    }
+
+    @Test
+    fun `a caller's close reaches the target that works on its request`() {
+        start(RepeatKind.ONCE, streaming = false)
+        val working = CountDownLatch(1)
+        val left = CountDownLatch(1)
+        script += { connection, _ ->
+            working.countDown()
+            if (connection.fill() != ReadResult.DATA) left.countDown()
+        }
+        Socket(LOOPBACK, callersPort).use { socket ->
+            socket.getOutputStream().write("GET /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\n\r\n".toByteArray())
+            working.await()
+        }
+        left.await()
+    }
+
+    @Test
+    fun `what only the system sets is not taken from callers, and the deadline shrinks`() {
+        start(RepeatKind.ONCE, streaming = false)
+        script += raw(served)
+        ask(extra = "Target: forged\r\nX-Other: kept\r\n")
+        val head = seen.single()
+        assertEquals("/x?y", head.target)
+        assertEquals("kept", head.headers["X-Other"])
+        assertTrue(head.headers.all("Target").single() in listOf("t0", "t1"))
+        assertTrue(
+            head.headers
+                .all("Deadline")
+                .single()
+                .toLong() <= 15_000,
+        )
+    }
+
+    private companion object {
+        const val LOOPBACK = "127.0.0.1"
+    }
+}
