A request given up is reset, not closed

Seven requests reached an engine at 32.0 s, 4 s after their clients had left: the link to it was cut, the request's bytes waited in the socket, and a connection that is closed still delivers them when the link heals; one that is reset does not. Ruled out: the caller's close itself, which reached the gateway and ended its work. Change: an exchange that is not finished, and a call without a whole answer, reset their connections. Measured: GatewayTest, which now expects the target to see a reset, fails before ("expected RESET but was END") and passes after.

--- a/gateway/src/main/kotlin/Exchange.kt
+++ b/gateway/src/main/kotlin/Exchange.kt
@@ -142,10 +142,10 @@
         }
     }
 
-    /** Ends the send; a target that still works on it sees its caller gone. */
+    /** Ends the send; a target that still works on it sees its caller gone, and bytes still on their way never arrive. */
     override fun close() {
         writer?.cancel()
-        connection?.close()
+        connection?.abort()
         connection = null
     }
 
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -211,19 +211,22 @@
     }
 
     @Test
-    fun `a caller's close reaches the target that works on its request`() {
+    fun `a caller's close resets the connection to the target, so that bytes held up on the way never arrive`() {
         start(RepeatKind.ONCE, streaming = false)
         val working = CountDownLatch(1)
         val left = CountDownLatch(1)
+        var end: ReadResult? = null
         script += { connection, _ ->
             working.countDown()
-            if (connection.fill() != ReadResult.DATA) left.countDown()
+            end = connection.fill()
+            left.countDown()
         }
         Socket(LOOPBACK, callersPort).use { socket ->
             socket.getOutputStream().write("GET /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\n\r\n".toByteArray())
             working.await()
         }
         left.await()
+        assertEquals(ReadResult.RESET, end)
     }
 
     @Test
--- a/network/src/main/kotlin/HttpCall.kt
+++ b/network/src/main/kotlin/HttpCall.kt
@@ -51,7 +51,11 @@
             if (!reply.headers.hasToken("Connection", "close") && connection.input.size == 0) kept = connection
             return reply
         } finally {
-            if (!whole || kept !== connection) connection.close()
+            if (!whole) {
+                connection.abort()
+            } else if (kept !== connection) {
+                connection.close()
+            }
         }
     }
 
