--- a/gateway/src/main/kotlin/Preparation.kt
+++ b/gateway/src/main/kotlin/Preparation.kt
@@ -66,7 +66,7 @@
         val wanted = ceil(requestsPerSecond / REQUESTS_PER_SECOND_OF_COPY).toInt().coerceAtMost(MOST_COPIES)
         val near = others.filter { it.hasAtHand(name) }.ifEmpty { others.takeIf { holders.size == 1 }.orEmpty() }
         if (holders.size >= wanted || near.isEmpty() || others.any { it.status?.loading == name }) return
-        selector.askForModel(near, plan, model, mayEvict = true, highestCostMs = COPY_WORTH_MS)
+        selector.askForModel(near, plan, model, mayEvict = false)
     }
 
     private companion object {
@@ -77,8 +77,5 @@
         /** Demand above which a model has one more copy: what an engine serves beside others without delay, and a loss then leaves one. */
         const val REQUESTS_PER_SECOND_OF_COPY = 1.5
         const val MOST_COPIES = 3
-
-        /** Eviction cost up to which a further copy is worth it: a rare model that can be loaded again from its host's disk. */
-        const val COPY_WORTH_MS = 100.0
     }
 }
