--- a/gateway/src/main/kotlin/Fleet.kt
+++ b/gateway/src/main/kotlin/Fleet.kt
@@ -102,8 +102,6 @@
             ?.engine
             ?.promptMemoryTokens ?: DEFAULT_PROMPT_MEMORY_TOKENS
 
-    fun all(service: ServiceId): List<Target> = targets.values.filter { it.entry.service == service }
-
     fun ready(service: ServiceId): List<Target> =
         targets.values.filter {
             it.entry.service == service &&
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -41,9 +41,6 @@
     /** The targets that this gateway knows. */
     public val directory: TargetDirectory = TargetDirectory(clock, settings.lapseMs) { fleet.apply(it) }
 
-    /** Version of the configuration in force; null before the first. */
-    public val version: Long? get() = state.configuration?.version
-
     /** Whether callers may come. */
     public val ready: Boolean get() = state.configuration != null && targetsKnown && !state.leaving
 
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -130,17 +130,12 @@
         return Choice.Later(if (free.isEmpty()) ADAPTER_BEHIND_LOAD_MS else ADAPTER_EXPECTED_MS)
     }
 
-    /**
-     * Asks one of [ready] for a model that none of them holds.
-     *
-     * @param highestCostMs cost of eviction, see [EvictionPlan], above which nothing is asked for
-     */
+    /** Asks one of [ready] for a model that none of them holds. */
     suspend fun askForModel(
         ready: List<Target>,
         plan: EnginePlan,
         model: ModelPlan,
         mayEvict: Boolean,
-        highestCostMs: Double = Double.MAX_VALUE,
     ): Choice {
         val name = model.model.value
         val inTouch = ready.filter { it.status != null }
@@ -151,7 +146,7 @@
         val best =
             inTouch
                 .mapNotNull { target ->
-                    costOfLoad(target, plan, model, mayEvict, highestCostMs)?.let { target to it }
+                    costOfLoad(target, plan, model, mayEvict)?.let { target to it }
                 }.minByOrNull { it.second }
         val target = best?.first ?: return if (mayEvict) Choice.Later(model.loadFromDiskMs) else Choice.None("no room")
         val expectedMs = remainingLoadMs(target, plan) + loadMs(target, model)
@@ -193,7 +188,6 @@
         plan: EnginePlan,
         model: ModelPlan,
         mayEvict: Boolean,
-        highestCostMs: Double,
     ): Double? {
         val status = target.status ?: return null
         val usedMb = status.models.sumOf { held -> plan.models[ModelId(held.model)]?.weightsMb ?: plan.weightsMb }
@@ -201,7 +195,6 @@
         val missingMb = usedMb + model.weightsMb + reserveMb - plan.weightsMb
         if (missingMb > 0 && !mayEvict) return null
         val eviction = EvictionPlan.choose(evictionCandidates(target, status, plan), missingMb) ?: return null
-        if (eviction.costMs > highestCostMs) return null
         val storeMs = if (target.hasAtHand(model.model.value)) 0 else STORE_LOAD_MS
         val tie = Rendezvous.share(model.model.value, target.entry.target.value)
         val failures = target.failureShare() * model.loadMs
