An adapter that was just loaded is not the next to make way

Cause: an adapter that a wish had loaded counted as never used until gateways told of its request, up to 500 ms later, and so was the first to be unloaded for the next wish. Ruled out: too few places (8 places, three requests with adapters in flight). Change: an adapter counts as used when its load is ordered, and stays 700 ms after its last use.

--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -263,7 +263,7 @@
         val adapters = report.models[wish.model]
         val adapter = wish.adapter
         return when {
-            adapter == null && adapters != null -> Step.Done.also { usage.touch(wish.model, clock.nowMs()) }
+            adapter == null && adapters != null -> Step.Done.also { usage.touch(wish.model, null, clock.nowMs()) }
             adapter != null && adapters == null -> Step.Impossible("model is not held")
             adapter != null && adapter in adapters.orEmpty() -> Step.Done
             adapter != null && (wish.model to adapter) in report.coming -> Step.Wait
@@ -327,12 +327,16 @@
         if (report.coming.size >= MOST_ADAPTERS_IN_TRANSIT) return Step.Wait
         val held = report.models.flatMap { (model, adapters) -> adapters.map { model to it } }
         val full = held.size + report.coming.size + 1 > wish.adapterSlots || usedMb + adapterMb > wish.memoryMb
-        if (!full) return order(wish, report, EngineOrder.Kind.LOAD, wish.model, adapter)
+        if (!full) {
+            usage.touch(wish.model, adapter, clock.nowMs())
+            return order(wish, report, EngineOrder.Kind.LOAD, wish.model, adapter)
+        }
         val nowMs = clock.nowMs()
         val victim =
             held
                 .filter { usage.inFlight(it.first, it.second) == 0 }
-                .maxByOrNull { usage.idleMs(it.first, it.second, nowMs) } ?: return Step.Wait
+                .maxByOrNull { usage.idleMs(it.first, it.second, nowMs) }
+                ?.takeIf { usage.idleMs(it.first, it.second, nowMs) >= SHORTEST_ADAPTER_IDLE_MS } ?: return Step.Wait
         return order(wish, report, EngineOrder.Kind.UNLOAD, victim.first, victim.second)
     }
 
@@ -411,6 +415,9 @@
         /** Longest time between two full statuses while gateways talk. */
         const val STATUS_INTERVAL_MS = 2_000L
 
+        /** An adapter that was loaded or used so recently stays; gateways tell of its requests within 500 ms. */
+        const val SHORTEST_ADAPTER_IDLE_MS = 700L
+
         /** Engines take so many adapters at a time from the store. */
         const val MOST_ADAPTERS_IN_TRANSIT = 4
 
--- a/keeper/src/main/kotlin/UsageBook.kt
+++ b/keeper/src/main/kotlin/UsageBook.kt
@@ -27,12 +27,13 @@
         }
     }
 
-    /** Counts [model] as used now, though no request has come yet: it was loaded for some. */
+    /** Counts [model] with [adapter] as used now, though no request has come yet: it was loaded for some. */
     fun touch(
         model: String,
+        adapter: String?,
         nowMs: Long,
     ) {
-        val entry = entries.getOrPut(model to null) { Entry().apply { updatedMs = nowMs } }
+        val entry = entries.getOrPut(model to adapter) { Entry().apply { updatedMs = nowMs } }
         entry.lastUseMs = nowMs
     }
 
--- a/keeper/src/test/kotlin/KeeperTest.kt
+++ b/keeper/src/test/kotlin/KeeperTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.almondjunction.common.Address
+import org.almondjunction.common.Clock
 import org.almondjunction.network.EventLoop
 import org.almondjunction.network.TcpConnection
 import org.almondjunction.network.TcpListener
@@ -18,10 +19,15 @@
 private class FakeEngine(
     private val random: Random,
     private val scope: CoroutineScope,
+    private val clock: Clock,
 ) : EngineControl {
     val held = mutableMapOf("m1" to mutableSetOf<String>())
     val faults = mutableListOf<String>()
     var orders = 0
+
+    /** The shortest time for which an adapter stayed, in milliseconds. */
+    var shortestStayMs = Long.MAX_VALUE
+    private val loadedMs = mutableMapOf<Pair<String, String>, Long>()
     private var sequence = 0L
     private var busy = false
     private var fence = 0L
@@ -51,8 +57,8 @@
         val adapter = order.adapter
         when {
             order.kind == EngineOrder.Kind.UNLOAD && adapter == null -> held -= order.model
-            order.kind == EngineOrder.Kind.UNLOAD -> held[order.model]?.remove(adapter)
-            adapter != null -> held[order.model]?.add(adapter) ?: faults.add("adapter without its model")
+            order.kind == EngineOrder.Kind.UNLOAD -> unload(order.model, checkNotNull(adapter))
+            adapter != null -> load(order.model, adapter)
             else -> load(order.model)
         }
         if (held.size * MODEL_MB > MEMORY_MB) faults += "holds ${held.keys}"
@@ -60,6 +66,21 @@
         return EngineOrderReply.ACCEPTED
     }
 
+    private fun load(
+        model: String,
+        adapter: String,
+    ) {
+        loadedMs[model to adapter] = clock.nowMs()
+        held[model]?.add(adapter) ?: faults.add("adapter without its model")
+    }
+
+    private fun unload(
+        model: String,
+        adapter: String,
+    ) {
+        if (held[model]?.remove(adapter) == true) shortestStayMs = minOf(shortestStayMs, clock.nowMs() - loadedMs.getValue(model to adapter))
+    }
+
     private fun load(model: String) {
         busy = true
         if ((held.size + 1) * MODEL_MB > MEMORY_MB) faults += "ordered to load $model beside ${held.keys}"
@@ -74,6 +95,9 @@
         const val MODEL_MB = 40L
         const val MEMORY_MB = 100L
         const val SLOTS = 2
+
+        /** Time in which gateways tell of a request for what was just loaded, in milliseconds. */
+        const val TOLD_MS = 500L
     }
 }
 
@@ -100,7 +124,7 @@
     ): FakeEngine {
         val loop = EventLoop()
         val scope = CoroutineScope(SupervisorJob() + loop)
-        val engine = FakeEngine(Random(seed), scope)
+        val engine = FakeEngine(Random(seed), scope, loop.clock)
         val keeper = Keeper(scope, loop.clock, engine, firstFence = 7)
         val listener = TcpListener(loop, Address("127.0.0.1", 0)) { keeper.accept(it) }
         keeper.start()
@@ -147,6 +171,15 @@
         }
     }
 
+    @Test
+    fun `an adapter that was just loaded for callers does not make way for the next one`() {
+        for (seed in 1..3) {
+            val wishes = listOf("a1", "a2", "a3").map { wish("m1", it) }
+            val engine = play(seed, wishes) { status -> status.models.any { "a3" in it.adapters } }
+            assertTrue(engine.shortestStayMs >= FakeEngine.TOLD_MS, "seed $seed: an adapter stayed for ${engine.shortestStayMs} ms")
+        }
+    }
+
     @Test
     fun `every gateway hears what the engine holds and who else is connected`() {
         val engine =
