A model in use may make way once its requests have ended

Catalogue reviews and compliance checks waited 3 to 10 s. Ruled out: weights that no host has (one model of 19 only), engines too busy (first events within 100 ms where the model is loaded). Change: a model in use is a candidate at the price of the wait for its requests; the keeper lets gateways send no more, waits at most 2.5 s, and unloads. A model just loaded is waited for.

--- a/decisions/src/main/kotlin/EvictionPlan.kt
+++ b/decisions/src/main/kotlin/EvictionPlan.kt
@@ -24,45 +24,59 @@
 /**
  * Models to unload to make room, and what that is expected to cost.
  *
- * @property costMs expected waiting time that it causes, in milliseconds for each second from now on
+ * @property costMs expected waiting time of those who will ask for them, in milliseconds
+ * @property waitMs expected time until the last of them is unused, in milliseconds
  */
 public data class Eviction(
     val models: List<ModelId>,
     val costMs: Double,
+    val waitMs: Long,
 )
 
 /** Decides which loaded models make room for another one. */
 public object EvictionPlan {
-    /** Returns the cheapest models that free [neededMb] in all; null when that cannot be done now. */
+    /** Returns the models that free [neededMb] in all at the least cost and wait; null when all of [candidates] together are too small. */
     public fun choose(
         candidates: List<EvictionCandidate>,
         neededMb: Long,
     ): Eviction? {
-        if (neededMb <= 0) return Eviction(emptyList(), 0.0)
-        val eligible = candidates.filter { it.inFlight == 0 && it.idleMs >= SHORTEST_IDLE_MS }.sortedBy { cost(it) }
-        val single = eligible.firstOrNull { it.memoryMb >= neededMb }
+        if (neededMb <= 0) return Eviction(emptyList(), 0.0, 0)
+        val ranked = candidates.sortedBy { costMs(it) + waitMs(it) }
+        val single = ranked.firstOrNull { it.memoryMb >= neededMb }
         val several = mutableListOf<EvictionCandidate>()
         var freedMb = 0L
-        for (candidate in eligible) {
+        for (candidate in ranked) {
             if (freedMb >= neededMb) break
             several += candidate
             freedMb += candidate.memoryMb
         }
         val choices = listOfNotNull(single?.let { listOf(it) }, several.takeIf { freedMb >= neededMb })
-        return choices.map { chosen -> Eviction(chosen.map { it.model }, chosen.sumOf { cost(it) }) }.minByOrNull { it.costMs }
+        return choices
+            .map { chosen -> Eviction(chosen.map { it.model }, chosen.sumOf { costMs(it) }, chosen.maxOf { waitMs(it) }) }
+            .minByOrNull { it.costMs + it.waitMs }
     }
 
-    private fun cost(candidate: EvictionCandidate): Double {
+    /** Returns the expected time until [candidate] is unused, in milliseconds; 0 where it may be unloaded now. */
+    public fun waitMs(candidate: EvictionCandidate): Long =
+        if (candidate.inFlight > 0) DRAIN_MS else (SHORTEST_IDLE_MS - candidate.idleMs).coerceAtLeast(0)
+
+    private fun costMs(candidate: EvictionCandidate): Double {
         val share = if (candidate.otherCopies > 0) SHARE_OF_COPY else 1.0
-        return (candidate.requestsPerSecond + LEAST_REQUESTS_PER_SECOND) * candidate.reloadMs * share
+        return (candidate.requestsPerSecond + LEAST_REQUESTS_PER_SECOND) * candidate.reloadMs * share * HORIZON_S
     }
 
     /** A model that was asked for more recently is likely to be asked for again; a few times the gap of a busy model. */
     private const val SHORTEST_IDLE_MS = 700L
 
+    /** Time in which requests in progress end once no new ones come; a typical answer on the users' sheets. */
+    private const val DRAIN_MS = 1_200L
+
     /** Demand assumed of a model that has not been asked for, one request in fifty seconds. */
     private const val LEAST_REQUESTS_PER_SECOND = 0.02
 
     /** Part of the demand that the loss of one of several replicas touches. */
     private const val SHARE_OF_COPY = 0.25
+
+    /** Time over which the absence of an unloaded model is counted; about the time until it is needed and loaded again. */
+    private const val HORIZON_S = 3.0
 }
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -199,7 +199,7 @@
         val tie = Rendezvous.share(model.model.value, target.entry.target.value)
         val failures = target.failureShare() * model.loadMs
         val othersMs = loadMs(target, model) * status.models.sumOf { it.requestsPerSecond.toDouble() } * SHARE_HELD_UP
-        return remainingLoadMs(target, plan) + loadMs(target, model) + storeMs + eviction.costMs * EVICTION_HORIZON_S + tie + failures +
+        return remainingLoadMs(target, plan) + loadMs(target, model) + storeMs + eviction.costMs + eviction.waitMs + tie + failures +
             othersMs
     }
 
@@ -294,8 +294,5 @@
 
         /** What a load from the weight store costs beyond its time: it occupies the engine's orders and the store. */
         const val STORE_LOAD_MS = 8_000L
-
-        /** Time over which the absence of an unloaded model is counted; about the time until it is needed and loaded again. */
-        const val EVICTION_HORIZON_S = 3
     }
 }
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -42,7 +42,9 @@
     private val usage = UsageBook()
     private val orders = Mutex()
     private val wishes = mutableSetOf<Pair<String, String?>>()
-    private val leaving = mutableSetOf<String>()
+
+    /** Models that take no new requests since they make way, with the time since when. */
+    private val leaving = mutableMapOf<String, Long>()
     private val modelWishes = WishQueue()
     private val sizes = mutableMapOf<String, ModelSize>()
     private var loading: String? = null
@@ -175,7 +177,7 @@
                         inFlight = usage.inFlight(model, null),
                     )
                 },
-            leaving = leaving.toList(),
+            leaving = leaving.keys.toList(),
             loading = loading,
             wished = modelWishes.models(nowMs),
             inMemory = current?.inMemory.orEmpty(),
@@ -227,16 +229,9 @@
 
     private suspend fun fulfil(wish: KeeperMessage.Wish): String {
         val endMs = clock.nowMs() + wish.patienceMs
-        var stuckMs: Long? = null
         while (clock.nowMs() < endMs) {
             val step = orders.withLock { step(wish) }
-            if (step != Step.Stuck) stuckMs = null
             when (step) {
-                Step.Stuck -> {
-                    val sinceMs = stuckMs ?: clock.nowMs().also { stuckMs = it }
-                    if (clock.nowMs() - sinceMs > LONGEST_STUCK_MS) return "nothing can make way"
-                    delay(BUSY_POLL_MS)
-                }
                 Step.Done -> return "held"
                 is Step.Impossible -> return step.reason
                 Step.Wait -> delay(BUSY_POLL_MS)
@@ -250,9 +245,6 @@
 
         data object Wait : Step()
 
-        /** Nothing can be done before something else ends. */
-        data object Stuck : Step()
-
         data class Impossible(
             val reason: String,
         ) : Step()
@@ -306,15 +298,22 @@
                     reloadMs = if (model in report.inMemory || model in report.onDisk) RELOAD_AT_HAND_MS else RELOAD_FROM_STORE_MS,
                 )
             }
+        val begun = candidates.firstOrNull { it.model.value in leaving }
         val victim =
-            EvictionPlan
-                .choose(candidates, missingMb)
-                ?.models
-                ?.firstOrNull()
-                ?.value ?: return Step.Stuck
-        leaving += victim
-        markDirty()
-        return order(wish, report, EngineOrder.Kind.UNLOAD, victim, null)
+            begun
+                ?: EvictionPlan
+                    .choose(candidates, missingMb)
+                    ?.models
+                    ?.firstOrNull()
+                    ?.let { name -> candidates.first { it.model == name } }
+        if (victim == null) return Step.Impossible("all that is held is too small")
+        val drains = victim.inFlight > 0 && nowMs - (leaving[victim.model.value] ?: nowMs) < LONGEST_DRAIN_MS
+        if (begun == null && !drains && EvictionPlan.waitMs(victim) > 0) return Step.Wait
+        if (begun == null) {
+            leaving[victim.model.value] = nowMs
+            markDirty()
+        }
+        return if (drains) Step.Wait else order(wish, report, EngineOrder.Kind.UNLOAD, victim.model.value, null)
     }
 
     private suspend fun loadAdapter(
@@ -403,8 +402,8 @@
         /** Reports in a row that must fail before the engine counts as away. */
         const val MISSES_OF_ABSENCE = 2
 
-        /** Time after which a wish that nothing can make way for leaves its turn to the next; about the end of a running stream. */
-        const val LONGEST_STUCK_MS = 600L
+        /** Time after which a model that makes way is unloaded though requests are in progress; the engine still ends those it has begun. */
+        const val LONGEST_DRAIN_MS = 2_500L
 
         /** Time between reports while an order is being carried out; about a load of an adapter. */
         const val BUSY_POLL_MS = 10L
