Who waits for weights when the gateway goes is told that nothing ran

Ruled out: requests sent and in progress (this one had no send). Change: requests that still wait for a target 200 ms before the gateway goes are refused as not run, with Retry-After 0. Test: GatewayTest, with a keeper that never loads; before, the caller got nothing.

--- a/gateway/src/main/kotlin/Fleet.kt
+++ b/gateway/src/main/kotlin/Fleet.kt
@@ -123,4 +123,7 @@
     val changed = Signal()
     var configuration: GatewayConfiguration? = null
     var leaving = false
+
+    /** When requests that wait for a target are to be refused, since this gateway goes; never before it leaves. */
+    var waitsEndMs = Long.MAX_VALUE
 }
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -96,6 +96,10 @@
         var waits = false
         while (true) {
             val seen = state.changed.count
+            if (clock.nowMs() >= state.waitsEndMs) {
+                giveUp(attempt, "the gateway goes", RETRY_AT_ONCE_MS)
+                return null
+            }
             when (val choice = selector.choose(request, attempt.tried)) {
                 is TargetSelector.Choice.Use -> return choice.target
                 is TargetSelector.Choice.Later -> {
@@ -425,6 +429,9 @@
         const val LONGEST_PATIENCE_MS = 300L
         const val RETRY_AFTER_REFUSAL_MS = 300L
 
+        /** A caller that is sent to another gateway need not wait. */
+        const val RETRY_AT_ONCE_MS = 0L
+
         /** Pauses of a stream, in multiples of its objective, after which its target counts as silent. */
         const val SILENT_PAUSES = 3
         const val SHORTEST_SILENCE_MS = 1_000L
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -108,6 +108,7 @@
         state.leaving = true
         EventLog.info("leaving", LogFields(extra = mapOf("connections" to connections.size.toString())))
         val endMs = clock.nowMs() + settings.graceMs - EXIT_MARGIN_MS
+        state.waitsEndMs = endMs - LAST_REFUSALS_MS
         delay(BALANCER_MS)
         while (clock.nowMs() < endMs) {
             connections.filter { !it.busy }.forEach { it.close() }
@@ -129,6 +130,9 @@
         const val BALANCER_MS = 2_600L
         const val LEAVING_POLL_MS = 50L
 
+        /** Time kept for the last refusals to reach their callers: a few ways between regions. */
+        const val LAST_REFUSALS_MS = 200L
+
         /** Time kept for the end of the process itself. */
         const val EXIT_MARGIN_MS = 700L
     }
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -6,11 +6,14 @@
 import org.almondjunction.common.Address
 import org.almondjunction.common.Location
 import org.almondjunction.common.Metrics
+import org.almondjunction.common.ModelId
 import org.almondjunction.common.RegionId
 import org.almondjunction.common.ServiceId
 import org.almondjunction.common.TargetId
 import org.almondjunction.common.ZoneId
 import org.almondjunction.decisions.RepeatKind
+import org.almondjunction.keeper.KeeperMessage
+import org.almondjunction.keeper.MessageChannel
 import org.almondjunction.network.BodyFraming
 import org.almondjunction.network.EventLoop
 import org.almondjunction.network.HeadResult
@@ -56,7 +59,8 @@
             callers = Address(LOOPBACK, callersPort),
             readiness = Address(LOOPBACK, freePort()),
             readinessPath = "/ready",
-            keeperPort = 1,
+            keeperPort = freePort(),
+            graceMs = 3_900,
         )
     private val gateway = Gateway(settings, names, loop, scope, Metrics())
     private val script = ArrayDeque<suspend (TcpConnection, RequestHead) -> Unit>()
@@ -68,6 +72,7 @@
     private fun start(
         repeat: RepeatKind,
         streaming: Boolean,
+        engine: EnginePlan? = null,
     ) {
         val started = CountDownLatch(1)
         scope.launch {
@@ -75,8 +80,8 @@
             gateway.start()
             val route =
                 Route("r", "h", "/", repeat, streaming, listOf(Destination(service, 1.0)), 20_000, 10_000, 0, maximumTargets = 2)
-            gateway.accept(GatewayConfiguration(1, listOf(route), mapOf(service to ServicePlan(service, 9))))
-            repeat(2) { index ->
+            gateway.accept(GatewayConfiguration(1, listOf(route), mapOf(service to ServicePlan(service, 9, engine))))
+            repeat(TARGETS) { index ->
                 val listener = TcpListener(loop, Address(LOOPBACK, 0)) { connection -> scope.launch { target(connection) } }
                 val address = Address(LOOPBACK, listener.port)
                 gateway.directory.put(TargetEntry(TargetId("t$index"), service, address, ZoneId("z"), true, 4, 1, 1, emptyMap()))
@@ -246,7 +251,49 @@
         )
     }
 
+    /** A keeper whose engine holds nothing, and that notes when it is in [touch] and what is [wished] for instead of loading it. */
+    private suspend fun idleKeeper(
+        connection: TcpConnection,
+        touch: CountDownLatch,
+        wished: CountDownLatch,
+    ) {
+        val channel = MessageChannel(connection)
+        while (true) {
+            when (channel.receive() ?: break) {
+                is KeeperMessage.Greeting -> channel.send(KeeperMessage.Status(models = emptyList()))
+                is KeeperMessage.Usage -> touch.countDown()
+                else -> wished.countDown()
+            }
+        }
+    }
+
+    @Test
+    fun `who still waits for weights when the gateway goes is told that nothing ran`() {
+        val plan =
+            ModelPlan(ModelId("m"), weightsMb = 1, adapterMb = 0, loadMs = 10_000, loadFromMemoryMs = 10_000, loadFromDiskMs = 10_000)
+        val touch = CountDownLatch(TARGETS)
+        val wished = CountDownLatch(1)
+        TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { idleKeeper(it, touch, wished) } }
+        start(RepeatKind.ONCE, streaming = true, EnginePlan(1, 1, weightsMb = 1, adapterSlots = 0, mapOf(plan.model to plan)))
+        touch.await()
+        Socket(LOOPBACK, callersPort).use { socket ->
+            val head = "POST /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\nModel: m\r\nContent-Length: 0\r\n\r\n"
+            socket.getOutputStream().write(head.toByteArray())
+            wished.await()
+            val left = CountDownLatch(1)
+            scope.launch {
+                gateway.leave()
+                left.countDown()
+            }
+            left.await()
+            val answer = socket.getInputStream().run { readNBytes(available()) }.decodeToString()
+            assertEquals("HTTP/1.1 503", answer.take("HTTP/1.1 503".length))
+        }
+        assertEquals(emptyList(), seen)
+    }
+
     private companion object {
+        const val TARGETS = 2
         const val LOOPBACK = "127.0.0.1"
     }
 }
