Rare models make way for a replica that callers wait for

Further replicas were loaded only where there was room, and nowhere was any. Change: CopyPlan says how many replicas are worth having where there is room, and how many callers wait for; for the latter rare models make way. Test: CopyPlanTest.

--- a/gateway/src/main/kotlin/Preparation.kt
+++ b/gateway/src/main/kotlin/Preparation.kt
@@ -1,8 +1,8 @@
 package org.almondjunction.gateway
 
 import kotlinx.coroutines.delay
+import org.almondjunction.decisions.CopyPlan
 import org.almondjunction.decisions.Rendezvous
-import kotlin.math.ceil
 
 /**
  * Has models loaded that no target holds, where there is room, before callers ask for them.
@@ -63,19 +63,16 @@
                     ?.toDouble()
                     ?: 0.0
             }
-        val wanted = ceil(requestsPerSecond / REQUESTS_PER_SECOND_OF_COPY).toInt().coerceAtMost(MOST_COPIES)
+        val missed = holders.size < CopyPlan.needed(requestsPerSecond)
+        if (!missed && holders.size >= CopyPlan.worthHaving(requestsPerSecond)) return
         val near = others.filter { it.hasAtHand(name) }.ifEmpty { others.takeIf { holders.size == 1 }.orEmpty() }
-        if (holders.size >= wanted || near.isEmpty() || others.any { it.status?.loading == name }) return
-        selector.askForModel(near, plan, model, mayEvict = false)
+        if (near.isEmpty() || others.any { it.status?.loading == name }) return
+        selector.askForModel(near, plan, model, mayEvict = missed)
     }
 
     private companion object {
         /** Time in which gateways and keepers have found each other after a start of all hosts. */
         const val SETTLE_MS = 3_000L
         const val INTERVAL_MS = 500L
-
-        /** Demand above which a model has one more copy: what an engine serves beside others without delay, and a loss then leaves one. */
-        const val REQUESTS_PER_SECOND_OF_COPY = 1.5
-        const val MOST_COPIES = 3
     }
 }
