--- a/gateway/src/main/kotlin/Preparation.kt
+++ b/gateway/src/main/kotlin/Preparation.kt
@@ -29,7 +29,8 @@
         services.forEach { service ->
             val plan = service.engine ?: return@forEach
             val ready = fleet.ready(service.service)
-            if (ready.isEmpty() || ready.any { it.status == null }) return@forEach
+            val inTouch = ready.count { it.status != null }
+            if (inTouch < ready.size * LEAST_SHARE_IN_TOUCH) return@forEach
             plan.models.values
                 .filter { Rendezvous.order(it.model.value, gateways) { name -> name }.first() == gateway }
                 .forEach { prepare(it, plan, ready) }
@@ -42,13 +43,7 @@
         ready: List<Target>,
     ) {
         val name = model.model.value
-        val (holders, others) =
-            ready.partition { target ->
-                target.status
-                    ?.models
-                    .orEmpty()
-                    .any { it.model == name }
-            }
+        val (holders, others) = ready.partition { target -> target.status?.models?.any { it.model == name } ?: (name in target.models) }
         if (holders.isEmpty()) {
             val near = ready.filter { it.hasAtHand(name) }
             selector.askForModel(near.ifEmpty { ready }, plan, model, mayEvict = false)
@@ -58,7 +53,7 @@
             holders.sumOf { holder ->
                 holder.status
                     ?.models
-                    ?.first { it.model == name }
+                    ?.firstOrNull { it.model == name }
                     ?.requestsPerSecond
                     ?.toDouble()
                     ?: 0.0
@@ -71,6 +66,9 @@
     }
 
     private companion object {
+        /** Share of the targets that must be in touch; with fewer, this gateway is likely to be cut off itself. */
+        const val LEAST_SHARE_IN_TOUCH = 0.5
+
         /** Time in which gateways and keepers have found each other after a start of all hosts. */
         const val SETTLE_MS = 3_000L
         const val INTERVAL_MS = 500L
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -26,6 +26,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -73,6 +74,7 @@
         repeat: RepeatKind,
         streaming: Boolean,
         engine: EnginePlan? = null,
+        hosts: List<String> = List(TARGETS) { LOOPBACK },
     ) {
         val started = CountDownLatch(1)
         scope.launch {
@@ -81,9 +83,9 @@
             val route =
                 Route("r", "h", "/", repeat, streaming, listOf(Destination(service, 1.0)), 20_000, 10_000, 0, maximumTargets = 2)
             gateway.accept(GatewayConfiguration(1, listOf(route), mapOf(service to ServicePlan(service, 9, engine))))
-            repeat(TARGETS) { index ->
-                val listener = TcpListener(loop, Address(LOOPBACK, 0)) { connection -> scope.launch { target(connection) } }
-                val address = Address(LOOPBACK, listener.port)
+            hosts.forEachIndexed { index, host ->
+                val listener = TcpListener(loop, Address(host, 0)) { connection -> scope.launch { target(connection) } }
+                val address = Address(host, listener.port)
                 gateway.directory.put(TargetEntry(TargetId("t$index"), service, address, ZoneId("z"), true, 4, 1, 1, emptyMap()))
             }
             started.countDown()
@@ -267,6 +269,16 @@
         }
     }
 
+    @Test
+    fun `a model that no target holds is prepared though a keeper is out of touch`() {
+        val plan = ModelPlan(ModelId("m"), weightsMb = 1, adapterMb = 0, loadMs = 10_000, loadFromMemoryMs = 10_000, loadFromDiskMs = 10_000)
+        val wished = CountDownLatch(1)
+        TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { idleKeeper(it, CountDownLatch(0), wished) } }
+        val engine = EnginePlan(1, 1, weightsMb = 1, adapterSlots = 0, mapOf(plan.model to plan))
+        start(RepeatKind.ONCE, streaming = true, engine, listOf(LOOPBACK, HOST_WITHOUT_KEEPER))
+        assertTrue(wished.await(NEVER_S, TimeUnit.SECONDS))
+    }
+
     @Test
     fun `who still waits for weights when the gateway goes is told that nothing ran`() {
         val plan =
@@ -295,5 +307,9 @@
     private companion object {
         const val TARGETS = 2
         const val LOOPBACK = "127.0.0.1"
+        const val HOST_WITHOUT_KEEPER = "127.0.0.2"
+
+        /** Ends a test that would hang; far beyond what any machine needs. */
+        const val NEVER_S = 300L
     }
 }
