At most two loads from the weight store at a time, over all engines

Ruled out: lost keepers (none was lost before 21.7 s), lost orders (all accepted). Change: a gateway counts the engines that load from the store, as their keepers tell, and begins no third; the caller hears that the weights come too late. Test: TargetSelectorTest, patterns of rare models at once, model shift and a busy weight store.

--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -65,6 +65,9 @@
     /** Whether its host has a copy of the weights of [model]. */
     fun hasAtHand(model: String): Boolean = status?.let { model in it.inMemory || model in it.onDisk } ?: false
 
+    /** Whether it loads a model from the weight store, as far as its keeper tells. */
+    val loadsFromStore: Boolean get() = status?.loading?.let { !hasAtHand(it) } ?: false
+
     fun update(newStatus: KeeperMessage.Status?) {
         val before = status?.models.orEmpty().map { it.model }
         if (newStatus?.loading != status?.loading) loadingSinceMs = clock.nowMs()
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -143,8 +143,11 @@
         if (loading != null) return Choice.Later(remainingLoadMs(loading, plan))
         asked[name]?.takeIf { it.untilMs > clock.nowMs() && it.target in inTouch }?.let { return Choice.Later(it.expectedMs) }
         if (inTouch.isEmpty()) return Choice.None("no keeper in touch")
+        val storeIsFree = inTouch.count { it.loadsFromStore } < MOST_STORE_LOADS
+        val possible = inTouch.filter { it.hasAtHand(name) || storeIsFree }
+        if (possible.isEmpty()) return Choice.Later(model.loadMs * 2)
         val best =
-            inTouch
+            possible
                 .mapNotNull { target ->
                     costOfLoad(target, plan, model, mayEvict)?.let { target to it }
                 }.minByOrNull { it.second }
@@ -292,6 +295,9 @@
         /** Least time that a load in progress is expected to take still. */
         const val SHORTEST_LOAD_MS = 100L
 
+        /** Loads from the weight store at one time, over all engines: the least that the users' stores carry out at full speed. */
+        const val MOST_STORE_LOADS = 2
+
         /** What a load from the weight store costs beyond its time: it occupies the engine's orders and the store. */
         const val STORE_LOAD_MS = 8_000L
     }
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -271,7 +271,8 @@
 
     @Test
     fun `a model that no target holds is prepared though a keeper is out of touch`() {
-        val plan = ModelPlan(ModelId("m"), weightsMb = 1, adapterMb = 0, loadMs = 10_000, loadFromMemoryMs = 10_000, loadFromDiskMs = 10_000)
+        val plan =
+            ModelPlan(ModelId("m"), weightsMb = 1, adapterMb = 0, loadMs = 10_000, loadFromMemoryMs = 10_000, loadFromDiskMs = 10_000)
         val wished = CountDownLatch(1)
         TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { idleKeeper(it, CountDownLatch(0), wished) } }
         val engine = EnginePlan(1, 1, weightsMb = 1, adapterSlots = 0, mapOf(plan.model to plan))
--- /dev/null
+++ b/gateway/src/test/kotlin/TargetSelectorTest.kt
@@ -0,0 +1,135 @@
+package org.almondjunction.gateway
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.runBlocking
+import org.almondjunction.common.Address
+import org.almondjunction.common.Location
+import org.almondjunction.common.ModelId
+import org.almondjunction.common.RegionId
+import org.almondjunction.common.ServiceId
+import org.almondjunction.common.TargetId
+import org.almondjunction.common.ZoneId
+import org.almondjunction.decisions.RepeatKind
+import org.almondjunction.keeper.HeldModel
+import org.almondjunction.keeper.KeeperMessage
+import org.almondjunction.network.EventLoop
+import org.almondjunction.network.HttpHeader
+import org.almondjunction.network.HttpHeaders
+import org.almondjunction.network.RequestHead
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+/** Rare models at once, model shift and a busy weight store, as a gateway meets them. Nothing is sent; keepers are out of reach. */
+class TargetSelectorTest {
+    private val names =
+        HeaderNames("Id", "Deadline", "Model", "Tokens", "Parts", "Last", "Signature", "Target", "Answering", "Not", "Urgency", emptySet())
+    private val service = ServiceId("s")
+    private val small = ModelPlan(ModelId("m"), 60, 0, loadMs = 6_000, loadFromMemoryMs = 300, loadFromDiskMs = 500)
+    private val plan =
+        EnginePlan(
+            batch = 64,
+            promptMemoryTokens = 100,
+            weightsMb = 100,
+            adapterSlots = 2,
+            models = listOf("m", "a", "b", "c").associate { ModelId(it) to small.copy(model = ModelId(it)) },
+        )
+    private val route =
+        Route("r", "h", "/", RepeatKind.RESUMABLE, true, listOf(Destination(service, 1.0)), 20_000, 2_000, 0, maximumTargets = 2)
+
+    private fun held(
+        model: String,
+        inFlight: Int = 0,
+        adapters: List<String> = emptyList(),
+    ) = HeldModel(model, adapters, requestsPerSecond = 0.1f, idleMs = 20_000, inFlight = inFlight)
+
+    private fun status(
+        vararg models: HeldModel,
+        loading: String? = null,
+        onDisk: List<String> = emptyList(),
+    ) = KeeperMessage.Status(models = models.toList(), loading = loading, onDisk = onDisk)
+
+    private data class Case(
+        val pattern: String,
+        val targets: List<KeeperMessage.Status>,
+        val model: String,
+        val expected: String,
+    )
+
+    private val cases =
+        listOf(
+            Case("the model is held", listOf(status(held("a")), status(held("m"))), "m", "t1"),
+            Case(
+                "rare model, one host has its weights",
+                listOf(status(held("a")), status(held("b"), onDisk = listOf("m"))),
+                "m",
+                "in 500 ms",
+            ),
+            Case(
+                "rare models at once: the host that has the weights is in use, and still faster than the weight store",
+                listOf(status(held("a")), status(held("b", inFlight = 1), onDisk = listOf("m"))),
+                "m",
+                "in 500 ms",
+            ),
+            Case("model shift: nobody has the weights", listOf(status(held("a")), status(held("b"))), "m", "in 6000 ms"),
+            Case(
+                "model shift: nobody has the weights, and the weight store is busy for others",
+                listOf(status(held("a"), loading = "b"), status(held("b"), loading = "c"), status()),
+                "m",
+                "in 12000 ms",
+            ),
+            Case(
+                "the weight store is busy, but a host has the weights",
+                listOf(status(held("a"), loading = "b"), status(held("b"), loading = "c"), status(onDisk = listOf("m"))),
+                "m",
+                "in 500 ms",
+            ),
+            Case("the model is on its way", listOf(status(held("a"), loading = "m", onDisk = listOf("m")), status()), "m", "in 500 ms"),
+            Case("an adapter that is loaded", listOf(status(held("m", adapters = listOf("a1"))), status(held("m"))), "m/a1", "t0"),
+            Case("an adapter that is not loaded", listOf(status(held("m")), status()), "m/a1", "in 40 ms"),
+        )
+
+    @Test
+    fun `a request goes to the weights, or the weights come from where they are nearest`() = cases.forEach { check(it) }
+
+    private val loop = EventLoop()
+    private val place = Place(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r")))
+
+    private fun fleet(
+        statuses: List<KeeperMessage.Status>,
+        state: GatewayState,
+    ): Fleet {
+        val fleet = Fleet(loop, CoroutineScope(SupervisorJob()), "g", 1, state)
+        statuses.indices.forEach { index ->
+            val address = Address("127.0.0.1", 1 + index)
+            val entry = TargetEntry(TargetId("t$index"), service, address, ZoneId("z"), true, 4, 1, 1, emptyMap())
+            fleet.apply(TargetDirectory.Change.Put(entry))
+        }
+        fleet.ready(service).forEach {
+            it.update(
+                statuses[
+                    it.entry.target.value
+                        .drop(1)
+                        .toInt(),
+                ],
+            )
+        }
+        return fleet
+    }
+
+    private fun check(case: Case) {
+        val state = GatewayState()
+        val fleet = fleet(case.targets, state)
+        state.configuration = GatewayConfiguration(1, listOf(route), mapOf(service to ServicePlan(service, 9, plan)))
+        val head = RequestHead("POST", "/", HttpHeaders(listOf(HttpHeader(names.model, case.model))))
+        val request = ForwardedRequest.of(head, ByteArray(0), route, loop.clock.nowMs(), names)
+        val choice = runBlocking { TargetSelector(loop.clock, fleet, place, state).choose(request, emptyMap()) }
+        val actual =
+            when (choice) {
+                is TargetSelector.Choice.Use -> choice.target.entry.target.value
+                is TargetSelector.Choice.Later -> "in ${choice.expectedMs} ms"
+                is TargetSelector.Choice.None -> choice.reason
+            }
+        assertEquals(case.expected, actual, case.pattern)
+    }
+}
