Weights that no host has are brought to one before callers ask

Change: preparation lets another model make way for such weights; so they are on a disk when asked for.

--- a/gateway/src/main/kotlin/Preparation.kt
+++ b/gateway/src/main/kotlin/Preparation.kt
@@ -5,7 +5,8 @@
 import org.almondjunction.decisions.Rendezvous
 
 /**
- * Has models loaded that no target holds, where there is room, before callers ask for them.
+ * Has models loaded that no target holds, before callers ask for them: where there is room, and where no host has the weights at hand
+ * even in the place of another, so that they are on a host's disk when they are asked for.
  *
  * Gateways share the work: each model is looked after by the one that comes first for it among those that keepers see.
  */
@@ -46,7 +47,7 @@
         val (holders, others) = ready.partition { target -> target.status?.models?.any { it.model == name } ?: (name in target.models) }
         if (holders.isEmpty()) {
             val near = ready.filter { it.hasAtHand(name) }
-            selector.askForModel(near.ifEmpty { ready }, plan, model, mayEvict = false)
+            selector.askForModel(near.ifEmpty { ready }, plan, model, mayEvict = near.isEmpty())
             return
         }
         val requestsPerSecond =
