Weights are not taken from the weight store while a host has them, met or not yet met

Change: a load on its way counts only if no host has the weights at hand; in its first 2 s a gateway that has not met every keeper waits with the weight store. Test: TargetSelectorTest, two cases of all hosts back after a loss of power; the first gave 6000 ms instead of 500.

--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -42,6 +42,7 @@
     )
 
     private val asked = mutableMapOf<String, Asked>()
+    private val startedMs = clock.nowMs()
 
     suspend fun choose(
         request: ForwardedRequest,
@@ -139,13 +140,14 @@
     ): Choice {
         val name = model.model.value
         val inTouch = ready.filter { it.status != null }
-        val loading = inTouch.firstOrNull { it.status?.loading == name }
-        if (loading != null) return Choice.Later(remainingLoadMs(loading, plan))
+        val near = inTouch.filter { it.hasAtHand(name) }
+        val loading = inTouch.filter { it.status?.loading == name }.minByOrNull { remainingLoadMs(it, plan) }
+        if (loading != null && (near.isEmpty() || loading in near)) return Choice.Later(remainingLoadMs(loading, plan))
         asked[name]?.takeIf { it.untilMs > clock.nowMs() && it.target in inTouch }?.let { return Choice.Later(it.expectedMs) }
         if (inTouch.isEmpty()) return Choice.None("no keeper in touch")
-        val storeIsFree = inTouch.count { it.loadsFromStore } < MOST_STORE_LOADS
-        val possible = inTouch.filter { it.hasAtHand(name) || storeIsFree }
-        if (possible.isEmpty()) return Choice.Later(model.loadMs * 2)
+        if (near.isEmpty() && inTouch.size < ready.size && clock.nowMs() - startedMs < MEETING_MS) return Choice.Later(MEETING_MS)
+        if (near.isEmpty() && inTouch.count { it.loadsFromStore } >= MOST_STORE_LOADS) return Choice.Later(model.loadMs * 2)
+        val possible = near.ifEmpty { inTouch }
         val best =
             possible
                 .mapNotNull { target ->
@@ -295,6 +297,9 @@
         /** Least time that a load in progress is expected to take still. */
         const val SHORTEST_LOAD_MS = 100L
 
+        /** Time in which a gateway that starts meets the keepers, some of which may have the weights at hand. */
+        const val MEETING_MS = 2_000L
+
         /** Loads from the weight store at one time, over all engines: the least that the users' stores carry out at full speed. */
         const val MOST_STORE_LOADS = 2
 
--- a/gateway/src/test/kotlin/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/TargetSelectorTest.kt
@@ -51,7 +51,7 @@
 
     private data class Case(
         val pattern: String,
-        val targets: List<KeeperMessage.Status>,
+        val targets: List<KeeperMessage.Status?>,
         val model: String,
         val expected: String,
     )
@@ -84,6 +84,13 @@
                 "m",
                 "in 500 ms",
             ),
+            Case(
+                "all hosts back after a loss of power: begun from the weight store, but a host that was met later has the weights",
+                listOf(status(loading = "m"), status(onDisk = listOf("m"))),
+                "m",
+                "in 500 ms",
+            ),
+            Case("all hosts back after a loss of power: one is not met yet", listOf(status(), null), "m", "in 2000 ms"),
             Case("the model is on its way", listOf(status(held("a"), loading = "m", onDisk = listOf("m")), status()), "m", "in 500 ms"),
             Case("an adapter that is loaded", listOf(status(held("m", adapters = listOf("a1"))), status(held("m"))), "m/a1", "t0"),
             Case("an adapter that is not loaded", listOf(status(held("m")), status()), "m/a1", "in 40 ms"),
@@ -96,7 +103,7 @@
     private val place = Place(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r")))
 
     private fun fleet(
-        statuses: List<KeeperMessage.Status>,
+        statuses: List<KeeperMessage.Status?>,
         state: GatewayState,
     ): Fleet {
         val fleet = Fleet(loop, CoroutineScope(SupervisorJob()), "g", 1, state)
