KeeperTest: a model in use makes way when its last request ends

The drain of the keeper had no test. The clock of the test never steps more than 20 ms, so a machine that stalls does not end the keeper's wait.

--- a/keeper/src/test/kotlin/KeeperTest.kt
+++ b/keeper/src/test/kotlin/KeeperTest.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.launch
 import org.almondjunction.common.Address
 import org.almondjunction.common.Clock
+import org.almondjunction.common.SystemClock
 import org.almondjunction.network.EventLoop
 import org.almondjunction.network.TcpConnection
 import org.almondjunction.network.TcpListener
@@ -25,6 +26,9 @@
     val faults = mutableListOf<String>()
     var orders = 0
 
+    /** Models with requests in progress; none of them may be unloaded before. */
+    var inUse = emptySet<String>()
+
     /** The shortest time for which an adapter stayed, in milliseconds. */
     var shortestStayMs = Long.MAX_VALUE
     private val loadedMs = mutableMapOf<Pair<String, String>, Long>()
@@ -56,7 +60,7 @@
         fence = order.fence
         val adapter = order.adapter
         when {
-            order.kind == EngineOrder.Kind.UNLOAD && adapter == null -> held -= order.model
+            order.kind == EngineOrder.Kind.UNLOAD && adapter == null -> unload(order.model)
             order.kind == EngineOrder.Kind.UNLOAD -> unload(order.model, checkNotNull(adapter))
             adapter != null -> load(order.model, adapter)
             else -> load(order.model)
@@ -74,6 +78,11 @@
         held[model]?.add(adapter) ?: faults.add("adapter without its model")
     }
 
+    private fun unload(model: String) {
+        if (model in inUse) faults += "unloaded $model while in use"
+        held -= model
+    }
+
     private fun unload(
         model: String,
         adapter: String,
@@ -105,6 +114,21 @@
     }
 }
 
+/** A clock on which no two readings are more than [longestStepMs] apart, so that a machine that stalls does not end a wait. */
+private class UnhurriedClock(
+    private val longestStepMs: Long = 20,
+) : Clock {
+    private var lastMs = SystemClock.nowMs()
+    private var nowMs = 0L
+
+    override fun nowMs(): Long {
+        val systemMs = SystemClock.nowMs()
+        nowMs += (systemMs - lastMs).coerceIn(0, longestStepMs)
+        lastMs = systemMs
+        return nowMs
+    }
+}
+
 class KeeperTest {
     private fun wish(
         model: String,
@@ -184,6 +208,53 @@
         }
     }
 
+    @Test
+    fun `rare models at once - a model in use takes no new requests and makes way when its last one ends`() {
+        for (seed in 1..3) {
+            val loop = EventLoop(UnhurriedClock())
+            val scope = CoroutineScope(SupervisorJob() + loop)
+            val engine = FakeEngine(Random(seed), scope, loop.clock)
+            val keeper = Keeper(scope, loop.clock, engine, firstFence = 7)
+            val listener = TcpListener(loop, Address("127.0.0.1", 0)) { keeper.accept(it) }
+            keeper.start()
+            scope.launch {
+                useAndEnd(loop, listener.port, engine)
+                loop.stop()
+            }
+            loop.run()
+            listener.close()
+            assertEquals(emptyList(), engine.faults, "seed $seed")
+        }
+    }
+
+    /** A gateway with requests on `m1` and `m2` that end once one of them is to make way for `m3`; returns when that is held. */
+    private suspend fun CoroutineScope.useAndEnd(
+        loop: EventLoop,
+        port: Int,
+        engine: FakeEngine,
+    ) {
+        engine.held["m2"] = mutableSetOf()
+        engine.inUse = setOf("m1", "m2")
+        val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), 10_000)))
+        channel.send(KeeperMessage.Greeting("g"))
+        channel.send(KeeperMessage.Usage(listOf("m1", "m2").map { Use(it, null, 1, inFlight = 1) }))
+        val asking =
+            launch {
+                while (true) {
+                    channel.send(wish("m3"))
+                    delay(20)
+                }
+            }
+        while (true) {
+            val status = channel.receive() as? KeeperMessage.Status ?: continue
+            if (status.models.any { it.model == "m3" }) break
+            if (status.leaving.isEmpty() || engine.inUse.isEmpty()) continue
+            engine.inUse = emptySet()
+            channel.send(KeeperMessage.Usage(listOf("m1", "m2").map { Use(it, null, 0, inFlight = 0) }))
+        }
+        asking.cancel()
+    }
+
     @Test
     fun `every gateway hears what the engine holds and who else is connected`() {
         val engine =
