--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -285,35 +285,45 @@
         report: EngineSnapshot,
         missingMb: Long,
     ): Step {
-        val nowMs = clock.nowMs()
-        val candidates =
-            report.models.map { (model, adapters) ->
-                EvictionCandidate(
-                    model = ModelId(model),
-                    memoryMb = sizes.getValue(model).let { it.weightsMb + it.adapterMb * adapters.size },
-                    requestsPerSecond = usage.ratePerSecond(model, null, nowMs),
-                    idleMs = usage.idleMs(model, null, nowMs),
-                    inFlight = usage.inFlight(model, null),
-                    otherCopies = if (model in wish.copiesElsewhere) 1 else 0,
-                    reloadMs = if (model in report.inMemory || model in report.onDisk) RELOAD_AT_HAND_MS else RELOAD_FROM_STORE_MS,
-                )
-            }
+        val candidates = evictionCandidates(wish, report)
         val begun = candidates.firstOrNull { it.model.value in leaving }
-        val victim =
-            begun
-                ?: EvictionPlan
-                    .choose(candidates, missingMb)
-                    ?.models
-                    ?.firstOrNull()
-                    ?.let { name -> candidates.first { it.model == name } }
-        if (victim == null) return Step.Impossible("all that is held is too small")
-        val drains = victim.inFlight > 0 && nowMs - (leaving[victim.model.value] ?: nowMs) < LONGEST_DRAIN_MS
-        if (begun == null && !drains && EvictionPlan.waitMs(victim) > 0) return Step.Wait
-        if (begun == null) {
-            leaving[victim.model.value] = nowMs
-            markDirty()
+        if (begun != null) return unloadOnceUnused(wish, report, begun)
+        val chosen = EvictionPlan.choose(candidates, missingMb) ?: return Step.Impossible("all that is held is too small")
+        val victim = candidates.first { it.model == chosen.models.first() }
+        val justLoaded = victim.inFlight == 0 && EvictionPlan.waitMs(victim) > 0
+        if (justLoaded) return Step.Wait
+        leaving[victim.model.value] = clock.nowMs()
+        markDirty()
+        return unloadOnceUnused(wish, report, victim)
+    }
+
+    private fun evictionCandidates(
+        wish: KeeperMessage.Wish,
+        report: EngineSnapshot,
+    ): List<EvictionCandidate> {
+        val nowMs = clock.nowMs()
+        return report.models.map { (model, adapters) ->
+            EvictionCandidate(
+                model = ModelId(model),
+                memoryMb = sizes.getValue(model).let { it.weightsMb + it.adapterMb * adapters.size },
+                requestsPerSecond = usage.ratePerSecond(model, null, nowMs),
+                idleMs = usage.idleMs(model, null, nowMs),
+                inFlight = usage.inFlight(model, null),
+                otherCopies = if (model in wish.copiesElsewhere) 1 else 0,
+                reloadMs = if (model in report.inMemory || model in report.onDisk) RELOAD_AT_HAND_MS else RELOAD_FROM_STORE_MS,
+            )
         }
-        return if (drains) Step.Wait else order(wish, report, EngineOrder.Kind.UNLOAD, victim.model.value, null)
+    }
+
+    /** Gateways send [victim] no more requests by now; those in progress may end first. */
+    private suspend fun unloadOnceUnused(
+        wish: KeeperMessage.Wish,
+        report: EngineSnapshot,
+        victim: EvictionCandidate,
+    ): Step {
+        val name = victim.model.value
+        val drains = victim.inFlight > 0 && clock.nowMs() - leaving.getValue(name) < LONGEST_DRAIN_MS
+        return if (drains) Step.Wait else order(wish, report, EngineOrder.Kind.UNLOAD, name, null)
     }
 
     private suspend fun loadAdapter(
