--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -93,7 +93,6 @@
 
     private suspend fun awaitTarget(attempt: Attempt): Target? {
         val request = attempt.request
-        var waits = false
         while (true) {
             val seen = state.changed.count
             if (clock.nowMs() >= state.waitsEndMs) {
@@ -104,11 +103,10 @@
                 is TargetSelector.Choice.Use -> return choice.target
                 is TargetSelector.Choice.Later -> {
                     attempt.detail = "waits for weights"
-                    if (!waits && choice.expectedMs > request.patienceEndMs - clock.nowMs() && !attempt.answer.begun) {
+                    if (choice.expectedMs > request.patienceEndMs - clock.nowMs() && !attempt.answer.begun) {
                         giveUp(attempt, "weights come too late", choice.expectedMs)
                         return null
                     }
-                    waits = true
                     state.changed.await(seen, LONGEST_WAIT_MS)
                 }
                 is TargetSelector.Choice.None -> {
