--- a/gateway/src/test/kotlin/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/TargetSelectorTest.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.runBlocking
 import org.almondjunction.common.Address
+import org.almondjunction.common.Clock
 import org.almondjunction.common.Location
 import org.almondjunction.common.ModelId
 import org.almondjunction.common.RegionId
@@ -99,7 +100,7 @@
     @Test
     fun `a request goes to the weights, or the weights come from where they are nearest`() = cases.forEach { check(it) }
 
-    private val loop = EventLoop()
+    private val loop = EventLoop(Clock { 1_000L })
     private val place = Place(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r")))
 
     private fun fleet(
