One piece for what stood twice: end-to-end headers, unread tokens, a load in progress

The filter of headers for one connection stood in CallerAnswer and Forwarder: now HttpHeaders.endToEnd. Unread tokens of a prompt stood in Forwarder and TargetSelector: now Target.unreadTokens. Keeper asked its set of wishes what `loading` says. Removed: Answered.signed, never read; a test that sends > 0 implies.

--- a/gateway/src/main/kotlin/CallerAnswer.kt
+++ b/gateway/src/main/kotlin/CallerAnswer.kt
@@ -1,7 +1,6 @@
 package org.almondjunction.gateway
 
 import org.almondjunction.network.HttpHeader
-import org.almondjunction.network.HttpHeaders
 import org.almondjunction.network.HttpVersion
 import org.almondjunction.network.HttpWriter
 import org.almondjunction.network.RequestHead
@@ -40,7 +39,7 @@
     suspend fun pass(
         head: ResponseHead,
         body: ByteArray,
-    ): Unit = whole(head.status, endToEnd(head.headers), body)
+    ): Unit = whole(head.status, head.headers.endToEnd(), body)
 
     private suspend fun whole(
         status: Int,
@@ -59,7 +58,7 @@
         check(!begun) { "An answer was begun twice." }
         begun = true
         val framing = if (closesWithBody) emptyList() else listOf(HttpHeader("Transfer-Encoding", "chunked"))
-        connection.write(HttpWriter.response(head.status, endToEnd(head.headers) + framing + connectionHeaders()))
+        connection.write(HttpWriter.response(head.status, head.headers.endToEnd() + framing + connectionHeaders()))
     }
 
     /** Adds [bytes] to the answer; returns false when the caller is gone. */
@@ -74,29 +73,10 @@
 
     private fun connectionHeaders() = if (closes) listOf(HttpHeader("Connection", "close")) else emptyList()
 
-    private fun endToEnd(headers: HttpHeaders): List<HttpHeader> {
-        val named = headers.all("Connection").flatMap { value -> value.split(',').map { it.trim().lowercase() } }
-        return headers.lines.filter { it.name.lowercase() !in HOP_BY_HOP && it.name.lowercase() !in named }
-    }
-
-    companion object {
-        private val EMPTY = ByteArray(0)
-        private const val MILLISECONDS_PER_SECOND = 1_000.0
-
-        /** Headers that concern one connection only (RFC 9110), and those that frame a body. */
-        val HOP_BY_HOP =
-            setOf(
-                "connection",
-                "keep-alive",
-                "proxy-connection",
-                "transfer-encoding",
-                "content-length",
-                "te",
-                "trailer",
-                "upgrade",
-                "expect",
-            )
+    private companion object {
+        val EMPTY = ByteArray(0)
+        const val MILLISECONDS_PER_SECOND = 1_000.0
 
-        private fun seconds(durationMs: Long): String = "%.2f".format(java.util.Locale.ROOT, durationMs / MILLISECONDS_PER_SECOND)
+        fun seconds(durationMs: Long): String = "%.2f".format(java.util.Locale.ROOT, durationMs / MILLISECONDS_PER_SECOND)
     }
 }
--- a/gateway/src/main/kotlin/Exchange.kt
+++ b/gateway/src/main/kotlin/Exchange.kt
@@ -29,7 +29,6 @@
     class Answered(
         val head: ResponseHead,
         val body: BodyReader,
-        val signed: Boolean,
     ) : SendAnswer()
 }
 
@@ -117,7 +116,7 @@
             }
             head.status in SUCCESS && !signed -> lost("a success without signature came")
             head.headers["Content-Encoding"] != null -> lost("an encoded body came")
-            else -> SendAnswer.Answered(head, body, signed)
+            else -> SendAnswer.Answered(head, body)
         }
     }
 
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -74,7 +74,7 @@
             attempt.outcome = "broken off at its time limit"
             return
         }
-        if (attempt.mayHaveRun || attempt.sends > 0) respondUnknown(attempt, GATEWAY_TIMEOUT) else respondNotRun(attempt, null)
+        if (attempt.sends > 0) respondUnknown(attempt, GATEWAY_TIMEOUT) else respondNotRun(attempt, null)
     }
 
     private suspend fun run(attempt: Attempt) {
@@ -140,7 +140,7 @@
         attempt: Attempt,
     ): ForwardingStep? {
         val request = attempt.request
-        val send = Target.Send(request.model, request.adapter, unreadTokens(target, request))
+        val send = Target.Send(request.model, request.adapter, target.unreadTokens(request))
         val exchange = Exchange(scope, target, names)
         target.begin(send)
         attempt.tried[target] = clock.nowMs()
@@ -183,25 +183,18 @@
         }
     }
 
-    private fun unreadTokens(
-        target: Target,
-        request: ForwardedRequest,
-    ) = (request.promptTokens - target.prompts.keptTokens(request.weights, request.parts)).coerceAtLeast(0)
-
     private fun headersFor(
         target: Target,
         attempt: Attempt,
     ): List<HttpHeader> {
         val request = attempt.request
         val own = request.head.headers
-        val named = own.all("Connection").flatMap { value -> value.split(',').map { it.trim().lowercase() } }
         val headers =
-            own.lines
+            own
+                .endToEnd()
                 .filter { header ->
                     val name = header.name.lowercase()
-                    name !in CallerAnswer.HOP_BY_HOP &&
-                        name !in named &&
-                        name !in names.reserved &&
+                    name !in names.reserved &&
                         name != names.deadlineMs.lowercase() &&
                         (attempt.events.lastEvent == null || name != names.lastEvent.lowercase())
                 }.toMutableList()
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -80,6 +80,10 @@
         }
     }
 
+    /** Tokens of the prompt of [request] that it still has to read, as far as known. */
+    fun unreadTokens(request: ForwardedRequest): Long =
+        (request.promptTokens - prompts.keptTokens(request.weights, request.parts)).coerceAtLeast(0)
+
     fun begin(send: Send) {
         inFlight += send
         val model = send.model ?: return
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -95,7 +95,6 @@
     ): TargetCandidate {
         val model = request.model
         val key = if (model == null) request.id else request.weights + request.parts.take(SHARED_PARTS).joinToString { it.id }
-        val unread = (request.promptTokens - target.prompts.keptTokens(request.weights, request.parts)).coerceAtLeast(0)
         val ownReading = target.inFlight.filter { !it.answering }.sumOf { it.promptTokens }
         val others = (target.load.active + target.load.queued - target.inFlight.size).coerceAtLeast(0)
         val wait =
@@ -109,7 +108,7 @@
             target = target.entry.target,
             distanceMs = place.distanceMs(target.entry.zone),
             waitMs = wait,
-            workMs = if (model == null) 0.0 else unread / TOKENS_READ_PER_MS,
+            workMs = if (model == null) 0.0 else target.unreadTokens(request) / TOKENS_READ_PER_MS,
             failureShare = target.failureShare(),
             affinity = Rendezvous.share(key, target.entry.target.value),
         )
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -191,14 +191,14 @@
 
     private fun begin(wish: KeeperMessage.Wish) {
         wish.sizes.forEach { sizes[it.model] = it }
-        if (wish.adapter == null && !wish.mayEvict && wishes.any { it.second == null }) return
+        if (wish.adapter == null && !wish.mayEvict && loading != null) return
         if (wish.adapter == null) modelWishes.add(wish, clock.nowMs())
         val next = if (wish.adapter == null) nextModelWish() else wish
         if (next != null) carryOut(next)
     }
 
     private fun nextModelWish(): KeeperMessage.Wish? {
-        if (wishes.any { it.second == null }) return null
+        if (loading != null) return null
         return modelWishes.take(clock.nowMs(), snapshot?.models?.keys.orEmpty())
     }
 
@@ -212,8 +212,10 @@
         scope.launch {
             val outcome = fulfil(wish)
             wishes -= key
-            if (loading == wish.model && wish.adapter == null) loading = null
-            if (wish.adapter == null) leaving.clear()
+            if (wish.adapter == null) {
+                loading = null
+                leaving.clear()
+            }
             EventLog.info(
                 "wish ended",
                 LogFields(
--- a/network/src/main/kotlin/HttpHead.kt
+++ b/network/src/main/kotlin/HttpHead.kt
@@ -21,6 +21,27 @@
         name: String,
         token: String,
     ): Boolean = all(name).any { value -> value.split(',').any { it.trim().equals(token, ignoreCase = true) } }
+
+    /** Returns the lines that are handed on: neither of one connection only (RFC 9110, also those named in `Connection`) nor framing. */
+    public fun endToEnd(): List<HttpHeader> {
+        val named = all("Connection").flatMap { value -> value.split(',').map { it.trim().lowercase() } }
+        return lines.filter { it.name.lowercase() !in HOP_BY_HOP && it.name.lowercase() !in named }
+    }
+
+    private companion object {
+        val HOP_BY_HOP =
+            setOf(
+                "connection",
+                "keep-alive",
+                "proxy-connection",
+                "transfer-encoding",
+                "content-length",
+                "te",
+                "trailer",
+                "upgrade",
+                "expect",
+            )
+    }
 }
 
 /** Start line and headers of a request. */
--- a/network/src/main/kotlin/HttpReader.kt
+++ b/network/src/main/kotlin/HttpReader.kt
@@ -134,7 +134,7 @@
         }
     }
 
-    private suspend fun chunkEnd(): Boolean = (line(0 + LINE_END_BYTES) as? LineResult.Line)?.text?.isEmpty() == true
+    private suspend fun chunkEnd(): Boolean = (line(LINE_END_BYTES) as? LineResult.Line)?.text?.isEmpty() == true
 
     private suspend fun chunkSize(): Long? {
         val line = (line(MAXIMUM_CHUNK_LINE_BYTES) as? LineResult.Line)?.text ?: return null
