Gateways leave an engine that gives no sign for 1.3 s while requests are in flight

Cause: a gateway believed an engine until its entry went (3.6 s) or its keeper had been silent for 5 s, as keepers told their load only when it changed. Ruled out before: late notice of a caller's leaving, the form of the close. Change: keepers answer each telling of uses; a target with requests in flight and no sign from it or its keeper (ConnectionHealth, as between entry hosts and agents) gets no new requests, and what may be repeated is sent elsewhere. Plain targets: 600 ms.

--- a/gateway/src/main/kotlin/Exchange.kt
+++ b/gateway/src/main/kotlin/Exchange.kt
@@ -80,7 +80,7 @@
         repeat(MOST_STRAY_ANSWERS) {
             val head =
                 when (val result = reader.responseHead(MAXIMUM_ANSWER_HEAD_BYTES)) {
-                    is HeadResult.Read -> result.head
+                    is HeadResult.Read -> result.head.also { target.heard() }
                     HeadResult.End, HeadResult.Broken -> return lost("the connection ended before an answer")
                     is HeadResult.Malformed -> return lost(result.detail)
                     HeadResult.TooLarge -> return lost("the head of the answer is too large")
--- a/gateway/src/main/kotlin/Fleet.kt
+++ b/gateway/src/main/kotlin/Fleet.kt
@@ -57,6 +57,20 @@
                 targets.values.forEach { it.pool.sweep() }
             }
         }
+        scope.launch { examineSilence() }
+    }
+
+    private suspend fun examineSilence() {
+        var examinedMs = loop.clock.nowMs()
+        while (true) {
+            delay(EXAMINATION_MS)
+            val nowMs = loop.clock.nowMs()
+            // Signs that came while this process itself stood still are not read yet.
+            val stoodStill = nowMs - examinedMs > STOOD_STILL_MS
+            examinedMs = nowMs
+            if (stoodStill) targets.values.forEach { it.heard() }
+            if (targets.values.toList().count { it.examineSilence() } > 0) state.changed.raise()
+        }
     }
 
     fun apply(change: TargetDirectory.Change) {
@@ -103,15 +117,20 @@
             ?.promptMemoryTokens ?: DEFAULT_PROMPT_MEMORY_TOKENS
 
     fun ready(service: ServiceId): List<Target> =
-        targets.values.filter {
-            it.entry.service == service &&
-                it.entry.ready &&
-                !it.gone &&
-                it.answering
-        }
+        targets.values
+            .filter {
+                it.entry.service == service &&
+                    it.entry.ready &&
+                    !it.gone &&
+                    it.answering
+            }.let { possible -> possible.filterNot { it.silent }.ifEmpty { possible } }
 
     private companion object {
         const val SWEEP_MS = 1_000L
+        const val EXAMINATION_MS = 100L
+
+        /** An examination so late shows that this process did not run; well below the shortest silence that counts. */
+        const val STOOD_STILL_MS = 400L
 
         /** Assumed until the configuration tells. */
         const val DEFAULT_PROMPT_MEMORY_TOKENS = 200_000L
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -290,6 +290,7 @@
             val part = nextPart(attempt, answer, send)
             when (part) {
                 is BodyPart.Data -> {
+                    target.heard()
                     val whole = attempt.events.feed(part.bytes)
                     if (whole.isEmpty()) continue
                     send.answering = true
--- a/gateway/src/main/kotlin/KeeperLink.kt
+++ b/gateway/src/main/kotlin/KeeperLink.kt
@@ -69,7 +69,7 @@
                     target.update(message)
                     changed.raise()
                 }
-                is KeeperMessage.Load -> target.load = message
+                is KeeperMessage.Load -> target.update(message)
                 is KeeperMessage.Greeting, is KeeperMessage.Usage, is KeeperMessage.Wish -> return
             }
         }
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -1,6 +1,10 @@
 package org.almondjunction.gateway
 
 import org.almondjunction.common.Clock
+import org.almondjunction.common.EventLog
+import org.almondjunction.common.LogFields
+import org.almondjunction.decisions.ConnectionAction
+import org.almondjunction.decisions.ConnectionHealth
 import org.almondjunction.keeper.KeeperMessage
 import org.almondjunction.keeper.Use
 import org.almondjunction.network.EventLoop
@@ -26,8 +30,15 @@
     var status: KeeperMessage.Status? = null
         private set
     var load = KeeperMessage.Load()
+        private set
     var keeper: KeeperLink? = null
 
+    /** Whether neither it nor its keeper has given a sign for too long while requests are in flight. */
+    var silent = false
+        private set
+
+    private var health: ConnectionHealth? = null
+    private var lastWorkMs = 0L
     private var loadingSinceMs = 0L
     private var failures = 0.0
     private var sends = 0.0
@@ -41,8 +52,10 @@
         val adapter: String?,
         val promptTokens: Long,
     ) {
+        var beganMs = 0L
         var answering = false
         var onGone: (() -> Unit)? = null
+        val silenceLimitMs: Long get() = if (model == null) PLAIN_SILENCE_MS else ENGINE_SILENCE_MS
     }
 
     /** Whether its keeper, as far as one is in touch, gets answers from it. */
@@ -75,17 +88,60 @@
         status = newStatus
         if (wasAnswering && !answering) inFlight.toList().forEach { it.onGone?.invoke() }
         if (newStatus != null) {
+            heard()
             load = newStatus.load
             (before - newStatus.models.map { it.model }.toSet()).forEach { prompts.forget(it) }
         }
     }
 
+    fun update(newLoad: KeeperMessage.Load) {
+        heard()
+        load = newLoad
+    }
+
     /** Tokens of the prompt of [request] that it still has to read, as far as known. */
     fun unreadTokens(request: ForwardedRequest): Long =
         (request.promptTokens - prompts.keptTokens(request.weights, request.parts)).coerceAtLeast(0)
 
+    /** Notes a sign of life from it or its keeper. */
+    fun heard() {
+        health?.heard(clock.nowMs())
+        if (silent) EventLog.info("target heard again", LogFields(target = entry.target))
+        silent = false
+    }
+
+    /**
+     * Examines whether it has fallen silent, and gives up what has waited too long and may be sent elsewhere.
+     *
+     * To be called several times in the shortest limit. Returns whether [silent] has changed.
+     */
+    fun examineSilence(): Boolean {
+        val nowMs = clock.nowMs()
+        val before = silent
+        if (inFlight.isNotEmpty()) lastWorkMs = nowMs
+        val action = health?.check(nowMs, working = inFlight.isNotEmpty())
+        if (action == ConnectionAction.REPLACE) {
+            silent = true
+            inFlight.filter { nowMs - it.beganMs >= it.silenceLimitMs }.forEach { it.onGone?.invoke() }
+        } else if (nowMs - lastWorkMs >= TRY_SILENT_AGAIN_MS) {
+            silent = false
+        }
+        if (silent &&
+            !before
+        ) {
+            EventLog.warn("target silent", LogFields(target = entry.target, extra = mapOf("inFlight" to "${inFlight.size}")))
+        }
+        return silent != before
+    }
+
     fun begin(send: Send) {
+        val nowMs = clock.nowMs()
+        send.beganMs = nowMs
+        val limitMs = send.silenceLimitMs
+        val examined = health ?: ConnectionHealth(limitMs, limitMs, Long.MAX_VALUE, nowMs).also { health = it }
+        examined.check(nowMs, working = inFlight.isNotEmpty())
         inFlight += send
+        examined.check(nowMs, working = true)
         val model = send.model ?: return
         uses.merge(model to null, 1, Int::plus)
         send.adapter?.let { uses.merge(model to it, 1, Int::plus) }
@@ -153,11 +209,20 @@
         inFlight.toList().forEach { it.onGone?.invoke() }
     }
 
-    private companion object {
+    companion object {
         /** Sends count for about this long: the length of the shortest troubles that are worth evading. */
-        const val MEMORY_MS = 3_000.0
+        private const val MEMORY_MS = 3_000.0
+
+        /** A keeper answers each telling of uses, every 500 ms while requests are in flight; with the way between regions. */
+        const val ENGINE_SILENCE_MS = 1_300L
+
+        /** A silent target without requests in flight is tried again after this; a keeper in touch gives a sign sooner. */
+        private const val TRY_SILENT_AGAIN_MS = 2_000L
+
+        /** Twice the latency objective of a short request on the users' sheets. */
+        private const val PLAIN_SILENCE_MS = 600L
 
         /** Successful sends assumed of a target without a record. */
-        const val TRUST = 1.5
+        private const val TRUST = 1.5
     }
 }
--- /dev/null
+++ b/gateway/src/test/kotlin/TargetSilenceTest.kt
@@ -0,0 +1,138 @@
+package org.almondjunction.gateway
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import org.almondjunction.common.Address
+import org.almondjunction.common.ServiceId
+import org.almondjunction.common.TargetId
+import org.almondjunction.common.VirtualClock
+import org.almondjunction.common.ZoneId
+import org.almondjunction.keeper.KeeperMessage
+import org.almondjunction.network.EventLoop
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+/** An engine that is dark, cut off or gone with its host, as a gateway with requests at it sees it. */
+class TargetSilenceTest {
+    private val clock = VirtualClock()
+
+    private fun entry(name: String) =
+        TargetEntry(TargetId(name), ServiceId("s"), Address("127.0.0.1", 1), ZoneId("z"), true, 4, 1, 1, emptyMap())
+
+    private fun target() = Target(EventLoop(clock), entry("t"), promptMemoryTokens = 1)
+
+    /** What happens at one moment, in milliseconds. */
+    private data class Step(
+        val atMs: Long,
+        val what: What,
+    )
+
+    private enum class What { SEND, END, TOKEN, KEEPER_ANSWER }
+
+    /** @property silentChangesMs when the target becomes silent, then sound, then silent again, and so on */
+    private data class Case(
+        val pattern: String,
+        val model: String?,
+        val steps: List<Step>,
+        val silentChangesMs: List<Long>,
+        val givenUpMs: List<Long>,
+    )
+
+    private val send = Step(0, What.SEND)
+
+    private val cases =
+        listOf(
+            Case("nothing in flight", "m", emptyList(), emptyList(), emptyList()),
+            Case("an engine that goes dark with a request", "m", listOf(send), listOf(1_300), listOf(1_300)),
+            Case("a plain target that goes dark with a request", null, listOf(send), listOf(600), listOf(600)),
+            Case(
+                "an engine that generates, until it goes dark",
+                "m",
+                listOf(send) + (1..20L).map { Step(it * 250, What.TOKEN) },
+                listOf(6_300),
+                listOf(6_300),
+            ),
+            Case(
+                "a long prompt is being read, and the keeper answers until its host is gone",
+                "m",
+                listOf(send) + (1..10L).map { Step(it * 500, What.KEEPER_ANSWER) },
+                listOf(6_300),
+                listOf(6_300),
+            ),
+            Case(
+                "an engine that comes back",
+                "m",
+                listOf(send, Step(5_000, What.KEEPER_ANSWER), Step(5_050, What.END)),
+                listOf(1_300, 5_000),
+                listOf(1_300),
+            ),
+            Case(
+                "a request that came just now is not given up yet",
+                "m",
+                listOf(send, Step(1_250, What.SEND)),
+                listOf(1_300),
+                listOf(1_300, 2_550),
+            ),
+            Case(
+                "a silent target is tried again once its requests have ended",
+                null,
+                listOf(send, Step(700, What.END)),
+                listOf(600, 2_650),
+                listOf(600),
+            ),
+        )
+
+    @Test
+    fun `a target with requests in flight is left when neither it nor its keeper gives a sign`() = cases.forEach { check(it) }
+
+    private fun check(case: Case) {
+        val target = target()
+        val begun = mutableListOf<Target.Send>()
+        val givenUpMs = mutableMapOf<Target.Send, Long>()
+        val changesMs = mutableListOf<Long>()
+        val startMs = clock.nowMs()
+        for (atMs in 0..LENGTH_MS step EXAMINATION_MS) {
+            val before = target.silent
+            case.steps.filter { it.atMs == atMs }.forEach { step ->
+                when (step.what) {
+                    What.SEND -> {
+                        val send = Target.Send(case.model, null, promptTokens = 1)
+                        send.onGone = { givenUpMs.putIfAbsent(send, clock.nowMs() - startMs) }
+                        begun += send
+                        target.begin(send)
+                    }
+                    What.END -> target.end(begun.removeFirst())
+                    What.TOKEN -> target.heard()
+                    What.KEEPER_ANSWER -> target.update(KeeperMessage.Load())
+                }
+            }
+            target.examineSilence()
+            if (target.silent != before) changesMs += atMs
+            clock.advanceBy(EXAMINATION_MS)
+        }
+        assertEquals(case.silentChangesMs, changesMs, case.pattern)
+        assertEquals(case.givenUpMs, givenUpMs.values.toList(), case.pattern)
+    }
+
+    @Test
+    fun `a silent target gets no requests unless all are silent`() {
+        val fleet = Fleet(EventLoop(clock), CoroutineScope(SupervisorJob()), "g", 1, GatewayState())
+        val service = ServiceId("s")
+        listOf("t0", "t1").forEach { fleet.apply(TargetDirectory.Change.Put(entry(it))) }
+        val (first, second) = fleet.ready(service)
+        val expected = listOf(listOf(first, second), listOf(second), listOf(first, second))
+        val actual =
+            listOf(null, first, second).map { darkened ->
+                darkened?.begin(Target.Send("m", null, promptTokens = 1))
+                clock.advanceBy(Target.ENGINE_SILENCE_MS)
+                darkened?.examineSilence()
+                fleet.ready(service)
+            }
+        assertEquals(expected, actual)
+    }
+
+    private companion object {
+        const val LENGTH_MS = 12_000L
+        const val EXAMINATION_MS = 50L
+    }
+}
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -102,13 +102,20 @@
             }
             is KeeperMessage.Usage -> {
                 usage.record(session.gateway, message.uses, clock.nowMs())
-                if (clock.nowMs() - session.sentMs >= STATUS_INTERVAL_MS) push(session.also { it.dirty = true })
+                answerUsage(session)
             }
             is KeeperMessage.Wish -> begin(message)
             is KeeperMessage.Status, is KeeperMessage.Load -> session.channel.close()
         }
     }
 
+    /** A gateway with requests in flight takes the silence of a keeper for that of its engine. */
+    private fun answerUsage(session: Session) {
+        session.loadDirty = true
+        if (clock.nowMs() - session.sentMs >= STATUS_INTERVAL_MS) session.dirty = true
+        push(session)
+    }
+
     private suspend fun refresh(): EngineSnapshot? {
         val before = snapshot
         val now = engine.report()
--- a/keeper/src/test/kotlin/KeeperTest.kt
+++ b/keeper/src/test/kotlin/KeeperTest.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.almondjunction.common.Address
 import org.almondjunction.common.Clock
 import org.almondjunction.common.SystemClock
@@ -255,6 +256,31 @@
         asking.cancel()
     }
 
+    @Test
+    fun `each telling of uses is answered, so that a gateway notices an engine that is gone with its host`() {
+        val loop = EventLoop()
+        val scope = CoroutineScope(SupervisorJob() + loop)
+        val keeper = Keeper(scope, loop.clock, FakeEngine(Random(1), scope, loop.clock), firstFence = 7)
+        val listener = TcpListener(loop, Address("127.0.0.1", 0)) { keeper.accept(it) }
+        var answers = 0
+        keeper.start()
+        scope.launch {
+            val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", listener.port), NEVER_MS)))
+            channel.send(KeeperMessage.Greeting("g"))
+            withTimeoutOrNull(NEVER_MS) {
+                while (channel.receive() as? KeeperMessage.Status == null) continue
+                repeat(TELLINGS) {
+                    channel.send(KeeperMessage.Usage(listOf(Use("m1", null, count = 0, inFlight = 1))))
+                    if (channel.receive() != null) answers++
+                }
+            }
+            loop.stop()
+        }
+        loop.run()
+        listener.close()
+        assertEquals(TELLINGS, answers)
+    }
+
     @Test
     fun `every gateway hears what the engine holds and who else is connected`() {
         val engine =
@@ -264,4 +290,11 @@
             }
         assertTrue(engine.orders > 0)
     }
+
+    private companion object {
+        const val TELLINGS = 10
+
+        /** Ends a test that would hang; far beyond what any machine needs. */
+        const val NEVER_MS = 300_000L
+    }
 }
