The caller of a silent engine is told before it leaves

What counts are streams that may run once, begun or queued at the engine before it fell silent: their callers left 3.2 s after the last sign, some after the engine's entry had gone. Nobody had told them anything. Ruled out: new requests (after 25.9 s none went there). Change: a request at a silent target that cannot be sent elsewhere ends with 502, or its stream is cut, 250 ms before its caller's patience ends; also where the target is no longer listed. Leaving a target now closes the exchange, so the extra coroutine of each repeatable send is gone.

--- a/gateway/src/main/kotlin/Fleet.kt
+++ b/gateway/src/main/kotlin/Fleet.kt
@@ -46,6 +46,9 @@
 ) {
     private val targets = mutableMapOf<TargetId, Target>()
 
+    /** Targets that are no longer listed and still answer requests. */
+    private val departed = mutableSetOf<Target>()
+
     /** Names of the gateways that keepers see. */
     val gateways: Set<String>
         get() = targets.values.flatMapTo(mutableSetOf(gateway)) { it.status?.gateways.orEmpty() }
@@ -69,6 +72,8 @@
             val stoodStill = nowMs - examinedMs > STOOD_STILL_MS
             examinedMs = nowMs
             if (stoodStill) targets.values.forEach { it.heard() }
+            departed.removeIf { it.inFlight.isEmpty() }
+            departed.toList().forEach { it.examineSilence() }
             if (targets.values.toList().count { it.examineSilence() } > 0) state.changed.raise()
         }
     }
@@ -76,7 +81,7 @@
     fun apply(change: TargetDirectory.Change) {
         when (change) {
             is TargetDirectory.Change.Put -> put(change.entry)
-            is TargetDirectory.Change.Removed -> targets.remove(change.target)?.close()
+            is TargetDirectory.Change.Removed -> targets.remove(change.target)?.let { depart(it) }
         }
         state.changed.raise()
     }
@@ -87,12 +92,17 @@
         if (known != null && same) {
             known.update(entry)
         } else {
-            known?.close()
+            known?.let { depart(it) }
             targets[entry.target] = Target(loop, entry, promptMemoryOf(entry.service))
         }
         link(targets.getValue(entry.target))
     }
 
+    private fun depart(target: Target) {
+        target.close()
+        if (target.inFlight.isNotEmpty()) departed += target
+    }
+
     /** Dials the keepers of engines whose services are known by now. */
     fun linkAll(): Unit = targets.values.forEach { link(it) }
 
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -1,10 +1,7 @@
 package org.almondjunction.gateway
 
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import org.almondjunction.common.Clock
 import org.almondjunction.common.EventLog
@@ -50,6 +47,9 @@
         var failure: SendAnswer.Answered? = null
         var failureBody: ByteArray? = null
 
+        /** When the caller came, or last got a part of the answer. */
+        var lastSignMs = request.arrivedMs
+
         val timeLeftMs get() = request.endMs - clock.nowMs()
     }
 
@@ -140,8 +140,9 @@
         attempt: Attempt,
     ): ForwardingStep? {
         val request = attempt.request
-        val send = Target.Send(request.model, request.adapter, target.unreadTokens(request))
+        val send = sendOf(request, target, attempt)
         val exchange = Exchange(scope, target, names)
+        send.leave = { exchange.close() }
         target.begin(send)
         attempt.tried[target] = clock.nowMs()
         attempt.lastTarget = target
@@ -149,10 +150,7 @@
         try {
             target.prompts.add(request.weights, request.parts)
             val younger = if (request.route.repeat == RepeatKind.ONCE) KEPT_FOR_ONCE_MS else KEPT_MS
-            val answer =
-                unlessGone(scope, send, request.route.repeat) {
-                    exchange.send(request, headersFor(target, attempt), younger, attempt.timeLeftMs)
-                } ?: SendAnswer.Unserved(SendResult.Lost, "the target is gone")
+            val answer = exchange.send(request, headersFor(target, attempt), younger, attempt.timeLeftMs)
             return when (answer) {
                 is SendAnswer.Unserved -> unserved(target, exchange, attempt, answer)
                 is SendAnswer.Answered -> answered(target, exchange, attempt, answer, send)
@@ -163,25 +161,18 @@
         }
     }
 
-    /** Runs [block] unless the target vanishes first and the request may be repeated; then returns null. */
-    private suspend fun <T : Any> unlessGone(
-        scope: CoroutineScope,
-        send: Target.Send,
-        repeat: RepeatKind,
-        block: suspend () -> T,
-    ): T? {
-        if (repeat == RepeatKind.ONCE) return block()
-        val gone = CompletableDeferred<Unit>()
-        send.onGone = { gone.complete(Unit) }
-        val work = scope.async { block() }
-        return select {
-            work.onAwait { it }
-            gone.onAwait {
-                work.cancel()
-                null
-            }
-        }
-    }
+    private fun sendOf(
+        request: ForwardedRequest,
+        target: Target,
+        attempt: Attempt,
+    ) = Send(
+        model = request.model,
+        adapter = request.adapter,
+        promptTokens = target.unreadTokens(request),
+        repeatable = request.route.repeat != RepeatKind.ONCE,
+        patienceMs = request.route.callerPatienceMs,
+        lastSignMs = attempt.lastSignMs,
+    )
 
     private fun headersFor(
         target: Target,
@@ -249,7 +240,7 @@
         exchange: Exchange,
         attempt: Attempt,
         answer: SendAnswer.Answered,
-        send: Target.Send,
+        send: Send,
     ): ForwardingStep? {
         val succeeded = answer.head.status in SUCCESS
         if (succeeded && attempt.request.route.streaming) return relay(target, exchange, attempt, answer, send)
@@ -284,7 +275,7 @@
         exchange: Exchange,
         attempt: Attempt,
         answer: SendAnswer.Answered,
-        send: Target.Send,
+        send: Send,
     ): ForwardingStep? {
         while (true) {
             val part = nextPart(attempt, answer, send)
@@ -294,6 +285,8 @@
                     val whole = attempt.events.feed(part.bytes)
                     if (whole.isEmpty()) continue
                     send.answering = true
+                    attempt.lastSignMs = clock.nowMs()
+                    send.lastSignMs = attempt.lastSignMs
                     if (!attempt.answer.begun) {
                         metrics.record(MetricName.TIME_TO_FIRST_TOKEN, clock.nowMs() - attempt.request.arrivedMs)
                         attempt.answer.begin(answer.head)
@@ -318,7 +311,7 @@
     private suspend fun nextPart(
         attempt: Attempt,
         answer: SendAnswer.Answered,
-        send: Target.Send,
+        send: Send,
     ): BodyPart {
         val route = attempt.request.route
         if (route.repeat != RepeatKind.RESUMABLE || !send.answering) return answer.body.next()
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -46,18 +46,6 @@
     private val uses = mutableMapOf<Pair<String, String?>, Int>()
     private val lastAskedMs = mutableMapOf<Pair<String, String?>, Long>()
 
-    /** A request on its way or being answered at this target. */
-    class Send(
-        val model: String?,
-        val adapter: String?,
-        val promptTokens: Long,
-    ) {
-        var beganMs = 0L
-        var answering = false
-        var onGone: (() -> Unit)? = null
-        val silenceLimitMs: Long get() = if (model == null) PLAIN_SILENCE_MS else ENGINE_SILENCE_MS
-    }
-
     /** Whether its keeper, as far as one is in touch, gets answers from it. */
     val answering: Boolean get() = status?.answering ?: true
 
@@ -86,7 +74,7 @@
         if (newStatus?.loading != status?.loading) loadingSinceMs = clock.nowMs()
         val wasAnswering = answering
         status = newStatus
-        if (wasAnswering && !answering) inFlight.toList().forEach { it.onGone?.invoke() }
+        if (wasAnswering && !answering) inFlight.toList().forEach { it.leaveIfRepeatable() }
         if (newStatus != null) {
             heard()
             load = newStatus.load
@@ -122,7 +110,7 @@
         val action = health?.check(nowMs, working = inFlight.isNotEmpty())
         if (action == ConnectionAction.REPLACE) {
             silent = true
-            inFlight.filter { nowMs - it.beganMs >= it.silenceLimitMs }.forEach { it.onGone?.invoke() }
+            inFlight.toList().forEach { it.leaveIfHopeless(nowMs) }
         } else if (nowMs - lastWorkMs >= TRY_SILENT_AGAIN_MS) {
             silent = false
         }
@@ -206,23 +194,17 @@
         gone = true
         pool.close()
         keeper?.close()
-        inFlight.toList().forEach { it.onGone?.invoke() }
+        inFlight.toList().forEach { it.leaveIfRepeatable() }
     }
 
-    companion object {
+    private companion object {
         /** Sends count for about this long: the length of the shortest troubles that are worth evading. */
-        private const val MEMORY_MS = 3_000.0
-
-        /** A keeper answers each telling of uses, every 500 ms while requests are in flight; with the way between regions. */
-        const val ENGINE_SILENCE_MS = 1_300L
+        const val MEMORY_MS = 3_000.0
 
         /** A silent target without requests in flight is tried again after this; a keeper in touch gives a sign sooner. */
-        private const val TRY_SILENT_AGAIN_MS = 2_000L
-
-        /** Twice the latency objective of a short request on the users' sheets. */
-        private const val PLAIN_SILENCE_MS = 600L
+        const val TRY_SILENT_AGAIN_MS = 2_000L
 
         /** Successful sends assumed of a target without a record. */
-        private const val TRUST = 1.5
+        const val TRUST = 1.5
     }
 }
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -75,13 +75,26 @@
         streaming: Boolean,
         engine: EnginePlan? = null,
         hosts: List<String> = List(TARGETS) { LOOPBACK },
+        callerPatienceMs: Long = 60_000,
     ) {
         val started = CountDownLatch(1)
         scope.launch {
             val service = ServiceId("s")
             gateway.start()
             val route =
-                Route("r", "h", "/", repeat, streaming, listOf(Destination(service, 1.0)), 20_000, 10_000, 0, maximumTargets = 2)
+                Route(
+                    name = "r",
+                    host = "h",
+                    pathPrefix = "/",
+                    repeat = repeat,
+                    streaming = streaming,
+                    destinations = listOf(Destination(service, 1.0)),
+                    timeoutMs = 20_000,
+                    latencyObjectiveMs = 10_000,
+                    priority = 0,
+                    maximumTargets = 2,
+                    callerPatienceMs = callerPatienceMs,
+                )
             gateway.accept(GatewayConfiguration(1, listOf(route), mapOf(service to ServicePlan(service, 9, engine))))
             hosts.forEachIndexed { index, host ->
                 val listener = TcpListener(loop, Address(host, 0)) { connection -> scope.launch { target(connection) } }
@@ -236,6 +249,23 @@
         assertEquals(ReadResult.RESET, end)
     }
 
+    @Test
+    fun `a request that may be repeated leaves a silent target for another one`() {
+        start(RepeatKind.RESUMABLE, streaming = true)
+        script += { _, _ -> }
+        script += raw(streamHead + chunk(events(1)) + "0\r\n\r\n")
+        assertEquals(events(1) + "|end", unchunk(ask()))
+        assertEquals(2, seen.size)
+    }
+
+    @Test
+    fun `the caller of a silent target is told before it leaves`() {
+        start(RepeatKind.ONCE, streaming = true, callerPatienceMs = 100)
+        script += { _, _ -> }
+        assertEquals("HTTP/1.1 502", ask().take("HTTP/1.1 502".length))
+        assertEquals(1, seen.size)
+    }
+
     @Test
     fun `what only the system sets is not taken from callers, and the deadline shrinks`() {
         start(RepeatKind.ONCE, streaming = false)
--- a/gateway/src/test/kotlin/TargetSilenceTest.kt
+++ b/gateway/src/test/kotlin/TargetSilenceTest.kt
@@ -36,6 +36,7 @@
         val steps: List<Step>,
         val silentChangesMs: List<Long>,
         val givenUpMs: List<Long>,
+        val repeatable: Boolean = true,
     )
 
     private val send = Step(0, What.SEND)
@@ -87,8 +88,8 @@
 
     private fun check(case: Case) {
         val target = target()
-        val begun = mutableListOf<Target.Send>()
-        val givenUpMs = mutableMapOf<Target.Send, Long>()
+        val begun = mutableListOf<Send>()
+        val givenUpMs = mutableMapOf<Send, Long>()
         val changesMs = mutableListOf<Long>()
         val startMs = clock.nowMs()
         for (atMs in 0..LENGTH_MS step EXAMINATION_MS) {
@@ -96,8 +97,8 @@
             case.steps.filter { it.atMs == atMs }.forEach { step ->
                 when (step.what) {
                     What.SEND -> {
-                        val send = Target.Send(case.model, null, promptTokens = 1)
-                        send.onGone = { givenUpMs.putIfAbsent(send, clock.nowMs() - startMs) }
+                        val send = Send(case.model, null, 1, case.repeatable, patienceMs = 3_200, lastSignMs = clock.nowMs())
+                        send.leave = { givenUpMs.putIfAbsent(send, clock.nowMs() - startMs) }
                         begun += send
                         target.begin(send)
                     }
@@ -123,8 +124,8 @@
         val expected = listOf(listOf(first, second), listOf(second), listOf(first, second))
         val actual =
             listOf(null, first, second).map { darkened ->
-                darkened?.begin(Target.Send("m", null, promptTokens = 1))
-                clock.advanceBy(Target.ENGINE_SILENCE_MS)
+                darkened?.begin(Send("m", null, promptTokens = 1))
+                clock.advanceBy(Send.ENGINE_SILENCE_MS)
                 darkened?.examineSilence()
                 fleet.ready(service)
             }
