--- a/bench/src/main/kotlin/LocalCluster.kt
+++ b/bench/src/main/kotlin/LocalCluster.kt
@@ -35,6 +35,7 @@
 import java.net.http.HttpResponse
 import java.nio.file.Files
 import java.nio.file.Path
+import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import kotlin.io.path.writeText
 
@@ -80,6 +81,7 @@
         }
     }
 
+    private val watchdog = Executors.newSingleThreadScheduledExecutor { Thread(it).apply { isDaemon = true } }
     private val directory = Files.createTempDirectory("almondjunction-test")
     private val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
     private val platformAddress = address()
@@ -115,6 +117,7 @@
                 )
             }
         serviceAgent = node("agent", "booking", agentSettings("booking", "plain", serviceAgentAddress, serviceAddress, address()))
+        watchdog.schedule({ endHungRun() }, HUNG_RUN_MIN, TimeUnit.MINUTES)
         repeat(entries) { awaitReady(it) }
     }
 
@@ -342,7 +345,15 @@
     /** Sends a streaming request and returns its lines as they arrive. */
     fun lines(request: HttpRequest): Iterator<String> = client.send(request, HttpResponse.BodyHandlers.ofLines()).body().iterator()
 
+    /** Ends every wait on a cluster that has hung, so that its test fails and says where it was. */
+    private fun endHungRun() {
+        System.err.println("The cluster in $directory has run for $HUNG_RUN_MIN minutes. What every thread waits for:")
+        Thread.getAllStackTraces().forEach { (thread, frames) -> System.err.println("$thread\n  ${frames.joinToString("\n  ")}") }
+        (entryNodes + agentNodes + serviceAgent).forEach { it.kill() }
+    }
+
     override fun close() {
+        watchdog.shutdownNow()
         relays.forEach { it.close() }
         (entryNodes + agentNodes + serviceAgent).forEach { it.kill() }
         directory.toFile().deleteRecursively()
@@ -352,6 +363,9 @@
         const val TOKEN = "test-token"
         const val ENGINE_MEMORY_MB = 100L
         private const val EXIT_LIMIT_S = 120L
+
+        /** Far beyond the seconds that any run on a cluster takes, also on a busy machine. */
+        private const val HUNG_RUN_MIN = 20L
         private const val EVENTUALLY_LIMIT_MS = 90_000L
         private const val EVENTUALLY_STEP_MS = 50L
 
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -73,7 +73,7 @@
         val before = status?.models.orEmpty().map { it.model }
         if (newStatus?.loading != status?.loading) loadingSinceMs = clock.nowMs()
         val wasAnswering = answering
-        status = newStatus
+        status = newStatus?.copy(gateways = newStatus.gateways ?: status?.gateways)
         if (wasAnswering && !answering) inFlight.toList().forEach { it.leaveIfRepeatable() }
         if (newStatus != null) {
             heard()
--- a/gateway/src/main/kotlin/TargetDirectory.kt
+++ b/gateway/src/main/kotlin/TargetDirectory.kt
@@ -53,11 +53,21 @@
 
     private val entries = mutableMapOf<TargetId, TargetEntry>()
     private val lapsed = mutableMapOf<TargetId, Long>()
+    private val occupants = mutableMapOf<Address, TargetId>()
 
-    /** Takes an entry; one that the target wrote before the one already known is left out. */
+    /**
+     * Takes an entry; one that the target wrote before the one already known is left out.
+     *
+     * Where two targets are listed at one address, only the one that started later can be alive.
+     */
     public fun put(entry: TargetEntry) {
         val known = entries[entry.target]
         if (known != null && isOlder(entry, known)) return
+        val occupant = occupants[entry.address]?.takeIf { it != entry.target }?.let { entries[it] }
+        if (occupant != null && occupant.bornMs > entry.bornMs) return drop(entry.target)
+        if (occupant != null && occupant.bornMs < entry.bornMs) drop(occupant.target)
+        if (known != null && known.address != entry.address) occupants.remove(known.address, entry.target)
+        occupants[entry.address] = entry.target
         lapsed -= entry.target
         entries[entry.target] = entry
         if (known?.copy(sequence = entry.sequence) == entry) return
@@ -102,7 +112,8 @@
 
     private fun drop(target: TargetId) {
         lapsed -= target
-        if (entries.remove(target) == null) return
+        val entry = entries.remove(target) ?: return
+        occupants.remove(entry.address, target)
         log("target gone", target, emptyMap())
         onChange(Change.Removed(target))
     }
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -36,6 +36,8 @@
         var dirty = false
         var loadDirty = false
         var sentMs = 0L
+        var statusSentMs = 0L
+        var gatewaysSent: List<String>? = null
     }
 
     private val sessions = mutableSetOf<Session>()
@@ -51,6 +53,7 @@
     private var fence = firstFence
     private var snapshot: EngineSnapshot? = null
     private var misses = 0
+    private var gatewaysChanged = false
 
     /** When the engine was last heard, or a gateway last came for it. */
     private var expectedMs = clock.nowMs()
@@ -86,7 +89,7 @@
             session.channel.close()
             sessions -= session
             usage.forget(session.gateway)
-            markDirty()
+            tellOfGateways()
         }
     }
 
@@ -98,7 +101,8 @@
             is KeeperMessage.Greeting -> {
                 session.gateway = message.gateway
                 expectedMs = clock.nowMs()
-                markDirty()
+                push(session.also { it.dirty = true })
+                tellOfGateways()
             }
             is KeeperMessage.Usage -> {
                 usage.record(session.gateway, message.uses, clock.nowMs())
@@ -112,10 +116,21 @@
     /** A gateway with requests in flight takes the silence of a keeper for that of its engine. */
     private fun answerUsage(session: Session) {
         session.loadDirty = true
-        if (clock.nowMs() - session.sentMs >= STATUS_INTERVAL_MS) session.dirty = true
+        if (clock.nowMs() - session.statusSentMs >= STATUS_INTERVAL_MS) session.dirty = true
         push(session)
     }
 
+    /** Tells all gateways that one has come or gone; many that come at once are told of together. */
+    private fun tellOfGateways() {
+        if (gatewaysChanged) return
+        gatewaysChanged = true
+        scope.launch {
+            delay(GATEWAYS_GATHER_MS)
+            gatewaysChanged = false
+            markDirty()
+        }
+    }
+
     private suspend fun refresh(): EngineSnapshot? {
         val before = snapshot
         val now = engine.report()
@@ -150,7 +165,7 @@
     private fun markLoad(): Unit =
         sessions.forEach { session ->
             session.loadDirty = true
-            if (clock.nowMs() - session.sentMs >= LOAD_INTERVAL_MS) push(session)
+            if (clock.nowMs() - session.sentMs >= maxOf(LOAD_INTERVAL_MS, sessions.size * LOAD_SPACING_MS)) push(session)
         }
 
     private fun push(session: Session) {
@@ -158,7 +173,7 @@
         session.sending = true
         scope.launch {
             while (session.dirty || session.loadDirty) {
-                val message = if (session.dirty) status() else load()
+                val message = if (session.dirty) statusFor(session) else load()
                 session.dirty = false
                 session.loadDirty = false
                 session.sentMs = clock.nowMs()
@@ -170,7 +185,15 @@
 
     private fun load() = snapshot?.let { KeeperMessage.Load(it.queued, it.active, it.kvUsed) } ?: KeeperMessage.Load()
 
-    private fun status(): KeeperMessage.Status {
+    private fun statusFor(session: Session): KeeperMessage.Status {
+        val gateways = sessions.map { it.gateway }.filter { it.isNotEmpty() }.distinct()
+        val changed = gateways.takeIf { it != session.gatewaysSent }
+        session.gatewaysSent = gateways
+        session.statusSentMs = clock.nowMs()
+        return status(changed)
+    }
+
+    private fun status(gateways: List<String>?): KeeperMessage.Status {
         val nowMs = clock.nowMs()
         val current = snapshot
         return KeeperMessage.Status(
@@ -189,7 +212,7 @@
             wished = modelWishes.models(nowMs),
             inMemory = current?.inMemory.orEmpty(),
             onDisk = current?.onDisk.orEmpty(),
-            gateways = sessions.map { it.gateway }.filter { it.isNotEmpty() }.distinct(),
+            gateways = gateways,
             load = load(),
             busy = current?.busy ?: false,
             answering = current != null,
@@ -430,6 +453,12 @@
         /** Least time between two messages about the load alone. */
         const val LOAD_INTERVAL_MS = 200L
 
+        /** Time between two messages about the load to different gateways, so that their number does not grow with the fleet. */
+        const val LOAD_SPACING_MS = 40L
+
+        /** Time in which gateways that start together have all come. */
+        const val GATEWAYS_GATHER_MS = 300L
+
         /** Longest time between two full statuses while gateways talk. */
         const val STATUS_INTERVAL_MS = 2_000L
 
--- a/keeper/src/main/kotlin/KeeperMessage.kt
+++ b/keeper/src/main/kotlin/KeeperMessage.kt
@@ -46,7 +46,7 @@
      * @property loading model that is being loaded
      * @property wished models that will be loaded after it
      * @property answering whether the engine answers its keeper
-     * @property gateways names of all gateways that are connected
+     * @property gateways names of all gateways that are connected; null where they are as in the last status
      */
     @Serializable
     @SerialName("s")
@@ -57,7 +57,7 @@
         val wished: List<String> = emptyList(),
         val inMemory: List<String> = emptyList(),
         val onDisk: List<String> = emptyList(),
-        val gateways: List<String> = emptyList(),
+        val gateways: List<String>? = null,
         val load: Load = Load(),
         val busy: Boolean = false,
         val answering: Boolean = true,
--- a/protocol/src/main/kotlin/Connection.kt
+++ b/protocol/src/main/kotlin/Connection.kt
@@ -57,7 +57,7 @@
     /** Ends the connection at once. */
     public fun close() {
         closed = true
-        outgoing.close()
+        outgoing.cancel()
         socket.close()
         jobs.forEach { it.cancel() }
     }
@@ -71,7 +71,8 @@
             scope.launch(start = CoroutineStart.LAZY) {
                 guarded { read { onMessage(this@Connection, it) } }
                 closed = true
-                outgoing.close()
+                // Whoever waits for room in the queue must not wait for ever.
+                outgoing.cancel()
                 socket.close()
                 writer.cancel()
                 onClosed(this@Connection)
--- a/standins/src/main/kotlin/Generation.kt
+++ b/standins/src/main/kotlin/Generation.kt
@@ -86,6 +86,7 @@
         flow {
             var position = offset
             while (true) {
+                val wasEnded = ended
                 val part =
                     synchronized(bytes) {
                         bytes.toByteArray().let {
@@ -101,7 +102,7 @@
                 if (part != null) {
                     emit(part)
                     position += part.size
-                } else if (ended) {
+                } else if (wasEnded) {
                     return@flow
                 } else {
                     length.first { it < 0 || it > position }
