Before callers come, replicas tell which models are busy

Change: the discount for replicas elsewhere applies to demand that was seen; the demand that is assumed grows with the replicas.

--- a/decisions/src/main/kotlin/EvictionPlan.kt
+++ b/decisions/src/main/kotlin/EvictionPlan.kt
@@ -62,7 +62,8 @@
 
     private fun costMs(candidate: EvictionCandidate): Double {
         val share = if (candidate.otherCopies > 0) SHARE_OF_COPY else 1.0
-        return (candidate.requestsPerSecond + LEAST_REQUESTS_PER_SECOND) * candidate.reloadMs * share * HORIZON_S
+        val assumed = LEAST_REQUESTS_PER_SECOND * (1 + candidate.otherCopies.coerceAtMost(MOST_TELLING_COPIES))
+        return (candidate.requestsPerSecond * share + assumed) * candidate.reloadMs * HORIZON_S
     }
 
     /** A model that was asked for more recently is likely to be asked for again; a few times the gap of a busy model. */
@@ -71,9 +72,12 @@
     /** Time in which requests in progress end once no new ones come; a typical answer on the users' sheets. */
     private const val DRAIN_MS = 1_200L
 
-    /** Demand assumed of a model that has not been asked for, one request in fifty seconds. */
+    /** Demand assumed of a model that has not been asked for, one request in fifty seconds for each of its replicas. */
     private const val LEAST_REQUESTS_PER_SECOND = 0.02
 
+    /** Before callers come, replicas tell which models are busy; more of them than this tell nothing more. */
+    private const val MOST_TELLING_COPIES = 3
+
     /** Part of the demand that the loss of one of several replicas touches. */
     private const val SHARE_OF_COPY = 0.25
 
--- a/decisions/src/test/kotlin/EvictionPlanTest.kt
+++ b/decisions/src/test/kotlin/EvictionPlanTest.kt
@@ -48,6 +48,12 @@
                 listOf("old"),
             ),
             Case("a copy goes before the last replica", listOf(held("last"), held("copy", otherCopies = 1)), 60_000, listOf("copy")),
+            Case(
+                "before callers come: a model with replicas elsewhere is a busy one and stays",
+                listOf(held("busy", requestsPerSecond = 0.0, otherCopies = 1), held("rare", requestsPerSecond = 0.0)),
+                60_000,
+                listOf("rare"),
+            ),
             Case("what its host can load again goes first", listOf(held("remote", reloadMs = 6_000), held("disk")), 60_000, listOf("disk")),
             Case("two small ones for a large one", listOf(held("s1", 34_300), held("s2", 34_300)), 60_000, listOf("s1", "s2")),
             Case("one of the right size instead of two", listOf(held("s1", 34_300), held("s2", 34_300), held("b")), 60_000, listOf("b")),
