--- a/keeper/src/test/kotlin/KeeperTest.kt
+++ b/keeper/src/test/kotlin/KeeperTest.kt
@@ -283,6 +283,38 @@
         assertEquals(TELLINGS, answers)
     }
 
+    @Test
+    fun `rates of use are told again and again, also while each telling of uses is answered with the load alone`() {
+        val loop = EventLoop(UnhurriedClock())
+        val scope = CoroutineScope(SupervisorJob() + loop)
+        val keeper = Keeper(scope, loop.clock, FakeEngine(Random(1), scope, loop.clock), firstFence = 7)
+        val listener = TcpListener(loop, Address("127.0.0.1", 0)) { keeper.accept(it) }
+        val rates = mutableListOf<Float>()
+        keeper.start()
+        scope.launch {
+            val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", listener.port), NEVER_MS)))
+            channel.send(KeeperMessage.Greeting("g"))
+            val telling =
+                launch {
+                    while (true) {
+                        channel.send(KeeperMessage.Usage(listOf(Use("m1", null, count = 1, inFlight = 1))))
+                        delay(100)
+                    }
+                }
+            withTimeoutOrNull(NEVER_MS) {
+                while (rates.count { it > 0 } < STATUSES) {
+                    val status = channel.receive() as? KeeperMessage.Status ?: continue
+                    rates += status.models.map { it.requestsPerSecond }
+                }
+            }
+            telling.cancel()
+            loop.stop()
+        }
+        loop.run()
+        listener.close()
+        assertEquals(STATUSES, rates.count { it > 0 })
+    }
+
     @Test
     fun `every gateway hears what the engine holds and who else is connected`() {
         val engine =
@@ -295,6 +327,7 @@
 
     private companion object {
         const val TELLINGS = 10
+        const val STATUSES = 2
 
         /** Ends a test that would hang; far beyond what any machine needs. */
         const val NEVER_MS = 300_000L
