--- a/keeper/src/test/kotlin/KeeperTest.kt
+++ b/keeper/src/test/kotlin/KeeperTest.kt
@@ -150,16 +150,26 @@
         seed: Int,
         wishes: List<KeeperMessage.Wish>,
         wanted: (KeeperMessage.Status) -> Boolean,
+    ): FakeEngine =
+        withKeeper(seed) { loop, port, _ ->
+            val gateways = List(2) { index -> launch { gateway(loop, port, "g$index", wishes, wanted) } }
+            gateways.forEach { it.join() }
+        }
+
+    /** Runs [gateways] against a keeper on loopback until they end, and returns its engine. */
+    private fun withKeeper(
+        seed: Int,
+        clock: Clock = SystemClock,
+        gateways: suspend CoroutineScope.(loop: EventLoop, port: Int, engine: FakeEngine) -> Unit,
     ): FakeEngine {
-        val loop = EventLoop()
+        val loop = EventLoop(clock)
         val scope = CoroutineScope(SupervisorJob() + loop)
         val engine = FakeEngine(Random(seed), scope, loop.clock)
         val keeper = Keeper(scope, loop.clock, engine, firstFence = 7)
         val listener = TcpListener(loop, Address("127.0.0.1", 0)) { keeper.accept(it) }
         keeper.start()
         scope.launch {
-            val gateways = List(2) { index -> launch { gateway(loop, listener.port, "g$index", wishes, wanted) } }
-            gateways.forEach { it.join() }
+            gateways(loop, listener.port, engine)
             loop.stop()
         }
         loop.run()
@@ -214,18 +224,7 @@
     @Test
     fun `rare models at once - a model in use takes no new requests and makes way when its last one ends`() {
         for (seed in 1..3) {
-            val loop = EventLoop(UnhurriedClock())
-            val scope = CoroutineScope(SupervisorJob() + loop)
-            val engine = FakeEngine(Random(seed), scope, loop.clock)
-            val keeper = Keeper(scope, loop.clock, engine, firstFence = 7)
-            val listener = TcpListener(loop, Address("127.0.0.1", 0)) { keeper.accept(it) }
-            keeper.start()
-            scope.launch {
-                useAndEnd(loop, listener.port, engine)
-                loop.stop()
-            }
-            loop.run()
-            listener.close()
+            val engine = withKeeper(seed, UnhurriedClock()) { loop, port, engine -> useAndEnd(loop, port, engine) }
             assertEquals(emptyList(), engine.faults, "seed $seed")
         }
     }
@@ -260,14 +259,9 @@
 
     @Test
     fun `each telling of uses is answered, so that a gateway notices an engine that is gone with its host`() {
-        val loop = EventLoop()
-        val scope = CoroutineScope(SupervisorJob() + loop)
-        val keeper = Keeper(scope, loop.clock, FakeEngine(Random(1), scope, loop.clock), firstFence = 7)
-        val listener = TcpListener(loop, Address("127.0.0.1", 0)) { keeper.accept(it) }
         var answers = 0
-        keeper.start()
-        scope.launch {
-            val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", listener.port), NEVER_MS)))
+        withKeeper(seed = 1) { loop, port, _ ->
+            val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), NEVER_MS)))
             channel.send(KeeperMessage.Greeting("g"))
             withTimeoutOrNull(NEVER_MS) {
                 while (channel.receive() as? KeeperMessage.Status == null) continue
@@ -276,23 +270,15 @@
                     if (channel.receive() != null) answers++
                 }
             }
-            loop.stop()
         }
-        loop.run()
-        listener.close()
         assertEquals(TELLINGS, answers)
     }
 
     @Test
     fun `rates of use are told again and again, also while each telling of uses is answered with the load alone`() {
-        val loop = EventLoop(UnhurriedClock())
-        val scope = CoroutineScope(SupervisorJob() + loop)
-        val keeper = Keeper(scope, loop.clock, FakeEngine(Random(1), scope, loop.clock), firstFence = 7)
-        val listener = TcpListener(loop, Address("127.0.0.1", 0)) { keeper.accept(it) }
         val rates = mutableListOf<Float>()
-        keeper.start()
-        scope.launch {
-            val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", listener.port), NEVER_MS)))
+        withKeeper(seed = 1, UnhurriedClock()) { loop, port, _ ->
+            val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), NEVER_MS)))
             channel.send(KeeperMessage.Greeting("g"))
             val telling =
                 launch {
@@ -308,10 +294,7 @@
                 }
             }
             telling.cancel()
-            loop.stop()
         }
-        loop.run()
-        listener.close()
         assertEquals(STATUSES, rates.count { it > 0 })
     }
 
