A gateway that goes begins no answer it cannot finish; bytes without end, hostile readings and a changed settings file

Change: AnswerDurations learns wait and time per token of each route; what would not end before the process does is refused as not run.

--- a/common/src/main/kotlin/Metrics.kt
+++ b/common/src/main/kotlin/Metrics.kt
@@ -61,6 +61,7 @@
     RETRIES("retries"),
     RECONNECTIONS("reconnections"),
     PROTOCOL_ERRORS("protocol.errors"),
+    UNEXPECTED_ERRORS("unexpected.errors"),
     PLATFORM_CALLS("platform.calls"),
     PLATFORM_FAILURES("platform.failures"),
     CROSS_REGION_BYTES("cross.region.bytes"),
--- a/decisions/src/main/kotlin/RepeatAllowance.kt
+++ b/decisions/src/main/kotlin/RepeatAllowance.kt
@@ -3,14 +3,10 @@
 /**
  * Bounds how many requests are sent a second time, so that all gateways together stay within a common budget.
  *
- * Within any window of [windowMs], repeats stay below [ratio] of the first sends seen here plus this gateway's share of [extra].
- *
- * @param extra repeats that all gateways together may make in a window beyond the ratio
+ * @property limits what is allowed; may change at any time
  */
 public class RepeatAllowance(
-    private val ratio: Double,
-    private val extra: Double,
-    private val windowMs: Long,
+    public var limits: RepeatLimits,
 ) {
     private val firsts = ArrayDeque<Long>()
     private val repeats = ArrayDeque<Long>()
@@ -26,16 +22,23 @@
         nowMs: Long,
         gateways: Int,
     ): Boolean {
-        forget(nowMs)
-        val allowed = ratio * firsts.size + extra * SAFE_SHARE / gateways.coerceAtLeast(1)
-        if (repeats.size + 1 > allowed) return false
+        if (!allows(nowMs, gateways)) return false
         repeats.addLast(nowMs)
         return true
     }
 
+    /** Whether [tryRepeat] would take one repeat now. */
+    public fun allows(
+        nowMs: Long,
+        gateways: Int,
+    ): Boolean {
+        forget(nowMs)
+        return repeats.size + 1 <= limits.ratio * firsts.size + limits.extra * SAFE_SHARE / gateways.coerceAtLeast(1)
+    }
+
     private fun forget(nowMs: Long) {
-        while (firsts.isNotEmpty() && firsts.first() <= nowMs - windowMs) firsts.removeFirst()
-        while (repeats.isNotEmpty() && repeats.first() <= nowMs - windowMs) repeats.removeFirst()
+        while (firsts.isNotEmpty() && firsts.first() <= nowMs - limits.windowMs) firsts.removeFirst()
+        while (repeats.isNotEmpty() && repeats.first() <= nowMs - limits.windowMs) repeats.removeFirst()
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/CallerConnection.kt
+++ b/gateway/src/main/kotlin/CallerConnection.kt
@@ -86,15 +86,28 @@
             return refuse(head, answer, CONTENT_TOO_LARGE, "the body is too large", null)
         }
         if (head.headers.hasToken("Expect", "100-continue")) connection.write(CONTINUE)
-        val body =
-            when (val result = reader.body(framing).whole(limits.maximumBodyBytes)) {
-                is WholeBody.Read -> result.bytes
-                WholeBody.TooLarge -> return refuse(head, answer, CONTENT_TOO_LARGE, "the body is too large", null)
-                is WholeBody.Broken -> return refuse(head, answer, BAD_REQUEST, result.detail, null)
+        return state.gathered.reserve().use { reservation ->
+            val read = withTimeoutOrNull(BODY_TIMEOUT_MS) { reader.body(framing).whole(limits.maximumBodyBytes, reservation) }
+            when (read) {
+                is WholeBody.Read -> answer(head, read.bytes, arrivedMs, answer, hosts.single())
+                WholeBody.TooLarge -> refuse(head, answer, CONTENT_TOO_LARGE, "the body is too large", null)
+                WholeBody.NoRoom -> refuse(head, answer, SERVICE_UNAVAILABLE, "too many bodies at once", RETRY_WITHOUT_ROOM_MS)
+                is WholeBody.Broken -> refuse(head, answer, BAD_REQUEST, read.detail, null)
+                null -> refuse(head, answer, REQUEST_TIMEOUT, "the body took too long", null)
             }
+        }
+    }
+
+    private suspend fun answer(
+        head: RequestHead,
+        body: ByteArray,
+        arrivedMs: Long,
+        answer: CallerAnswer,
+        host: String,
+    ): Boolean {
         val configuration = state.configuration
         val path = head.target.substringBefore('?')
-        val route = configuration?.route(hosts.single().substringBeforeLast(':'), path) ?: configuration?.route(hosts.single(), path)
+        val route = configuration?.route(host.substringBeforeLast(':'), path) ?: configuration?.route(host, path)
         when {
             configuration == null -> {
                 note(head, SERVICE_UNAVAILABLE, "no configuration yet")
@@ -169,6 +182,10 @@
         const val HEADERS_TOO_LARGE = 431
         const val SERVICE_UNAVAILABLE = 503
         const val RETRY_WITHOUT_CONFIGURATION_MS = 500L
+        const val RETRY_WITHOUT_ROOM_MS = 500L
+
+        /** Longest time for a whole body: above any caller's deadline, so that one that sends a byte now and then ends. */
+        const val BODY_TIMEOUT_MS = 60_000L
 
         /** Bytes of further requests that are taken in while one is answered. */
         const val MOST_BYTES_AHEAD = 64 * 1024
--- a/gateway/src/main/kotlin/EventSplitter.kt
+++ b/gateway/src/main/kotlin/EventSplitter.kt
@@ -14,6 +14,9 @@
     /** Whether bytes of an unfinished event wait. */
     val unfinished: Boolean get() = pending.size() > 0
 
+    /** Bytes of the unfinished event that wait. */
+    val pendingBytes: Int get() = pending.size()
+
     /** Returns the bytes of the events that [bytes] completes, possibly none. */
     fun feed(bytes: ByteArray): ByteArray {
         var wholeUntil = 0
@@ -51,10 +54,12 @@
         lineEmpty = true
     }
 
-    private companion object {
-        val EMPTY = ByteArray(0)
-        const val IDENTITY = "id:"
-        const val LINE_FEED = '\n'.code.toByte()
-        const val CARRIAGE_RETURN = '\r'.code.toByte()
+    companion object {
+        /** Bound on one event: far above the few tokens that it carries, far below a process's memory. */
+        const val MAXIMUM_EVENT_BYTES = 256 * 1024
+        private val EMPTY = ByteArray(0)
+        private const val IDENTITY = "id:"
+        private const val LINE_FEED = '\n'.code.toByte()
+        private const val CARRIAGE_RETURN = '\r'.code.toByte()
     }
 }
--- a/gateway/src/main/kotlin/Fleet.kt
+++ b/gateway/src/main/kotlin/Fleet.kt
@@ -2,14 +2,16 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.almondjunction.common.Address
 import org.almondjunction.common.Location
 import org.almondjunction.common.RegionId
 import org.almondjunction.common.ServiceId
 import org.almondjunction.common.TargetId
 import org.almondjunction.common.ZoneId
+import org.almondjunction.decisions.AnswerDurations
+import org.almondjunction.network.ByteBudget
 import org.almondjunction.network.EventLoop
+import org.almondjunction.network.launchAlways
 
 /** Where a gateway stands, and where zones lie. */
 public data class Place(
@@ -54,13 +56,13 @@
         get() = targets.values.flatMapTo(mutableSetOf(gateway)) { it.status?.gateways.orEmpty() }
 
     fun start() {
-        scope.launch {
+        scope.launchAlways("sweep of kept connections") {
             while (true) {
                 delay(SWEEP_MS)
                 targets.values.forEach { it.pool.sweep() }
             }
         }
-        scope.launch { examineSilence() }
+        scope.launchAlways("examination of silence") { examineSilence() }
     }
 
     private suspend fun examineSilence() {
@@ -155,4 +157,18 @@
 
     /** When requests that wait for a target are to be refused, since this gateway goes; never before it leaves. */
     var waitsEndMs = Long.MAX_VALUE
+
+    /** When this process ends; never before it leaves. */
+    var endMs = Long.MAX_VALUE
+
+    /** Bodies and unfinished events that this process holds at this moment. */
+    val gathered = ByteBudget(Runtime.getRuntime().maxMemory() / SHARE_OF_MEMORY)
+
+    /** How long the answers of each route last. */
+    val durations = AnswerDurations()
+
+    private companion object {
+        /** Part of the heap, as its divisor, that bodies may fill; joining the parts of a body takes as much again. */
+        const val SHARE_OF_MEMORY = 4
+    }
 }
--- a/gateway/src/main/kotlin/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/ForwardedRequest.kt
@@ -7,6 +7,7 @@
  *
  * @property arrivedMs when its first byte was read
  * @property deadlineMs when its caller stops waiting; null where it does not say
+ * @property answerTokens greatest number of tokens of its answer; 0 where it does not say
  */
 internal class ForwardedRequest(
     val head: RequestHead,
@@ -18,6 +19,7 @@
     val model: String?,
     val adapter: String?,
     val promptTokens: Long,
+    val answerTokens: Long,
     val parts: List<PromptPart>,
 ) {
     val service = route.serviceFor(id)
@@ -40,6 +42,7 @@
             names: HeaderNames,
         ): ForwardedRequest {
             val model = head.headers[names.model]
+            val tokens = head.headers[names.tokens].orEmpty()
             return ForwardedRequest(
                 head = head,
                 body = body,
@@ -49,11 +52,8 @@
                 deadlineMs = head.headers[names.deadlineMs]?.toLongOrNull()?.let { arrivedMs + it },
                 model = model?.substringBefore('/'),
                 adapter = model?.substringAfter('/', "")?.ifEmpty { null },
-                promptTokens =
-                    head.headers[names.tokens]
-                        ?.substringBefore(',')
-                        ?.trim()
-                        ?.toLongOrNull() ?: 0,
+                promptTokens = tokens.substringBefore(',').trim().toLongOrNull() ?: 0,
+                answerTokens = tokens.substringAfter(',', "").trim().toLongOrNull() ?: 0,
                 parts = parts(head.headers[names.promptParts].orEmpty()),
             )
         }
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -47,6 +47,12 @@
         var failure: SendAnswer.Answered? = null
         var failureBody: ByteArray? = null
 
+        /** What is held of the answer at this moment. */
+        val gathered = state.gathered.reserve()
+
+        /** Time until the first part of the answer; null until it came. */
+        var firstPartMs: Long? = null
+
         /** When the caller came, or last got a part of the answer. */
         var lastSignMs = request.arrivedMs
 
@@ -65,6 +71,7 @@
             val inTime = withTimeoutOrNull(attempt.timeLeftMs.coerceAtLeast(0)) { run(attempt) }
             if (inTime == null) timedOut(attempt)
         } finally {
+            attempt.gathered.close()
             log(attempt)
         }
     }
@@ -99,6 +106,10 @@
                 giveUp(attempt, "the gateway goes", RETRY_AT_ONCE_MS)
                 return null
             }
+            if (!attempt.answer.begun && !endsInTime(request)) {
+                giveUp(attempt, "the gateway goes before the answer would end", RETRY_AT_ONCE_MS)
+                return null
+            }
             when (val choice = selector.choose(request, attempt.tried)) {
                 is TargetSelector.Choice.Use -> return choice.target
                 is TargetSelector.Choice.Later -> {
@@ -121,6 +132,13 @@
         }
     }
 
+    /** Whether an answer that begins now would be complete before this process ends. */
+    private fun endsInTime(request: ForwardedRequest): Boolean {
+        if (!state.leaving) return true
+        val likelyMs = state.durations.likelyMs(request.route.name, request.answerTokens) ?: UNKNOWN_ANSWER_MS
+        return clock.nowMs() + minOf(likelyMs, request.route.timeoutMs) < state.endMs
+    }
+
     private suspend fun giveUp(
         attempt: Attempt,
         reason: String,
@@ -249,9 +267,9 @@
             target.weigh(failed = true)
             return decide(attempt, SendResult.Lost).brokenOff(attempt)
         }
-        val body = answer.body.whole(MAXIMUM_ANSWER_BYTES)
+        val body = answer.body.whole(MAXIMUM_ANSWER_BYTES, attempt.gathered)
         if (body !is WholeBody.Read) {
-            attempt.detail = "the answer broke off"
+            attempt.detail = unusable(body)
             target.weigh(failed = true)
             return decide(attempt, SendResult.Lost)
         }
@@ -266,10 +284,19 @@
         }
         attempt.outcome = "served"
         attempt.detail = "status ${answer.head.status}"
+        learnDuration(attempt)
         attempt.answer.pass(answer.head, body.bytes)
         return null
     }
 
+    private fun unusable(body: WholeBody): String =
+        when (body) {
+            is WholeBody.Read -> "the answer cannot be handed on"
+            WholeBody.TooLarge -> "the answer is too large"
+            WholeBody.NoRoom -> "too many answers at once"
+            is WholeBody.Broken -> "the answer broke off"
+        }
+
     private suspend fun relay(
         target: Target,
         exchange: Exchange,
@@ -281,14 +308,19 @@
             val part = nextPart(attempt, answer, send)
             when (part) {
                 is BodyPart.Data -> {
-                    target.heard()
                     val whole = attempt.events.feed(part.bytes)
+                    val room = attempt.gathered.hold(attempt.events.pendingBytes)
+                    if (!room || attempt.events.pendingBytes > EventSplitter.MAXIMUM_EVENT_BYTES) {
+                        return streamBroke(target, attempt, "an event does not end")
+                    }
                     if (whole.isEmpty()) continue
+                    target.heard()
                     send.answering = true
                     attempt.lastSignMs = clock.nowMs()
                     send.lastSignMs = attempt.lastSignMs
                     if (!attempt.answer.begun) {
                         metrics.record(MetricName.TIME_TO_FIRST_TOKEN, clock.nowMs() - attempt.request.arrivedMs)
+                        attempt.firstPartMs = clock.nowMs() - attempt.request.arrivedMs
                         attempt.answer.begin(answer.head)
                     }
                     if (!attempt.answer.add(whole)) return null
@@ -298,6 +330,7 @@
                     exchange.finish(bodyRead = true)
                     target.weigh(failed = false)
                     attempt.outcome = "served"
+                    learnDuration(attempt)
                     if (!attempt.answer.begun) attempt.answer.begin(answer.head)
                     attempt.answer.end()
                     return null
@@ -307,16 +340,35 @@
         }
     }
 
-    /** A stream that may be continued elsewhere is not waited for beyond any pause of a sound target. */
+    private fun learnDuration(attempt: Attempt) {
+        val request = attempt.request
+        val wholeMs = clock.nowMs() - request.arrivedMs
+        state.durations.record(request.route.name, attempt.firstPartMs ?: wholeMs, wholeMs, request.answerTokens)
+    }
+
+    /** Returns the next part; bytes that end no event are no progress, so that they do not keep a stalled stream alive. */
     private suspend fun nextPart(
         attempt: Attempt,
         answer: SendAnswer.Answered,
         send: Send,
     ): BodyPart {
         val route = attempt.request.route
-        if (route.repeat != RepeatKind.RESUMABLE || !send.answering) return answer.body.next()
-        return withTimeoutOrNull(maxOf(route.pauseObjectiveMs * SILENT_PAUSES, SHORTEST_SILENCE_MS)) { answer.body.next() }
-            ?: BodyPart.Broken("the stream fell silent")
+        val limitMs =
+            if (send.answering && mayContinueElsewhere(attempt)) {
+                maxOf(route.pauseObjectiveMs * SILENT_PAUSES, SHORTEST_SILENCE_MS)
+            } else {
+                route.callerPatienceMs + GONE_AFTER_PATIENCE_MS
+            }
+        val leftMs = (attempt.lastSignMs + limitMs - clock.nowMs()).coerceAtLeast(0)
+        return withTimeoutOrNull(leftMs) { answer.body.next() } ?: BodyPart.Broken("no event came for $limitMs ms")
+    }
+
+    /** A stream that nobody else can continue is waited for as long as its caller waits, however slow it is. */
+    private fun mayContinueElsewhere(attempt: Attempt): Boolean {
+        val route = attempt.request.route
+        return route.repeat == RepeatKind.RESUMABLE &&
+            attempt.runs + 1 < route.maximumTargets &&
+            allowance.allows(clock.nowMs(), fleet.gateways.size)
     }
 
     private fun streamBroke(
@@ -414,11 +466,17 @@
         const val LONGEST_PATIENCE_MS = 300L
         const val RETRY_AFTER_REFUSAL_MS = 300L
 
+        /** Assumed of the answers of a route that this process has not seen: most streams end within this. */
+        const val UNKNOWN_ANSWER_MS = 3_000L
+
         /** A caller that is sent to another gateway need not wait. */
         const val RETRY_AT_ONCE_MS = 0L
 
         /** Pauses of a stream, in multiples of its objective, after which its target counts as silent. */
         const val SILENT_PAUSES = 3
         const val SHORTEST_SILENCE_MS = 1_000L
+
+        /** Added to the time after which a caller leaves by itself, so that it is never cut off before. */
+        const val GONE_AFTER_PATIENCE_MS = 250L
     }
 }
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -15,6 +15,7 @@
 import org.almondjunction.network.HttpWriter
 import org.almondjunction.network.TcpConnection
 import org.almondjunction.network.TcpListener
+import org.almondjunction.network.launchAlways
 
 /**
  * The program that stands between callers and targets.
@@ -22,18 +23,18 @@
  * [accept] and [directory] are fed by whoever knows the accepted configuration and the platform's list of targets.
  */
 public class Gateway(
-    private val settings: GatewaySettings,
+    private var settings: GatewaySettings,
     private val names: HeaderNames,
     private val loop: EventLoop,
     private val scope: CoroutineScope,
     private val metrics: Metrics,
 ) {
     private val clock = loop.clock
-    private val state = GatewayState()
+    internal val state = GatewayState()
     private val fleet = Fleet(loop, scope, settings.name, settings.keeperPort, state)
     private val selector = TargetSelector(clock, fleet, settings.place, state)
     private val preparation = Preparation(fleet, selector, state, settings.name)
-    private val allowance = RepeatAllowance(settings.repeatRatio, settings.repeatExtra, settings.budgetWindowMs)
+    private val allowance = RepeatAllowance(settings.repeats)
     private val forwarder = Forwarder(clock, selector, fleet, state, names, allowance, metrics)
     private val connections = mutableSetOf<CallerConnection>()
     private var targetsKnown = false
@@ -49,13 +50,13 @@
         TcpListener(loop, settings.callers) { serve(it) }
         TcpListener(loop, settings.readiness) { connection -> scope.launch { answerReadiness(connection) } }
         fleet.start()
-        scope.launch {
+        scope.launchAlways("expiry of entries") {
             while (true) {
                 delay(EXPIRY_MS)
                 directory.expire()
             }
         }
-        scope.launch { preparation.run() }
+        scope.launchAlways("preparation") { preparation.run() }
     }
 
     /** Takes [configuration] in force unless a later version already is. */
@@ -68,6 +69,13 @@
         EventLog.info("configuration in force", LogFields(extra = mapOf("version" to configuration.version.toString())))
     }
 
+    /** Takes what of [changed] may change while this process runs: the time to stop, the limits on repeats and where zones lie. */
+    public fun apply(changed: GatewaySettings) {
+        settings = settings.copy(graceMs = changed.graceMs, repeats = changed.repeats, place = changed.place)
+        allowance.limits = changed.repeats
+        selector.place = changed.place
+    }
+
     /** Says that [directory] has been filled once. */
     public fun targetsListed() {
         if (!targetsKnown) EventLog.info("targets known")
@@ -109,6 +117,7 @@
         EventLog.info("leaving", LogFields(extra = mapOf("connections" to connections.size.toString())))
         val endMs = clock.nowMs() + settings.graceMs - EXIT_MARGIN_MS
         state.waitsEndMs = endMs - LAST_REFUSALS_MS
+        state.endMs = endMs
         delay(BALANCER_MS)
         while (clock.nowMs() < endMs) {
             connections.filter { !it.busy }.forEach { it.close() }
@@ -134,6 +143,6 @@
         const val LAST_REFUSALS_MS = 200L
 
         /** Time kept for the end of the process itself. */
-        const val EXIT_MARGIN_MS = 700L
+        const val EXIT_MARGIN_MS = 500L
     }
 }
--- a/gateway/src/main/kotlin/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/GatewaySettings.kt
@@ -1,6 +1,7 @@
 package org.almondjunction.gateway
 
 import org.almondjunction.common.Address
+import org.almondjunction.decisions.RepeatLimits
 
 /**
  * Settings of a gateway.
@@ -11,8 +12,7 @@
  * @property readinessPath path of that question
  * @property keeperPort port of the keeper beside each engine
  * @property graceMs time between a request to stop and the end of the process
- * @property repeatRatio repeats allowed for each first send, within [budgetWindowMs]
- * @property repeatExtra repeats that all gateways together may add to that
+ * @property repeats repeats that all gateways together may make
  * @property lapseMs time for which an entry that vanished with the platform's store is still believed
  */
 public data class GatewaySettings(
@@ -23,8 +23,6 @@
     val readinessPath: String,
     val keeperPort: Int,
     val graceMs: Long = 8_000,
-    val repeatRatio: Double = 0.2,
-    val repeatExtra: Double = 50.0,
-    val budgetWindowMs: Long = 10_000,
+    val repeats: RepeatLimits = RepeatLimits(),
     val lapseMs: Long = 2_000,
 )
--- a/gateway/src/main/kotlin/KeeperLink.kt
+++ b/gateway/src/main/kotlin/KeeperLink.kt
@@ -13,6 +13,7 @@
 import org.almondjunction.keeper.MessageChannel
 import org.almondjunction.network.EventLoop
 import org.almondjunction.network.TcpConnection
+import org.almondjunction.network.launchAlways
 
 /** Connection to the keeper of [target], dialled again whenever it ends or falls silent. */
 internal class KeeperLink(
@@ -25,7 +26,7 @@
 ) : AutoCloseable {
     private var channel: MessageChannel? = null
     private var heardMs = 0L
-    private val job: Job = scope.launch { keep() }
+    private val job: Job = scope.launchAlways("keeper link") { keep() }
 
     /** Sends [message] if the keeper is in touch; returns whether it was handed over. */
     suspend fun send(message: KeeperMessage): Boolean = channel?.send(message) ?: false
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -14,7 +14,7 @@
 internal class TargetSelector(
     private val clock: Clock,
     private val fleet: Fleet,
-    private val place: Place,
+    var place: Place,
     private val state: GatewayState,
 ) {
     /** What there is for a request at the moment. */
--- /dev/null
+++ b/gateway/src/test/kotlin/Chunks.kt
@@ -0,0 +1,14 @@
+package org.almondjunction.gateway
+
+/** Returns the body of a chunked [answer], and whether it was whole or cut. */
+internal fun unchunk(answer: String): String {
+    val out = StringBuilder()
+    var rest = answer.substringAfter("\r\n\r\n")
+    while (rest.isNotEmpty()) {
+        val size = rest.substringBefore("\r\n").toInt(16)
+        if (size == 0) return "$out|end"
+        out.append(rest.substringAfter("\r\n").take(size))
+        rest = rest.substringAfter("\r\n").drop(size + 2)
+    }
+    return "$out|cut"
+}
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -199,18 +199,6 @@
 
     private fun events(vararg ids: Int) = ids.joinToString("") { "id: $it\ndata: e$it\n\n" }
 
-    private fun unchunk(answer: String): String {
-        val out = StringBuilder()
-        var rest = answer.substringAfter("\r\n\r\n")
-        while (rest.isNotEmpty()) {
-            val size = rest.substringBefore("\r\n").toInt(16)
-            if (size == 0) return "$out|end"
-            out.append(rest.substringAfter("\r\n").take(size))
-            rest = rest.substringAfter("\r\n").drop(size + 2)
-        }
-        return "$out|cut"
-    }
-
     @Test
     fun `a stream that broke off goes on at another target after its last whole event`() {
         start(RepeatKind.RESUMABLE, streaming = true)
@@ -335,6 +323,24 @@
         assertEquals(emptyList(), seen)
     }
 
+    @Test
+    fun `a gateway that goes begins no answer that it could not finish, and still gives short ones`() {
+        start(RepeatKind.ONCE, streaming = true)
+        val left = CountDownLatch(1)
+        scope.launch {
+            gateway.state.durations.record("r", firstPartMs = 0, wholeMs = 15_000, size = 1_000)
+            launch { gateway.leave() }
+            left.countDown()
+        }
+        left.await()
+        script += raw(streamHead + chunk(events(1)) + "0\r\n\r\n")
+        val refused = ask(extra = "Tokens: 10,1000\r\n")
+        assertEquals("HTTP/1.1 503", refused.take("HTTP/1.1 503".length))
+        assertTrue("Retry-After: 0.00" in refused, refused)
+        assertEquals(0, seen.size)
+        assertEquals(events(1) + "|end", unchunk(ask(extra = "Tokens: 10,1\r\n")))
+    }
+
     private companion object {
         const val TARGETS = 2
         const val LOOPBACK = "127.0.0.1"
--- /dev/null
+++ b/gateway/src/test/kotlin/TroubledTargetTest.kt
@@ -0,0 +1,238 @@
+package org.almondjunction.gateway
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.almondjunction.common.Address
+import org.almondjunction.common.Location
+import org.almondjunction.common.Metrics
+import org.almondjunction.common.RegionId
+import org.almondjunction.common.ServiceId
+import org.almondjunction.common.TargetId
+import org.almondjunction.common.ZoneId
+import org.almondjunction.decisions.RepeatKind
+import org.almondjunction.network.EventLoop
+import org.almondjunction.network.HeadResult
+import org.almondjunction.network.HttpReader
+import org.almondjunction.network.TcpConnection
+import org.almondjunction.network.TcpListener
+import org.almondjunction.network.processScope
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import kotlin.concurrent.thread
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Targets in trouble: bytes that are no answer and never end, streams that drip, streams that are slow but sound. */
+class TroubledTargetTest {
+    private val loop = EventLoop()
+    private val scope = processScope(loop)
+    private val callersPort = freePort()
+    private val gateway =
+        Gateway(
+            GatewaySettings(
+                name = "g",
+                place = Place(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r"))),
+                callers = Address(LOOPBACK, callersPort),
+                readiness = Address(LOOPBACK, freePort()),
+                readinessPath = "/ready",
+                keeperPort = freePort(),
+            ),
+            NAMES,
+            loop,
+            scope,
+            Metrics(),
+        )
+    private val script = ArrayDeque<suspend (TcpConnection) -> Unit>()
+    private var sends = 0
+    private val loopThread = thread { loop.run() }
+
+    private fun freePort() = ServerSocket(0).use { it.localPort }
+
+    @AfterTest
+    fun stop() {
+        loop.stop()
+        loopThread.join()
+    }
+
+    private fun start(
+        repeat: RepeatKind,
+        streaming: Boolean,
+        maximumTargets: Int = 2,
+        callerPatienceMs: Long = 60_000,
+    ) {
+        val started = CountDownLatch(1)
+        scope.launch {
+            val service = ServiceId("s")
+            gateway.start()
+            val route =
+                Route(
+                    name = "r",
+                    host = "h",
+                    pathPrefix = "/",
+                    repeat = repeat,
+                    streaming = streaming,
+                    destinations = listOf(Destination(service, 1.0)),
+                    timeoutMs = 60_000,
+                    latencyObjectiveMs = 10_000,
+                    priority = 0,
+                    maximumTargets = maximumTargets,
+                    callerPatienceMs = callerPatienceMs,
+                )
+            gateway.accept(GatewayConfiguration(1, listOf(route), mapOf(service to ServicePlan(service, 9))))
+            repeat(TARGETS) { index ->
+                val listener = TcpListener(loop, Address(LOOPBACK, 0)) { connection -> scope.launch { target(connection) } }
+                val address = Address(LOOPBACK, listener.port)
+                gateway.directory.put(TargetEntry(TargetId("t$index"), service, address, ZoneId("z"), true, 4, 1, 1, emptyMap()))
+            }
+            started.countDown()
+        }
+        started.await()
+    }
+
+    private suspend fun target(connection: TcpConnection) {
+        if (HttpReader(connection).requestHead(9_999) !is HeadResult.Read) return
+        sends++
+        script.removeFirst()(connection)
+        connection.close()
+    }
+
+    private fun ask(): String =
+        Socket(LOOPBACK, callersPort).use { socket ->
+            socket.getOutputStream().write("GET /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nConnection: close\r\n\r\n".toByteArray())
+            socket.getInputStream().readAllBytes().decodeToString()
+        }
+
+    /** Sends [begin], and then [part] again and again until the gateway closes the connection. */
+    private fun endless(
+        begin: String,
+        part: String,
+    ): suspend (TcpConnection) -> Unit =
+        { connection ->
+            connection.write(begin.toByteArray())
+            val block = part.repeat(BLOCK_BYTES / part.length + 1).toByteArray()
+            while (connection.write(block)) Unit
+        }
+
+    private fun chunk(text: String) = "${text.length.toString(16)}\r\n$text\r\n"
+
+    private fun events(vararg ids: Int) = ids.joinToString("") { "id: $it\ndata: e$it\n\n" }
+
+    private val streamHead = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+    private val end = "0\r\n\r\n"
+
+    @Test
+    fun `bytes without end that are no answer end the request, and nothing of them is kept`() {
+        start(RepeatKind.ONCE, streaming = false)
+        val whole = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\n"
+        mapOf(
+            "a status line" to endless("HTTP/1.1 200 ", "x"),
+            "no line at all" to endless("", "x"),
+            "empty lines" to endless("", "\r\n"),
+            "headers" to endless("HTTP/1.1 200 OK\r\n", "A: b\r\n"),
+            "one header" to endless("HTTP/1.1 200 OK\r\nA: ", "x"),
+            "interim answers" to endless("", "HTTP/1.1 100 Continue\r\n\r\n"),
+            "answers to other requests" to endless("", "HTTP/1.1 200 OK\r\nId: 6\r\nContent-Length: 1\r\n\r\nx"),
+            "an answer to another request" to endless("HTTP/1.1 200 OK\r\nId: 6\r\n\r\n", "x"),
+            "a body without length" to endless("$whole\r\n", "x"),
+            "a chunked body" to endless("${whole}Transfer-Encoding: chunked\r\n\r\n", chunk("x".repeat(999))),
+            "the size of a chunk" to endless("${whole}Transfer-Encoding: chunked\r\n\r\n", "0"),
+            "an extension of a chunk" to endless("${whole}Transfer-Encoding: chunked\r\n\r\n1;", "x"),
+            "trailers" to endless("${whole}Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"),
+        ).forEach { (pattern, flood) ->
+            script += flood
+            assertEquals("HTTP/1.1 502", ask().take("HTTP/1.1 502".length), pattern)
+            assertEquals(0, gateway.state.gathered.takenBytes, pattern)
+        }
+    }
+
+    @Test
+    fun `an event without end cuts the stream`() {
+        start(RepeatKind.ONCE, streaming = true)
+        script += endless(streamHead + chunk(events(1) + "data: "), chunk("x".repeat(999)))
+        assertEquals(events(1) + "|cut", unchunk(ask()))
+        assertEquals(0, gateway.state.gathered.takenBytes)
+    }
+
+    @Test
+    fun `answers that together are too much for this process are given up, not gathered`() {
+        start(RepeatKind.IDEMPOTENT, streaming = false)
+        val others = gateway.state.gathered.reserve()
+        val room = (Runtime.getRuntime().maxMemory() / 4).toInt()
+        assertTrue(others.take(room - 10))
+        val answer = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\nContent-Length: 20\r\n\r\n" + "x".repeat(20)
+        repeat(TARGETS) { script += { connection -> connection.write(answer.toByteArray()) } }
+        assertEquals("HTTP/1.1 502", ask().take("HTTP/1.1 502".length))
+        others.close()
+        script += { connection -> connection.write(answer.toByteArray()) }
+        assertEquals("HTTP/1.1 200", ask().take("HTTP/1.1 200".length))
+    }
+
+    /** A stream that sends an event, and then a byte of the next one now and then. */
+    private val drips: suspend (TcpConnection) -> Unit = { connection ->
+        connection.write((streamHead + chunk(events(1))).toByteArray())
+        while (connection.write(chunk("x").toByteArray())) delay(DRIP_MS)
+    }
+
+    /** A stream whose events come further apart than those of a sound target usually do. */
+    private val slow: suspend (TcpConnection) -> Unit = { connection ->
+        connection.write((streamHead + chunk(events(1))).toByteArray())
+        delay(LONG_PAUSE_MS)
+        connection.write((chunk(events(2)) + end).toByteArray())
+    }
+
+    @Test
+    fun `a stalled stream that drips ends when its caller's patience does`() {
+        start(RepeatKind.ONCE, streaming = true, callerPatienceMs = 300)
+        script += drips
+        assertEquals(events(1) + "|cut", unchunk(ask()))
+    }
+
+    @Test
+    fun `a stalled stream that drips goes on elsewhere where that is allowed`() {
+        start(RepeatKind.RESUMABLE, streaming = true)
+        script += drips
+        script += { connection -> connection.write((streamHead + chunk(events(2)) + end).toByteArray()) }
+        assertEquals(events(1, 2) + "|end", unchunk(ask()))
+    }
+
+    @Test
+    fun `a slow but sound stream that may run once is whole`() {
+        start(RepeatKind.ONCE, streaming = true)
+        script += slow
+        assertEquals(events(1, 2) + "|end", unchunk(ask()))
+    }
+
+    @Test
+    fun `a slow but sound stream that no other target may continue is whole`() {
+        start(RepeatKind.RESUMABLE, streaming = true, maximumTargets = 1)
+        script += slow
+        assertEquals(events(1, 2) + "|end", unchunk(ask()))
+        assertEquals(1, sends)
+    }
+
+    private companion object {
+        const val TARGETS = 2
+        const val LOOPBACK = "127.0.0.1"
+        const val BLOCK_BYTES = 16_384
+        const val DRIP_MS = 20L
+        const val LONG_PAUSE_MS = 1_300L
+        val NAMES =
+            HeaderNames(
+                "Id",
+                "Deadline",
+                "Model",
+                "Tokens",
+                "Parts",
+                "Last-Event",
+                "Signature",
+                "Target",
+                "Answering",
+                "Not-Run",
+                "Urgency",
+                setOf("target"),
+            )
+    }
+}
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -13,6 +13,7 @@
 import org.almondjunction.decisions.EvictionCandidate
 import org.almondjunction.decisions.EvictionPlan
 import org.almondjunction.network.TcpConnection
+import org.almondjunction.network.launchAlways
 
 /**
  * Keeps one engine: alone gives it orders, and tells every gateway what it holds.
@@ -60,7 +61,7 @@
 
     /** Begins to watch the engine. */
     public fun start() {
-        scope.launch {
+        scope.launchAlways("watch of the engine") {
             while (true) {
                 refresh()
                 delay(pollMs())
@@ -82,14 +83,14 @@
         val session = Session(MessageChannel(connection))
         sessions += session
         scope.launch {
-            while (true) {
-                val message = session.channel.receive() ?: break
-                handle(session, message)
+            try {
+                while (true) handle(session, session.channel.receive() ?: break)
+            } finally {
+                session.channel.close()
+                sessions -= session
+                usage.forget(session.gateway)
+                tellOfGateways()
             }
-            session.channel.close()
-            sessions -= session
-            usage.forget(session.gateway)
-            tellOfGateways()
         }
     }
 
--- a/keeper/src/main/kotlin/MessageChannel.kt
+++ b/keeper/src/main/kotlin/MessageChannel.kt
@@ -3,6 +3,8 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
+import org.almondjunction.common.EventLog
+import org.almondjunction.common.LogFields
 import org.almondjunction.network.ReadResult
 import org.almondjunction.network.TcpConnection
 
@@ -24,13 +26,7 @@
         if (size !in 1..MAXIMUM_FRAME_BYTES) return null
         while (input.size < LENGTH_BYTES + size) if (connection.fill() != ReadResult.DATA) return null
         input.skip(LENGTH_BYTES)
-        return try {
-            CODEC.decodeFromByteArray(KeeperMessage.serializer(), input.take(size))
-        } catch (_: SerializationException) {
-            null
-        } catch (_: IllegalArgumentException) {
-            null
-        }
+        return decode(input.take(size))
     }
 
     override fun close(): Unit = connection.close()
@@ -40,7 +36,7 @@
         private const val BYTE_MASK = 0xFF
 
         /** Bound on a frame; a status of 1,000 models takes about 60 KB. */
-        private const val MAXIMUM_FRAME_BYTES = 1024 * 1024
+        private const val MAXIMUM_FRAME_BYTES = 256 * 1024
 
         @OptIn(ExperimentalSerializationApi::class)
         private val CODEC = Cbor { ignoreUnknownKeys = true }
@@ -52,5 +48,25 @@
             body.copyInto(frame, LENGTH_BYTES)
             return frame
         }
+
+        /** Returns the message in the body of a frame; null when it cannot be read. */
+        internal fun decode(body: ByteArray): KeeperMessage? =
+            try {
+                CODEC.decodeFromByteArray(KeeperMessage.serializer(), body)
+            } catch (failure: SerializationException) {
+                unreadable(failure)
+            } catch (failure: IllegalArgumentException) {
+                unreadable(failure)
+            } catch (failure: IllegalStateException) {
+                // The codec's answer to lengths that reach beyond the frame.
+                unreadable(failure)
+            } catch (failure: IndexOutOfBoundsException) {
+                unreadable(failure)
+            }
+
+        private fun unreadable(failure: RuntimeException): KeeperMessage? {
+            EventLog.warn("unreadable message", LogFields(reason = failure.toString()))
+            return null
+        }
     }
 }
--- a/network/src/main/kotlin/EventLoop.kt
+++ b/network/src/main/kotlin/EventLoop.kt
@@ -84,7 +84,10 @@
         channel: SelectableChannel,
         interest: Int,
         handler: (SelectionKey) -> Unit,
-    ): SelectionKey = channel.register(selector, interest, handler)
+    ): SelectionKey =
+        channel.register(selector, interest, handler).also {
+            if (Thread.currentThread() !== thread) selector.wakeup()
+        }
 
     private fun schedule(
         delayMs: Long,
@@ -137,6 +140,9 @@
             } catch (_: CancelledKeyException) {
                 // The channel was closed by a handler that ran before in this round; its owner knows.
                 continue
+            } catch (failure: RuntimeException) {
+                logUnexpected("handler", failure)
+                key.channel().close()
             }
         }
     }
--- a/network/src/main/kotlin/HttpCall.kt
+++ b/network/src/main/kotlin/HttpCall.kt
@@ -89,6 +89,8 @@
         /** A host that cannot be reached within this time counts as gone; above any round trip between regions. */
         const val CONNECT_TIMEOUT_MS = 1_000L
         const val MAXIMUM_HEAD_BYTES = 16_384
-        const val MAXIMUM_BODY_BYTES = 16L * 1024 * 1024
+
+        /** A few times the largest page that the platform's store gives. */
+        const val MAXIMUM_BODY_BYTES = 4L * 1024 * 1024
     }
 }
--- a/network/src/main/kotlin/HttpReader.kt
+++ b/network/src/main/kotlin/HttpReader.kt
@@ -172,8 +172,11 @@
     /** Returns the next part; after [BodyPart.Complete] or [BodyPart.Broken] there is none. */
     public suspend fun next(): BodyPart = read()
 
-    /** Returns the whole body; null when it is longer than [maximumBytes] or broke off. */
-    public suspend fun whole(maximumBytes: Long): WholeBody {
+    /** Returns the whole body, unless it broke off, is longer than [maximumBytes] or [reservation] has no room for it. */
+    public suspend fun whole(
+        maximumBytes: Long,
+        reservation: ByteBudget.Reservation? = null,
+    ): WholeBody {
         val parts = mutableListOf<ByteArray>()
         var size = 0L
         while (true) {
@@ -181,6 +184,7 @@
                 is BodyPart.Data -> {
                     size += part.bytes.size
                     if (size > maximumBytes) return WholeBody.TooLarge
+                    if (reservation?.take(part.bytes.size) == false) return WholeBody.NoRoom
                     parts += part.bytes
                 }
                 BodyPart.Complete -> return WholeBody.Read(parts.singleOrNull() ?: join(parts, size.toInt()))
@@ -213,6 +217,9 @@
     /** It is over the limit. */
     public data object TooLarge : WholeBody()
 
+    /** This process holds too much already. */
+    public data object NoRoom : WholeBody()
+
     /** It broke off. */
     public data class Broken(
         val detail: String,
--- a/network/src/main/kotlin/TcpListener.kt
+++ b/network/src/main/kotlin/TcpListener.kt
@@ -43,7 +43,17 @@
                 accepted.close()
                 continue
             }
-            onConnection(TcpConnection(loop, accepted))
+            hand(TcpConnection(loop, accepted))
+        }
+    }
+
+    /** An unexpected error about one connection ends that one alone; the listener goes on. */
+    private fun hand(connection: TcpConnection) {
+        try {
+            onConnection(connection)
+        } catch (failure: RuntimeException) {
+            logUnexpected("connection accepted", failure)
+            connection.close()
         }
     }
 
--- a/network/src/test/kotlin/HttpReaderTest.kt
+++ b/network/src/test/kotlin/HttpReaderTest.kt
@@ -50,6 +50,7 @@
                         when (val body = reader.body(framing).whole(MAXIMUM_BYTES.toLong())) {
                             is WholeBody.Read -> "${result.head.method} ${result.head.target} [${body.bytes.decodeToString()}]"
                             WholeBody.TooLarge -> "body too large"
+                            WholeBody.NoRoom -> "no room"
                             is WholeBody.Broken -> "body broken"
                         }
                 }
