Loads by what they are worth to callers; replicas follow the work that requests are

A busy model that nobody held looked idle the moment it was loaded and made way for a rare one (16 requests a second refused for seven seconds); wishes were taken by how often they were asked; replicas were counted by requests a second, as if each read a prompt of some thousand tokens, so that three busy models took nine of twelve places; both holders of a busy model gave up their copy at the same moment; what is drained was taken to need 1.2 s. Change: gateways tell the demand of their callers, served or not; wishes carry the callers that wait, weighed by whether they can still be answered in time; WishQueue and EvictionPlan weigh both; WorkBook learns tokens and time of a request for each model; one copy counts as spare, the same for every gateway; an empty engine hears all wishes for 100 ms first.

--- a/decisions/src/main/kotlin/EvictionPlan.kt
+++ b/decisions/src/main/kotlin/EvictionPlan.kt
@@ -10,6 +10,8 @@
  * @property inFlight requests on it that are not answered yet
  * @property otherCopies replicas of it that are loaded on other targets, as far as known
  * @property reloadMs how long a reload on the same target would take
+ * @property answerMs how long its requests usually take at their engine
+ * @property surplus whether its other copies serve all of its callers without it
  */
 public data class EvictionCandidate(
     val model: ModelId,
@@ -19,7 +21,14 @@
     val inFlight: Int,
     val otherCopies: Int,
     val reloadMs: Long,
-)
+    val answerMs: Long = USUAL_ANSWER_MS,
+    val surplus: Boolean = false,
+) {
+    public companion object {
+        /** Assumed of a model whose answers nobody has seen: a typical stream. */
+        public const val USUAL_ANSWER_MS: Long = 1_200
+    }
+}
 
 /**
  * Models to unload to make room, and what that is expected to cost.
@@ -35,13 +44,18 @@
 
 /** Decides which loaded models make room for another one. */
 public object EvictionPlan {
-    /** Returns the models that free [neededMb] in all at the least cost and wait; null when all of [candidates] together are too small. */
+    /**
+     * Returns the models that free [neededMb] in all at the least cost and wait; null when all of [candidates] together are too small.
+     *
+     * @param waiting callers that wait for the room, and will by then
+     */
     public fun choose(
         candidates: List<EvictionCandidate>,
         neededMb: Long,
+        waiting: Double = 1.0,
     ): Eviction? {
         if (neededMb <= 0) return Eviction(emptyList(), 0.0, 0)
-        val ranked = candidates.sortedBy { costMs(it) + waitMs(it) }
+        val ranked = candidates.sortedBy { costMs(it) + waitMs(it) * waiting }
         val single = ranked.firstOrNull { it.memoryMb >= neededMb }
         val several = mutableListOf<EvictionCandidate>()
         var freedMb = 0L
@@ -53,15 +67,20 @@
         val choices = listOfNotNull(single?.let { listOf(it) }, several.takeIf { freedMb >= neededMb })
         return choices
             .map { chosen -> Eviction(chosen.map { it.model }, chosen.sumOf { costMs(it) }, chosen.maxOf { waitMs(it) }) }
-            .minByOrNull { it.costMs + it.waitMs }
+            .minByOrNull { it.costMs + it.waitMs * waiting }
     }
 
     /** Returns the expected time until [candidate] is unused, in milliseconds; 0 where it may be unloaded now. */
     public fun waitMs(candidate: EvictionCandidate): Long =
-        if (candidate.inFlight > 0) DRAIN_MS else (SHORTEST_IDLE_MS - candidate.idleMs).coerceAtLeast(0)
+        if (candidate.inFlight > 0) candidate.answerMs else (SHORTEST_IDLE_MS - candidate.idleMs).coerceAtLeast(0)
 
     private fun costMs(candidate: EvictionCandidate): Double {
-        val share = if (candidate.otherCopies > 0) SHARE_OF_COPY else 1.0
+        val share =
+            when {
+                candidate.surplus -> 0.0
+                candidate.otherCopies > 0 -> SHARE_OF_COPY
+                else -> 1.0
+            }
         val assumed = LEAST_REQUESTS_PER_SECOND * (1 + candidate.otherCopies.coerceAtMost(MOST_TELLING_COPIES))
         return (candidate.requestsPerSecond * share + assumed) * candidate.reloadMs * HORIZON_S
     }
@@ -69,9 +88,6 @@
     /** A model that was asked for more recently is likely to be asked for again; a few times the gap of a busy model. */
     private const val SHORTEST_IDLE_MS = 700L
 
-    /** Time in which requests in progress end once no new ones come; a typical answer on the users' sheets. */
-    private const val DRAIN_MS = 1_200L
-
     /** Demand assumed of a model that has not been asked for, one request in fifty seconds for each of its replicas. */
     private const val LEAST_REQUESTS_PER_SECOND = 0.02
 
--- /dev/null
+++ b/decisions/src/main/kotlin/WorkBook.kt
@@ -0,0 +1,54 @@
+package org.almondjunction.decisions
+
+/** Learns from answers how much work the requests for each model are. */
+public class WorkBook {
+    private class Entry(
+        var unreadTokens: Double,
+        var answerMs: Double,
+    )
+
+    private val entries =
+        object : LinkedHashMap<String, Entry>(INITIAL_MODELS, LOAD_FACTOR, true) {
+            override fun removeEldestEntry(eldest: Map.Entry<String, Entry>) = size > MOST_MODELS
+        }
+
+    /** Notes an answer of [model] that took [answerMs] at its engine, which had [unreadTokens] of the prompt still to read. */
+    public fun record(
+        model: String,
+        unreadTokens: Long,
+        answerMs: Long,
+    ) {
+        val entry = entries.getOrPut(model) { Entry(unreadTokens.toDouble(), answerMs.toDouble()) }
+        entry.unreadTokens += (unreadTokens - entry.unreadTokens) * NEWEST_WEIGHT
+        entry.answerMs += (answerMs - entry.answerMs) * NEWEST_WEIGHT
+    }
+
+    /** Returns how long answers of [model] take at their engine; assumed where nothing is known. */
+    public fun answerMs(model: String): Double = entries[model]?.answerMs ?: UNKNOWN_ANSWER_MS
+
+    /** Returns the load of [model] under [requestsPerSecond], at engines that read [tokensReadPerMs]; assumed where nothing is known. */
+    public fun load(
+        model: String,
+        requestsPerSecond: Double,
+        tokensReadPerMs: Double,
+        batch: Int,
+    ): ModelLoad {
+        val entry = entries[model]
+        val readMs = entry?.let { it.unreadTokens / tokensReadPerMs } ?: UNKNOWN_READ_MS
+        return ModelLoad(requestsPerSecond, readMs, entry?.answerMs ?: UNKNOWN_ANSWER_MS, batch)
+    }
+
+    private companion object {
+        /** Some dozen answers tell what a model's requests are like by now. */
+        const val NEWEST_WEIGHT = 0.06
+
+        /** Assumed of a model without answers: a prompt of some thousand tokens, and a stream of a second. */
+        const val UNKNOWN_READ_MS = 80.0
+        const val UNKNOWN_ANSWER_MS = 1_200.0
+        const val INITIAL_MODELS = 64
+        const val LOAD_FACTOR = 0.75f
+
+        /** Bound on the models that are remembered; the least recently used are forgotten. */
+        const val MOST_MODELS = 4_096
+    }
+}
--- a/decisions/src/test/kotlin/EvictionPlanTest.kt
+++ b/decisions/src/test/kotlin/EvictionPlanTest.kt
@@ -60,6 +60,31 @@
             Case("together too small", listOf(held("s1", 34_300)), 60_000, null),
         )
 
+    @Test
+    fun `a busy model's copy goes before a rare model when its other copies serve its callers`() {
+        val surplus = held("busy", requestsPerSecond = 15.0, idleMs = 800, otherCopies = 1).copy(surplus = true)
+        val choice = EvictionPlan.choose(listOf(surplus, held("rare", requestsPerSecond = 0.5, idleMs = 800)), 60_000)
+        assertEquals(listOf("busy"), choice?.models?.map { it.value })
+    }
+
+    @Test
+    fun `model shift - many callers that wait do not wait for long answers of a rare model`() {
+        val fading = held("fading", requestsPerSecond = 2.0)
+        val answering = held("rare", requestsPerSecond = 0.3, inFlight = 6).copy(answerMs = 4_000)
+        val choices =
+            listOf(
+                1.0,
+                30.0,
+            ).map {
+                EvictionPlan
+                    .choose(listOf(fading, answering), 60_000, waiting = it)
+                    ?.models
+                    ?.single()
+                    ?.value
+            }
+        assertEquals(listOf("rare", "fading"), choices)
+    }
+
     @Test
     fun `a model in use is waited for, an unused one is not`() {
         assertEquals(0, EvictionPlan.waitMs(held("a")))
--- a/gateway/src/main/kotlin/Fleet.kt
+++ b/gateway/src/main/kotlin/Fleet.kt
@@ -9,6 +9,9 @@
 import org.almondjunction.common.TargetId
 import org.almondjunction.common.ZoneId
 import org.almondjunction.decisions.AnswerDurations
+import org.almondjunction.decisions.DemandBook
+import org.almondjunction.decisions.WorkBook
+import org.almondjunction.keeper.Demand
 import org.almondjunction.network.ByteBudget
 import org.almondjunction.network.EventLoop
 import org.almondjunction.network.launchAlways
@@ -118,7 +121,17 @@
             return
         }
         val address = Address(target.entry.address.ip, keeperPort)
-        target.keeper = KeeperLink(loop, scope, gateway, address, target, state.changed)
+        target.keeper = KeeperLink(loop, scope, gateway, address, target, state.changed) { demandAt(target) }
+    }
+
+    /** What callers of this gateway ask of the models of [target]; engines that hold the same model share it. */
+    private fun demandAt(target: Target): List<Demand> {
+        val nowMs = loop.clock.nowMs()
+        val others = ready(target.entry.service).filter { it !== target }
+        return target.models.keys.map { model ->
+            val copies = 1 + others.count { model in it.models }
+            Demand(model, (state.demand.perSecond(model, nowMs) / copies).toFloat(), state.work.answerMs(model).toInt())
+        }
     }
 
     private fun promptMemoryOf(service: ServiceId): Long =
@@ -164,6 +177,11 @@
     /** Bodies and unfinished events that this process holds at this moment. */
     val gathered = ByteBudget(Runtime.getRuntime().maxMemory() / SHARE_OF_MEMORY)
 
+    /** What callers ask for, and who waits for it. */
+    val demand = DemandBook()
+    val waiting = WaitingCallers()
+    val work = WorkBook()
+
     /** How long the answers of each route last. */
     val durations = AnswerDurations()
 
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -67,6 +67,7 @@
         val attempt = Attempt(request, answer)
         allowance.first(clock.nowMs())
         metrics.count(MetricName.REQUESTS)
+        request.model?.let { state.demand.arrive(it, clock.nowMs()) }
         try {
             val inTime = withTimeoutOrNull(attempt.timeLeftMs.coerceAtLeast(0)) { run(attempt) }
             if (inTime == null) timedOut(attempt)
@@ -99,6 +100,18 @@
     }
 
     private suspend fun awaitTarget(attempt: Attempt): Target? {
+        val request = attempt.request
+        val model = request.model ?: return findTarget(attempt)
+        val objectiveMs = request.arrivedMs + request.route.latencyObjectiveMs
+        state.waiting.enter(model, objectiveMs)
+        try {
+            return findTarget(attempt)
+        } finally {
+            state.waiting.leave(model, objectiveMs)
+        }
+    }
+
+    private suspend fun findTarget(attempt: Attempt): Target? {
         val request = attempt.request
         while (true) {
             val seen = state.changed.count
@@ -331,6 +344,7 @@
                     target.weigh(failed = false)
                     attempt.outcome = "served"
                     learnDuration(attempt)
+                    send.model?.let { state.work.record(it, send.promptTokens, clock.nowMs() - send.beganMs) }
                     if (!attempt.answer.begun) attempt.answer.begin(answer.head)
                     attempt.answer.end()
                     return null
--- a/gateway/src/main/kotlin/KeeperLink.kt
+++ b/gateway/src/main/kotlin/KeeperLink.kt
@@ -9,6 +9,7 @@
 import org.almondjunction.common.Address
 import org.almondjunction.common.EventLog
 import org.almondjunction.common.LogFields
+import org.almondjunction.keeper.Demand
 import org.almondjunction.keeper.KeeperMessage
 import org.almondjunction.keeper.MessageChannel
 import org.almondjunction.network.EventLoop
@@ -23,6 +24,7 @@
     private val address: Address,
     private val target: Target,
     private val changed: Signal,
+    private val demand: () -> List<Demand>,
 ) : AutoCloseable {
     private var channel: MessageChannel? = null
     private var heardMs = 0L
@@ -83,7 +85,7 @@
             val uses = target.takeUses()
             silentRounds = if (uses.isEmpty()) silentRounds + 1 else 0
             if (silentRounds % ROUNDS_PER_SIGN != 0) continue
-            if (!opened.send(KeeperMessage.Usage(uses))) return
+            if (!opened.send(KeeperMessage.Usage(uses, demand()))) return
         }
         EventLog.warn("keeper silent", LogFields(target = target.entry.target))
         opened.close()
--- a/gateway/src/main/kotlin/Preparation.kt
+++ b/gateway/src/main/kotlin/Preparation.kt
@@ -50,17 +50,9 @@
             selector.askForModel(near.ifEmpty { ready }, plan, model, mayEvict = near.isEmpty())
             return
         }
-        val requestsPerSecond =
-            holders.sumOf { holder ->
-                holder.status
-                    ?.models
-                    ?.firstOrNull { it.model == name }
-                    ?.requestsPerSecond
-                    ?.toDouble()
-                    ?: 0.0
-            }
-        val missed = holders.size < CopyPlan.needed(requestsPerSecond)
-        if (!missed && holders.size >= CopyPlan.worthHaving(requestsPerSecond)) return
+        val load = selector.loadOf(name, holders, plan)
+        val missed = holders.size < CopyPlan.needed(load)
+        if (!missed && holders.size >= CopyPlan.worthHaving(load)) return
         val near = others.filter { it.hasAtHand(name) }.ifEmpty { others.takeIf { holders.size == 1 }.orEmpty() }
         if (near.isEmpty() || others.any { it.status?.loading == name }) return
         selector.askForModel(near, plan, model, mayEvict = missed)
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -2,8 +2,11 @@
 
 import org.almondjunction.common.Clock
 import org.almondjunction.common.ModelId
+import org.almondjunction.decisions.CopyPlan
 import org.almondjunction.decisions.EvictionCandidate
 import org.almondjunction.decisions.EvictionPlan
+import org.almondjunction.decisions.LoadValue
+import org.almondjunction.decisions.ModelLoad
 import org.almondjunction.decisions.Rendezvous
 import org.almondjunction.decisions.TargetCandidate
 import org.almondjunction.decisions.TargetChoice
@@ -68,7 +71,18 @@
             ) {
                 Choice.None("holders tried")
             } else {
-                askForModel(ready, plan, modelPlan, mayEvict = true)
+                askForModel(
+                    ready,
+                    plan,
+                    modelPlan,
+                    mayEvict = true,
+                    callers =
+                        state.waiting
+                            .weight(
+                                model,
+                                nowMs + modelPlan.loadFromDiskMs,
+                            ).coerceAtLeast(LoadValue.weightOf(inTime = false)),
+                )
             }
         }
         val adapter = request.adapter
@@ -130,32 +144,39 @@
         return Choice.Later(if (free.isEmpty()) ADAPTER_BEHIND_LOAD_MS else ADAPTER_EXPECTED_MS)
     }
 
-    /** Asks one of [ready] for a model that none of them holds. */
+    /** Asks one of [ready] for a model that none of them holds and for which [callers] wait, weighed as [LoadValue] says. */
     suspend fun askForModel(
         ready: List<Target>,
         plan: EnginePlan,
         model: ModelPlan,
         mayEvict: Boolean,
+        callers: Double = 0.0,
     ): Choice {
         val name = model.model.value
         val inTouch = ready.filter { it.status != null }
         val near = inTouch.filter { it.hasAtHand(name) }
         val loading = inTouch.filter { it.status?.loading == name }.minByOrNull { remainingLoadMs(it, plan) }
-        if (loading != null && (near.isEmpty() || loading in near)) return Choice.Later(remainingLoadMs(loading, plan))
+        if (loading != null && (near.isEmpty() || loading in near)) return Choice.Later(currentLoadMs(loading, plan))
         asked[name]?.takeIf { it.untilMs > clock.nowMs() && it.target in inTouch }?.let { return Choice.Later(it.expectedMs) }
         if (inTouch.isEmpty()) return Choice.None("no keeper in touch")
         if (near.isEmpty() && inTouch.size < ready.size && clock.nowMs() - startedMs < MEETING_MS) return Choice.Later(MEETING_MS)
-        if (near.isEmpty() && inTouch.count { it.loadsFromStore } >= MOST_STORE_LOADS) return Choice.Later(model.loadMs * 2)
+        val nowMs = clock.nowMs()
+        val demand = state.demand.perSecond(name, nowMs) * fleet.gateways.size
+        val mostLoads = if (demand >= BUSY_REQUESTS_PER_SECOND) MOST_STORE_LOADS_WITH_BUSY_MODELS else MOST_STORE_LOADS
+        if (near.isEmpty() && inTouch.count { it.loadsFromStore } >= mostLoads) return Choice.Later(model.loadMs * 2)
+        val valueMs = LoadValue.ofMs(callers, demand)
         val possible = near.ifEmpty { inTouch }
         val best =
             possible
                 .mapNotNull { target ->
-                    costOfLoad(target, plan, model, mayEvict)?.let { target to it }
+                    costOfLoad(target, plan, model, mayEvict, valueMs)?.let { target to it }
                 }.minByOrNull { it.second }
         val target = best?.first ?: return if (mayEvict) Choice.Later(model.loadFromDiskMs) else Choice.None("no room")
-        val expectedMs = remainingLoadMs(target, plan) + loadMs(target, model)
+        // What many callers wait for is loaded before what else is wished for.
+        val beforeMs = if (demand >= BUSY_REQUESTS_PER_SECOND) currentLoadMs(target, plan) else remainingLoadMs(target, plan)
+        val expectedMs = beforeMs + loadMs(target, model)
         asked[name] = Asked(target, clock.nowMs() + MODEL_ASK_INTERVAL_MS, expectedMs)
-        wish(target, plan, name, null, model.loadMs * 2, mayEvict)
+        wish(target, plan, name, null, model.loadMs * 2, mayEvict, callers)
         return Choice.Later(expectedMs)
     }
 
@@ -164,14 +185,21 @@
         target: Target,
         plan: EnginePlan,
     ): Long {
-        val name = target.status?.loading ?: return 0
-        val model = plan.models[ModelId(name)] ?: return 0
         val queuedMs =
             target.status
                 ?.wished
                 .orEmpty()
-                .size * model.loadFromDiskMs
-        return (loadMs(target, model) - target.loadingForMs).coerceAtLeast(SHORTEST_LOAD_MS) + queuedMs
+                .sumOf { wished -> plan.models[ModelId(wished)]?.let { loadMs(target, it) } ?: 0 }
+        return currentLoadMs(target, plan) + queuedMs
+    }
+
+    private fun currentLoadMs(
+        target: Target,
+        plan: EnginePlan,
+    ): Long {
+        val name = target.status?.loading ?: return 0
+        val model = plan.models[ModelId(name)] ?: return 0
+        return (loadMs(target, model) - target.loadingForMs).coerceAtLeast(SHORTEST_LOAD_MS)
     }
 
     private fun loadMs(
@@ -192,13 +220,15 @@
         plan: EnginePlan,
         model: ModelPlan,
         mayEvict: Boolean,
+        valueMs: Double,
     ): Double? {
         val status = target.status ?: return null
         val usedMb = status.models.sumOf { held -> plan.models[ModelId(held.model)]?.weightsMb ?: plan.weightsMb }
         val reserveMb = plan.adapterSlots * (plan.models.values.maxOfOrNull { it.adapterMb } ?: 0)
         val missingMb = usedMb + model.weightsMb + reserveMb - plan.weightsMb
         if (missingMb > 0 && !mayEvict) return null
-        val eviction = EvictionPlan.choose(evictionCandidates(target, status, plan), missingMb) ?: return null
+        val eviction = EvictionPlan.choose(evictionCandidates(target, status, plan), missingMb, LoadValue.callersOf(valueMs)) ?: return null
+        if (eviction.costMs > valueMs) return null
         val storeMs = if (target.hasAtHand(model.model.value)) 0 else STORE_LOAD_MS
         val tie = Rendezvous.share(model.model.value, target.entry.target.value)
         val failures = target.failureShare() * model.loadMs
@@ -211,8 +241,9 @@
         target: Target,
         status: KeeperMessage.Status,
         plan: EnginePlan,
-    ): List<EvictionCandidate> =
-        status.models.map { held ->
+    ): List<EvictionCandidate> {
+        val others = fleet.ready(target.entry.service).filter { it !== target }
+        return status.models.map { held ->
             val heldPlan = plan.models[ModelId(held.model)]
             val atHand = held.model in status.inMemory || held.model in status.onDisk
             EvictionCandidate(
@@ -221,10 +252,13 @@
                 requestsPerSecond = held.requestsPerSecond.toDouble(),
                 idleMs = held.idleMs,
                 inFlight = held.inFlight,
-                otherCopies = fleet.ready(target.entry.service).count { it !== target && held.model in it.models },
+                otherCopies = spareCopies(target, others, held.model),
+                answerMs = state.work.answerMs(held.model).toLong(),
+                surplus = spareCopies(target, others, held.model) > 0 && isSurplus(target, others, held.model, plan),
                 reloadMs = (if (atHand) heldPlan?.loadFromDiskMs else heldPlan?.loadMs) ?: 0,
             )
         }
+    }
 
     private suspend fun wish(
         target: Target,
@@ -233,6 +267,7 @@
         adapter: String?,
         patienceMs: Long,
         mayEvict: Boolean,
+        callers: Double = 1.0,
     ) {
         val held =
             target.models.keys +
@@ -241,7 +276,9 @@
                     .orEmpty()
                     .map { it.model } + model
         val sizes = held.distinct().mapNotNull { plan.models[ModelId(it)] }.map { ModelSize(it.model.value, it.weightsMb, it.adapterMb) }
-        val elsewhere = held.filter { name -> fleet.ready(target.entry.service).any { it !== target && name in it.models } }
+        val others = fleet.ready(target.entry.service).filter { it !== target }
+        val elsewhere = held.distinct().flatMap { name -> List(spareCopies(target, others, name)) { name } }
+        val nowMs = clock.nowMs()
         target.keeper?.send(
             KeeperMessage.Wish(
                 target = target.entry.target.value,
@@ -253,10 +290,53 @@
                 adapterSlots = plan.adapterSlots,
                 sizes = sizes,
                 copiesElsewhere = elsewhere,
+                surplus = elsewhere.distinct().filter { isSurplus(target, others, it, plan) },
+                callers = callers.toFloat(),
+                requestsPerSecond = state.demand.perSecond(model, nowMs).toFloat(),
             ),
         )
     }
 
+    /**
+     * Returns the copies of [model] on [others] if that on [target] may be given up for them.
+     *
+     * Only one copy counts as spare, the same one for every gateway; engines that decide at the same moment never give up all of them.
+     */
+    private fun spareCopies(
+        target: Target,
+        others: List<Target>,
+        model: String,
+    ): Int {
+        val holders = others.filter { model in it.models }
+        val share = { holder: Target -> Rendezvous.share(model, holder.entry.target.value) }
+        return if (holders.any { share(it) < share(target) }) 0 else holders.size.coerceAtMost(MOST_COPIES_TOLD)
+    }
+
+    /** Whether the holders of [model] among [others] serve its callers without [target]. */
+    private fun isSurplus(
+        target: Target,
+        others: List<Target>,
+        model: String,
+        plan: EnginePlan,
+    ): Boolean {
+        val holders = others.filter { model in it.models }
+        return holders.size >= CopyPlan.needed(loadOf(model, holders + target, plan))
+    }
+
+    /** Returns what callers of all gateways ask of [model], as the keepers of its [holders] tell. */
+    fun loadOf(
+        model: String,
+        holders: List<Target>,
+        plan: EnginePlan,
+    ): ModelLoad {
+        val requestsPerSecond =
+            holders.sumOf { holder ->
+                val held = holder.status?.models?.firstOrNull { it.model == model }
+                held?.requestsPerSecond?.toDouble() ?: 0.0
+            }
+        return state.work.load(model, requestsPerSecond, TOKENS_READ_PER_MS, plan.batch)
+    }
+
     private companion object {
         /** Requests that a plain target may hold for each of its places, counted by this gateway alone. */
         const val PLAIN_QUEUE_FACTOR = 3
@@ -302,6 +382,15 @@
         /** Loads from the weight store at one time, over all engines: the least that the users' stores carry out at full speed. */
         const val MOST_STORE_LOADS = 2
 
+        /** As above for models that many callers wait for, so that rare ones never hold them up. */
+        const val MOST_STORE_LOADS_WITH_BUSY_MODELS = 4
+
+        /** Demand of a model, over all gateways, that is busy: its callers outnumber those of any rare one. */
+        const val BUSY_REQUESTS_PER_SECOND = 1.0
+
+        /** More copies of a model than this tell a keeper nothing more. */
+        const val MOST_COPIES_TOLD = 3
+
         /** What a load from the weight store costs beyond its time: it occupies the engine's orders and the store. */
         const val STORE_LOAD_MS = 8_000L
     }
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -12,6 +12,7 @@
 import org.almondjunction.common.TargetId
 import org.almondjunction.decisions.EvictionCandidate
 import org.almondjunction.decisions.EvictionPlan
+import org.almondjunction.decisions.LoadValue
 import org.almondjunction.network.TcpConnection
 import org.almondjunction.network.launchAlways
 
@@ -43,14 +44,31 @@
 
     private val sessions = mutableSetOf<Session>()
     private val usage = UsageBook()
+    private val demand = ToldDemand()
     private val orders = Mutex()
-    private val wishes = mutableSetOf<Pair<String, String?>>()
+    private val adapterWishes = mutableSetOf<Pair<String, String?>>()
+
+    /** A model on its way onto the engine. */
+    private class Work(
+        valued: ValuedWish,
+    ) {
+        val wish = valued.wish
+        val valueMs = valued.valueMs
+
+        /** Models that make way for it. */
+        val claimed = mutableSetOf<String>()
+
+        /** Whether room was made for it, so that nothing else may take that. */
+        var madeRoom = false
+    }
+
+    private val works = mutableListOf<Work>()
+    private var gathering = false
 
     /** Models that take no new requests since they make way, with the time since when. */
     private val leaving = mutableMapOf<String, Long>()
     private val modelWishes = WishQueue()
     private val sizes = mutableMapOf<String, ModelSize>()
-    private var loading: String? = null
     private var fence = firstFence
     private var snapshot: EngineSnapshot? = null
     private var misses = 0
@@ -89,6 +107,7 @@
                 session.channel.close()
                 sessions -= session
                 usage.forget(session.gateway)
+                demand.forget(session.gateway)
                 tellOfGateways()
             }
         }
@@ -107,9 +126,18 @@
             }
             is KeeperMessage.Usage -> {
                 usage.record(session.gateway, message.uses, clock.nowMs())
+                message.demand.forEach {
+                    demand.tell(
+                        session.gateway,
+                        it.model,
+                        it.requestsPerSecond.toDouble(),
+                        clock.nowMs(),
+                        it.answerMs,
+                    )
+                }
                 answerUsage(session)
             }
-            is KeeperMessage.Wish -> begin(message)
+            is KeeperMessage.Wish -> begin(session.gateway, message)
             is KeeperMessage.Status, is KeeperMessage.Load -> session.channel.close()
         }
     }
@@ -203,14 +231,14 @@
                     HeldModel(
                         model = model,
                         adapters = adapters.toList(),
-                        requestsPerSecond = usage.ratePerSecond(model, null, nowMs).toFloat(),
+                        requestsPerSecond = requestsPerSecond(model, nowMs).toFloat(),
                         idleMs = usage.idleMs(model, null, nowMs),
                         inFlight = usage.inFlight(model, null),
                     )
                 },
             leaving = leaving.keys.toList(),
-            loading = loading,
-            wished = modelWishes.models(nowMs),
+            loading = works.firstOrNull()?.wish?.model,
+            wished = works.drop(1).map { it.wish.model } + modelWishes.models(nowMs),
             inMemory = current?.inMemory.orEmpty(),
             onDisk = current?.onDisk.orEmpty(),
             gateways = gateways,
@@ -220,53 +248,93 @@
         )
     }
 
-    private fun begin(wish: KeeperMessage.Wish) {
+    /** A model that was just loaded has not been used yet, but gateways know who asks for it. */
+    private fun requestsPerSecond(
+        model: String,
+        nowMs: Long,
+    ): Double = demand.perSecond(model, nowMs) ?: usage.ratePerSecond(model, null, nowMs)
+
+    private fun begin(
+        gateway: String,
+        wish: KeeperMessage.Wish,
+    ) {
         wish.sizes.forEach { sizes[it.model] = it }
-        if (wish.adapter == null && !wish.mayEvict && loading != null) return
-        if (wish.adapter == null) modelWishes.add(wish, clock.nowMs())
-        val next = if (wish.adapter == null) nextModelWish() else wish
-        if (next != null) carryOut(next)
+        if (wish.adapter != null) return carryOutAdapter(wish)
+        if (!wish.mayEvict && works.isNotEmpty()) return
+        modelWishes.add(gateway, wish, clock.nowMs())
+        demand.tell(gateway, wish.model, wish.requestsPerSecond.toDouble(), clock.nowMs())
+        if (works.isEmpty() && snapshot?.models.isNullOrEmpty()) gatherWishes() else beginWorks()
     }
 
-    private fun nextModelWish(): KeeperMessage.Wish? {
-        if (loading != null) return null
-        return modelWishes.take(clock.nowMs(), snapshot?.models?.keys.orEmpty())
+    /** On an empty engine anything could be loaded: gateways that have just met it ask within a moment, and most is worth most. */
+    private fun gatherWishes() {
+        if (gathering) return
+        gathering = true
+        scope.launch {
+            delay(WISHES_GATHER_MS)
+            gathering = false
+            beginWorks()
+        }
     }
 
-    private fun carryOut(wish: KeeperMessage.Wish) {
-        val key = wish.model to wish.adapter
-        if (!wishes.add(key)) return
-        if (wish.adapter == null) {
-            loading = wish.model
+    /** One model is loaded at a time; meanwhile what makes room for the next one comes to its end. */
+    private fun beginWorks() {
+        while (works.size < MOST_WORKS) {
+            val inHand = snapshot?.models?.keys.orEmpty() + works.map { it.wish.model }
+            carryOut(modelWishes.take(clock.nowMs(), inHand) ?: return)
+        }
+    }
+
+    private fun carryOut(valued: ValuedWish) {
+        val work = Work(valued)
+        works += work
+        markDirty()
+        scope.launch {
+            val outcome =
+                try {
+                    fulfil(work.wish) { modelStep(work) }
+                } finally {
+                    works -= work
+                    leaving -= work.claimed
+                }
+            logEnd(work.wish, outcome)
             markDirty()
+            beginWorks()
         }
+    }
+
+    private fun carryOutAdapter(wish: KeeperMessage.Wish) {
+        val key = wish.model to wish.adapter
+        if (!adapterWishes.add(key)) return
         scope.launch {
-            val outcome = fulfil(wish)
-            wishes -= key
-            if (wish.adapter == null) {
-                loading = null
-                leaving.clear()
-            }
-            EventLog.info(
-                "wish ended",
-                LogFields(
-                    target = TargetId(wish.target),
-                    outcome = outcome,
-                    extra = mapOf("model" to wish.model, "adapter" to wish.adapter),
-                ),
-            )
+            val outcome =
+                try {
+                    fulfil(wish) { adapterStep(wish) }
+                } finally {
+                    adapterWishes -= key
+                }
+            logEnd(wish, outcome)
             markDirty()
-            if (wish.adapter == null) nextModelWish()?.let { carryOut(it) }
         }
     }
 
-    private suspend fun fulfil(wish: KeeperMessage.Wish): String {
+    private fun logEnd(
+        wish: KeeperMessage.Wish,
+        outcome: String,
+    ) = EventLog.info(
+        "wish ended",
+        LogFields(target = TargetId(wish.target), outcome = outcome, extra = mapOf("model" to wish.model, "adapter" to wish.adapter)),
+    )
+
+    private suspend fun fulfil(
+        wish: KeeperMessage.Wish,
+        step: suspend () -> Step,
+    ): String {
         val endMs = clock.nowMs() + wish.patienceMs
         while (clock.nowMs() < endMs) {
-            val step = orders.withLock { step(wish) }
-            when (step) {
+            when (val outcome = orders.withLock { step() }) {
                 Step.Done -> return "held"
-                is Step.Impossible -> return step.reason
+                is Step.Impossible -> return outcome.reason
                 Step.Wait -> delay(BUSY_POLL_MS)
             }
         }
@@ -283,53 +351,70 @@
         ) : Step()
     }
 
-    private suspend fun step(wish: KeeperMessage.Wish): Step {
-        val report = refresh() ?: return if (snapshot == null) Step.Impossible("the engine does not answer") else Step.Wait
+    private suspend fun adapterStep(wish: KeeperMessage.Wish): Step {
+        val report = refresh() ?: return absent()
+        val adapter = checkNotNull(wish.adapter)
         val adapters = report.models[wish.model]
-        val adapter = wish.adapter
         return when {
-            adapter == null && adapters != null -> Step.Done.also { usage.touch(wish.model, null, clock.nowMs()) }
-            adapter != null && adapters == null -> Step.Impossible("model is not held")
-            adapter != null && adapter in adapters.orEmpty() -> Step.Done
-            adapter != null && (wish.model to adapter) in report.coming -> Step.Wait
-            report.busy -> Step.Wait
-            adapter != null -> loadAdapter(wish, adapter, report)
-            else -> loadModel(wish, report)
+            adapters == null -> Step.Impossible("model is not held")
+            adapter in adapters -> Step.Done
+            (wish.model to adapter) in report.coming || report.busy -> Step.Wait
+            else -> loadAdapter(wish, adapter, report)
         }
     }
 
-    private suspend fun loadModel(
-        wish: KeeperMessage.Wish,
-        report: EngineSnapshot,
-    ): Step {
-        val neededMb = (sizes[wish.model] ?: return Step.Impossible("size of the model is unknown")).weightsMb
+    private suspend fun modelStep(work: Work): Step {
+        val report = refresh() ?: return absent()
+        if (work.wish.model in report.models) {
+            usage.touch(work.wish.model, null, clock.nowMs())
+            return Step.Done
+        }
+        val neededMb = (sizes[work.wish.model] ?: return Step.Impossible("size of the model is unknown")).weightsMb
         val usedMb = usedMb(report) ?: return Step.Impossible("size of a held model is unknown")
-        val reserveMb = sizes.values.maxOf { it.adapterMb } * wish.adapterSlots - adapterMb(report)
-        val missingMb = usedMb + neededMb + reserveMb.coerceAtLeast(0) - wish.memoryMb
-        if (missingMb > 0) {
-            if (!wish.mayEvict) return Step.Impossible("no room")
-            return makeRoom(wish, report, missingMb)
+        val reserveMb = (sizes.values.maxOf { it.adapterMb } * work.wish.adapterSlots - adapterMb(report)).coerceAtLeast(0)
+        val freeMb = work.wish.memoryMb - usedMb - reserveMb
+        val others = works.filter { it !== work && it.wish.model !in report.models }
+        if (!report.busy && neededMb + others.filter { it.madeRoom }.sumOf { weightsMb(it) } <= freeMb) {
+            return order(work.wish, report, EngineOrder.Kind.LOAD, work.wish.model, null)
+        }
+        if (!work.wish.mayEvict) return if (report.busy) Step.Wait else Step.Impossible("no room")
+        val victim = work.claimed.firstOrNull { it in report.models }
+        return when {
+            victim == null -> claim(work, report, neededMb + others.sumOf { weightsMb(it) } - freeMb)
+            report.busy -> Step.Wait
+            else -> unloadOnceUnused(work, report, victim)
         }
-        return order(wish, report, EngineOrder.Kind.LOAD, wish.model, null)
     }
 
-    private suspend fun makeRoom(
-        wish: KeeperMessage.Wish,
+    private fun absent() = if (snapshot == null) Step.Impossible("the engine does not answer") else Step.Wait
+
+    private fun weightsMb(work: Work) = sizes[work.wish.model]?.weightsMb ?: 0
+
+    /** Chooses what makes way for [work], if anything has to beside what other works have claimed; gateways send that no more requests. */
+    private fun claim(
+        work: Work,
         report: EngineSnapshot,
-        missingMb: Long,
+        neededMb: Long,
     ): Step {
-        val candidates = evictionCandidates(wish, report)
-        val begun = candidates.firstOrNull { it.model.value in leaving }
-        if (begun != null) return unloadOnceUnused(wish, report, begun)
-        val chosen = EvictionPlan.choose(candidates, missingMb) ?: return Step.Impossible("all that is held is too small")
+        val claimed = works.flatMap { it.claimed }.filter { it in report.models }
+        val missingMb = neededMb - claimed.sumOf { sizes.getValue(it).weightsMb }
+        if (missingMb <= 0) return Step.Wait
+        val candidates = evictionCandidates(work.wish, report).filter { it.model.value !in claimed }
+        val chosen = EvictionPlan.choose(candidates, missingMb, LoadValue.callersOf(work.valueMs)) ?: return tooSmall(claimed)
+        if (chosen.costMs > work.valueMs) return Step.Impossible("what is held is worth more")
         val victim = candidates.first { it.model == chosen.models.first() }
         val justLoaded = victim.inFlight == 0 && EvictionPlan.waitMs(victim) > 0
         if (justLoaded) return Step.Wait
+        work.claimed += victim.model.value
         leaving[victim.model.value] = clock.nowMs()
         markDirty()
-        return unloadOnceUnused(wish, report, victim)
+        return Step.Wait
     }
 
+    /** What others have claimed comes free once their models are loaded or given up. */
+    private fun tooSmall(claimed: List<String>): Step =
+        if (claimed.isEmpty() && works.size == 1) Step.Impossible("all that is held is too small") else Step.Wait
+
     private fun evictionCandidates(
         wish: KeeperMessage.Wish,
         report: EngineSnapshot,
@@ -339,10 +424,12 @@
             EvictionCandidate(
                 model = ModelId(model),
                 memoryMb = sizes.getValue(model).let { it.weightsMb + it.adapterMb * adapters.size },
-                requestsPerSecond = usage.ratePerSecond(model, null, nowMs),
+                requestsPerSecond = requestsPerSecond(model, nowMs),
                 idleMs = usage.idleMs(model, null, nowMs),
                 inFlight = usage.inFlight(model, null),
-                otherCopies = if (model in wish.copiesElsewhere) 1 else 0,
+                otherCopies = wish.copiesElsewhere.count { it == model },
+                answerMs = demand.answerMs(model, nowMs) ?: EvictionCandidate.USUAL_ANSWER_MS,
+                surplus = model in wish.surplus,
                 reloadMs = if (model in report.inMemory || model in report.onDisk) RELOAD_AT_HAND_MS else RELOAD_FROM_STORE_MS,
             )
         }
@@ -350,13 +437,15 @@
 
     /** Gateways send [victim] no more requests by now; those in progress may end first. */
     private suspend fun unloadOnceUnused(
-        wish: KeeperMessage.Wish,
+        work: Work,
         report: EngineSnapshot,
-        victim: EvictionCandidate,
+        victim: String,
     ): Step {
-        val name = victim.model.value
-        val drains = victim.inFlight > 0 && clock.nowMs() - leaving.getValue(name) < LONGEST_DRAIN_MS
-        return if (drains) Step.Wait else order(wish, report, EngineOrder.Kind.UNLOAD, name, null)
+        val drains = usage.inFlight(victim, null) > 0 && clock.nowMs() - leaving.getValue(victim) < LONGEST_DRAIN_MS
+        if (drains) return Step.Wait
+        // Set before the order, which may be carried out though its answer is lost.
+        work.madeRoom = true
+        return order(work.wish, report, EngineOrder.Kind.UNLOAD, victim, null)
     }
 
     private suspend fun loadAdapter(
@@ -460,6 +549,12 @@
         /** Time in which gateways that start together have all come. */
         const val GATEWAYS_GATHER_MS = 300L
 
+        /** Models on their way at once: one that is loaded, and one for which room is made meanwhile. */
+        const val MOST_WORKS = 1
+
+        /** Time in which gateways that have just met an empty engine ask for what their callers wait for. */
+        const val WISHES_GATHER_MS = 100L
+
         /** Longest time between two full statuses while gateways talk. */
         const val STATUS_INTERVAL_MS = 2_000L
 
--- a/keeper/src/main/kotlin/KeeperMessage.kt
+++ b/keeper/src/main/kotlin/KeeperMessage.kt
@@ -17,14 +17,23 @@
      * What a gateway has sent to the engine lately.
      *
      * @property uses one entry for each model or adapter that was used since the last message or has requests in flight
+     * @property demand what callers of the gateway ask of models that the engine holds
      */
     @Serializable
     @SerialName("u")
     public data class Usage(
         val uses: List<Use>,
+        val demand: List<Demand> = emptyList(),
     ) : KeeperMessage()
 
-    /** A gateway asks for a model or an adapter. */
+    /**
+     * A gateway asks for a model or an adapter.
+     *
+     * @property callers callers that wait for it there, weighed as `LoadValue` says
+     * @property requestsPerSecond recent demand for the model at the gateway
+     * @property copiesElsewhere models with a copy on another engine; one entry for each copy
+     * @property surplus models whose copies on other engines serve all of their callers
+     */
     @Serializable
     @SerialName("w")
     public data class Wish(
@@ -37,6 +46,9 @@
         val adapterSlots: Int,
         val sizes: List<ModelSize>,
         val copiesElsewhere: List<String> = emptyList(),
+        val surplus: List<String> = emptyList(),
+        val callers: Float = 1f,
+        val requestsPerSecond: Float = 0f,
     ) : KeeperMessage()
 
     /**
@@ -82,7 +94,20 @@
     @SerialName("f") val inFlight: Int,
 )
 
-/** Memory that a model and each of its adapters take, and how long loads take. */
+/**
+ * Demand for [model] at one gateway.
+ *
+ * @property requestsPerSecond the part of it that falls on one engine
+ * @property answerMs how long its requests usually take at their engine
+ */
+@Serializable
+public data class Demand(
+    @SerialName("m") val model: String,
+    @SerialName("r") val requestsPerSecond: Float,
+    @SerialName("t") val answerMs: Int = 0,
+)
+
+/** Memory that a model and each of its adapters take. */
 @Serializable
 public data class ModelSize(
     @SerialName("m") val model: String,
