--- a/decisions/src/main/kotlin/AnswerDurations.kt
+++ b/decisions/src/main/kotlin/AnswerDurations.kt
@@ -23,10 +23,7 @@
         }
     }
 
-    private val routes =
-        object : LinkedHashMap<String, Samples>(INITIAL_ROUTES, LOAD_FACTOR, true) {
-            override fun removeEldestEntry(eldest: Map.Entry<String, Samples>) = size > MOST_ROUTES
-        }
+    private val routes = RecentlyUsed<String, Samples>(MOST_ROUTES)
 
     /**
      * Notes an answer on [route] that was complete [wholeMs] after its request came.
@@ -61,8 +58,6 @@
 
         /** Bound on the routes that are remembered; the least recently used are forgotten. */
         const val MOST_ROUTES = 512
-        const val INITIAL_ROUTES = 16
-        const val LOAD_FACTOR = 0.75f
 
         /** Waits for weights are rare and far longer than others; a request that waits is examined again before it is sent. */
         const val FIRST_PART_PERCENTILE = 90
--- a/decisions/src/main/kotlin/WorkBook.kt
+++ b/decisions/src/main/kotlin/WorkBook.kt
@@ -7,10 +7,7 @@
         var answerMs: Double,
     )
 
-    private val entries =
-        object : LinkedHashMap<String, Entry>(INITIAL_MODELS, LOAD_FACTOR, true) {
-            override fun removeEldestEntry(eldest: Map.Entry<String, Entry>) = size > MOST_MODELS
-        }
+    private val entries = RecentlyUsed<String, Entry>(MOST_MODELS)
 
     /** Notes an answer of [model] that took [answerMs] at its engine, which had [unreadTokens] of the prompt still to read. */
     public fun record(
@@ -45,8 +42,6 @@
         /** Assumed of a model without answers: a prompt of some thousand tokens, and a stream of a second. */
         const val UNKNOWN_READ_MS = 80.0
         const val UNKNOWN_ANSWER_MS = 1_200.0
-        const val INITIAL_MODELS = 64
-        const val LOAD_FACTOR = 0.75f
 
         /** Bound on the models that are remembered; the least recently used are forgotten. */
         const val MOST_MODELS = 4_096
--- /dev/null
+++ b/gateway/src/test/kotlin/GatewayFixture.kt
@@ -0,0 +1,116 @@
+package org.almondjunction.gateway
+
+import kotlinx.coroutines.launch
+import org.almondjunction.common.Address
+import org.almondjunction.common.Location
+import org.almondjunction.common.Metrics
+import org.almondjunction.common.RegionId
+import org.almondjunction.common.ServiceId
+import org.almondjunction.common.TargetId
+import org.almondjunction.common.ZoneId
+import org.almondjunction.decisions.RepeatKind
+import org.almondjunction.network.EventLoop
+import org.almondjunction.network.TcpConnection
+import org.almondjunction.network.TcpListener
+import org.almondjunction.network.processScope
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import kotlin.concurrent.thread
+
+/** A gateway on loopback before targets that a test plays. */
+internal class GatewayFixture(
+    graceMs: Long = 8_000,
+) : AutoCloseable {
+    val loop = EventLoop()
+    val scope = processScope(loop)
+    private val callersPort = freePort()
+    val settings =
+        GatewaySettings(
+            name = "g",
+            place = Place(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r"))),
+            callers = Address(LOOPBACK, callersPort),
+            readiness = Address(LOOPBACK, freePort()),
+            readinessPath = "/ready",
+            keeperPort = freePort(),
+            graceMs = graceMs,
+        )
+    val gateway = Gateway(settings, NAMES, loop, scope, Metrics())
+    private val loopThread = thread { loop.run() }
+
+    private fun freePort() = ServerSocket(0).use { it.localPort }
+
+    /** Starts the gateway with the one [route] and a target on each of [hosts], whose connections [target] serves. */
+    fun start(
+        route: Route,
+        engine: EnginePlan? = null,
+        hosts: List<String> = List(TARGETS) { LOOPBACK },
+        target: suspend (TcpConnection) -> Unit,
+    ) {
+        val started = CountDownLatch(1)
+        scope.launch {
+            gateway.start()
+            gateway.accept(GatewayConfiguration(1, listOf(route), mapOf(SERVICE to ServicePlan(SERVICE, 9, engine))))
+            hosts.forEachIndexed { index, host ->
+                val listener = TcpListener(loop, Address(host, 0)) { connection -> scope.launch { target(connection) } }
+                val address = Address(host, listener.port)
+                gateway.directory.put(TargetEntry(TargetId("t$index"), SERVICE, address, ZoneId("z"), true, 4, 1, 1, emptyMap()))
+            }
+            started.countDown()
+        }
+        started.await()
+    }
+
+    fun connect(): Socket = Socket(LOOPBACK, callersPort)
+
+    /** Sends [request] on a connection of its own and returns all that comes back. */
+    fun ask(request: String): String =
+        connect().use { socket ->
+            socket.getOutputStream().write(request.toByteArray())
+            socket.getInputStream().readAllBytes().decodeToString()
+        }
+
+    override fun close() {
+        loop.stop()
+        loopThread.join()
+    }
+
+    companion object {
+        const val TARGETS = 2
+        const val LOOPBACK = "127.0.0.1"
+        private val SERVICE = ServiceId("s")
+        private val NAMES =
+            HeaderNames(
+                "Id",
+                "Deadline",
+                "Model",
+                "Tokens",
+                "Parts",
+                "Last-Event",
+                "Signature",
+                "Target",
+                "Answering",
+                "Not-Run",
+                "Urgency",
+                setOf("target"),
+            )
+
+        /** A route to everything, which a test changes where it needs to. */
+        fun route(
+            repeat: RepeatKind,
+            streaming: Boolean,
+        ) = Route(
+            name = "r",
+            host = "h",
+            pathPrefix = "/",
+            repeat = repeat,
+            streaming = streaming,
+            destinations = listOf(Destination(SERVICE, 1.0)),
+            timeoutMs = 20_000,
+            latencyObjectiveMs = 10_000,
+            priority = 0,
+            maximumTargets = 2,
+            callerPatienceMs = 60_000,
+        )
+    }
+}
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -1,21 +1,12 @@
 package org.almondjunction.gateway
 
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.launch
 import org.almondjunction.common.Address
-import org.almondjunction.common.Location
-import org.almondjunction.common.Metrics
 import org.almondjunction.common.ModelId
-import org.almondjunction.common.RegionId
-import org.almondjunction.common.ServiceId
-import org.almondjunction.common.TargetId
-import org.almondjunction.common.ZoneId
 import org.almondjunction.decisions.RepeatKind
 import org.almondjunction.keeper.KeeperMessage
 import org.almondjunction.keeper.MessageChannel
 import org.almondjunction.network.BodyFraming
-import org.almondjunction.network.EventLoop
 import org.almondjunction.network.HeadResult
 import org.almondjunction.network.HttpHeadParser
 import org.almondjunction.network.HttpReader
@@ -23,11 +14,8 @@
 import org.almondjunction.network.RequestHead
 import org.almondjunction.network.TcpConnection
 import org.almondjunction.network.TcpListener
-import java.net.ServerSocket
-import java.net.Socket
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
-import kotlin.concurrent.thread
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -35,76 +23,21 @@
 
 /** A gateway before two targets on loopback whose answers are scripted, one for each request that reaches either of them. */
 class GatewayTest {
-    private val loop = EventLoop()
-    private val scope = CoroutineScope(SupervisorJob() + loop)
-    private val names =
-        HeaderNames(
-            "Id",
-            "Deadline",
-            "Model",
-            "Tokens",
-            "Parts",
-            "Last-Event",
-            "Signature",
-            "Target",
-            "Answering",
-            "Not-Run",
-            "Urgency",
-            setOf("target"),
-        )
-    private val callersPort = freePort()
-    private val settings =
-        GatewaySettings(
-            name = "g",
-            place = Place(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r"))),
-            callers = Address(LOOPBACK, callersPort),
-            readiness = Address(LOOPBACK, freePort()),
-            readinessPath = "/ready",
-            keeperPort = freePort(),
-            graceMs = 3_900,
-        )
-    private val gateway = Gateway(settings, names, loop, scope, Metrics())
+    private val fixture = GatewayFixture(graceMs = 3_900)
+    private val loop get() = fixture.loop
+    private val scope get() = fixture.scope
+    private val settings get() = fixture.settings
+    private val gateway get() = fixture.gateway
     private val script = ArrayDeque<suspend (TcpConnection, RequestHead) -> Unit>()
     private val seen = mutableListOf<RequestHead>()
-    private val loopThread = thread { loop.run() }
-
-    private fun freePort() = ServerSocket(0).use { it.localPort }
 
     private fun start(
         repeat: RepeatKind,
         streaming: Boolean,
         engine: EnginePlan? = null,
-        hosts: List<String> = List(TARGETS) { LOOPBACK },
+        hosts: List<String> = List(GatewayFixture.TARGETS) { LOOPBACK },
         callerPatienceMs: Long = 60_000,
-    ) {
-        val started = CountDownLatch(1)
-        scope.launch {
-            val service = ServiceId("s")
-            gateway.start()
-            val route =
-                Route(
-                    name = "r",
-                    host = "h",
-                    pathPrefix = "/",
-                    repeat = repeat,
-                    streaming = streaming,
-                    destinations = listOf(Destination(service, 1.0)),
-                    timeoutMs = 20_000,
-                    latencyObjectiveMs = 10_000,
-                    priority = 0,
-                    maximumTargets = 2,
-                    callerPatienceMs = callerPatienceMs,
-                )
-            gateway.accept(GatewayConfiguration(1, listOf(route), mapOf(service to ServicePlan(service, 9, engine))))
-            hosts.forEachIndexed { index, host ->
-                val listener = TcpListener(loop, Address(host, 0)) { connection -> scope.launch { target(connection) } }
-                val address = Address(host, listener.port)
-                gateway.directory.put(TargetEntry(TargetId("t$index"), service, address, ZoneId("z"), true, 4, 1, 1, emptyMap()))
-            }
-            started.countDown()
-        }
-        started.await()
-    }
+    ): Unit = fixture.start(GatewayFixture.route(repeat, streaming).copy(callerPatienceMs = callerPatienceMs), engine, hosts) { target(it) }
 
     private suspend fun target(connection: TcpConnection) {
         val reader = HttpReader(connection)
@@ -127,18 +60,13 @@
     private fun ask(
         body: String = "",
         extra: String = "",
-    ): String =
-        Socket(LOOPBACK, callersPort).use { socket ->
-            val head = "POST /x?y HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\nConnection: close\r\n$extra"
-            socket.getOutputStream().write((head + "Content-Length: ${body.length}\r\n\r\n$body").toByteArray())
-            socket.getInputStream().readAllBytes().decodeToString()
-        }
+    ): String {
+        val head = "POST /x?y HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\nConnection: close\r\n$extra"
+        return fixture.ask(head + "Content-Length: ${body.length}\r\n\r\n$body")
+    }
 
     @AfterTest
-    fun stop() {
-        loop.stop()
-        loopThread.join()
-    }
+    fun stop(): Unit = fixture.close()
 
     private val served = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok"
     private val refused = "HTTP/1.1 503 X\r\nId: 7\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
@@ -229,7 +157,7 @@
             end = connection.fill()
             left.countDown()
         }
-        Socket(LOOPBACK, callersPort).use { socket ->
+        fixture.connect().use { socket ->
             socket.getOutputStream().write("GET /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\n\r\n".toByteArray())
             working.await()
         }
@@ -302,12 +230,12 @@
     fun `who still waits for weights when the gateway goes is told that nothing ran`() {
         val plan =
             ModelPlan(ModelId("m"), weightsMb = 1, adapterMb = 0, loadMs = 10_000, loadFromMemoryMs = 10_000, loadFromDiskMs = 10_000)
-        val touch = CountDownLatch(TARGETS)
+        val touch = CountDownLatch(GatewayFixture.TARGETS)
         val wished = CountDownLatch(1)
         TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { idleKeeper(it, touch, wished) } }
         start(RepeatKind.ONCE, streaming = true, EnginePlan(1, 1, weightsMb = 1, adapterSlots = 0, mapOf(plan.model to plan)))
         touch.await()
-        Socket(LOOPBACK, callersPort).use { socket ->
+        fixture.connect().use { socket ->
             val head = "POST /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\nModel: m\r\nContent-Length: 0\r\n\r\n"
             socket.getOutputStream().write(head.toByteArray())
             wished.await()
@@ -342,8 +270,7 @@
     }
 
     private companion object {
-        const val TARGETS = 2
-        const val LOOPBACK = "127.0.0.1"
+        const val LOOPBACK = GatewayFixture.LOOPBACK
         const val HOST_WITHOUT_KEEPER = "127.0.0.2"
 
         /** Ends a test that would hang; far beyond what any machine needs. */
--- a/gateway/src/test/kotlin/TroubledTargetTest.kt
+++ b/gateway/src/test/kotlin/TroubledTargetTest.kt
@@ -1,25 +1,10 @@
 package org.almondjunction.gateway
 
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
-import org.almondjunction.common.Address
-import org.almondjunction.common.Location
-import org.almondjunction.common.Metrics
-import org.almondjunction.common.RegionId
-import org.almondjunction.common.ServiceId
-import org.almondjunction.common.TargetId
-import org.almondjunction.common.ZoneId
 import org.almondjunction.decisions.RepeatKind
-import org.almondjunction.network.EventLoop
 import org.almondjunction.network.HeadResult
 import org.almondjunction.network.HttpReader
 import org.almondjunction.network.TcpConnection
-import org.almondjunction.network.TcpListener
-import org.almondjunction.network.processScope
-import java.net.ServerSocket
-import java.net.Socket
-import java.util.concurrent.CountDownLatch
-import kotlin.concurrent.thread
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -27,35 +12,13 @@
 
 /** Targets in trouble: bytes that are no answer and never end, streams that drip, streams that are slow but sound. */
 class TroubledTargetTest {
-    private val loop = EventLoop()
-    private val scope = processScope(loop)
-    private val callersPort = freePort()
-    private val gateway =
-        Gateway(
-            GatewaySettings(
-                name = "g",
-                place = Place(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r"))),
-                callers = Address(LOOPBACK, callersPort),
-                readiness = Address(LOOPBACK, freePort()),
-                readinessPath = "/ready",
-                keeperPort = freePort(),
-            ),
-            NAMES,
-            loop,
-            scope,
-            Metrics(),
-        )
+    private val fixture = GatewayFixture()
+    private val gateway get() = fixture.gateway
     private val script = ArrayDeque<suspend (TcpConnection) -> Unit>()
     private var sends = 0
-    private val loopThread = thread { loop.run() }
-
-    private fun freePort() = ServerSocket(0).use { it.localPort }
 
     @AfterTest
-    fun stop() {
-        loop.stop()
-        loopThread.join()
-    }
+    fun stop(): Unit = fixture.close()
 
     private fun start(
         repeat: RepeatKind,
@@ -63,33 +26,8 @@
         maximumTargets: Int = 2,
         callerPatienceMs: Long = 60_000,
     ) {
-        val started = CountDownLatch(1)
-        scope.launch {
-            val service = ServiceId("s")
-            gateway.start()
-            val route =
-                Route(
-                    name = "r",
-                    host = "h",
-                    pathPrefix = "/",
-                    repeat = repeat,
-                    streaming = streaming,
-                    destinations = listOf(Destination(service, 1.0)),
-                    timeoutMs = 60_000,
-                    latencyObjectiveMs = 10_000,
-                    priority = 0,
-                    maximumTargets = maximumTargets,
-                    callerPatienceMs = callerPatienceMs,
-                )
-            gateway.accept(GatewayConfiguration(1, listOf(route), mapOf(service to ServicePlan(service, 9))))
-            repeat(TARGETS) { index ->
-                val listener = TcpListener(loop, Address(LOOPBACK, 0)) { connection -> scope.launch { target(connection) } }
-                val address = Address(LOOPBACK, listener.port)
-                gateway.directory.put(TargetEntry(TargetId("t$index"), service, address, ZoneId("z"), true, 4, 1, 1, emptyMap()))
-            }
-            started.countDown()
-        }
-        started.await()
+        val route = GatewayFixture.route(repeat, streaming)
+        fixture.start(route.copy(timeoutMs = 60_000, maximumTargets = maximumTargets, callerPatienceMs = callerPatienceMs)) { target(it) }
     }
 
     private suspend fun target(connection: TcpConnection) {
@@ -99,11 +37,7 @@
         connection.close()
     }
 
-    private fun ask(): String =
-        Socket(LOOPBACK, callersPort).use { socket ->
-            socket.getOutputStream().write("GET /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nConnection: close\r\n\r\n".toByteArray())
-            socket.getInputStream().readAllBytes().decodeToString()
-        }
+    private fun ask(): String = fixture.ask("GET /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nConnection: close\r\n\r\n")
 
     /** Sends [begin], and then [part] again and again until the gateway closes the connection. */
     private fun endless(
@@ -163,7 +97,7 @@
         val room = (Runtime.getRuntime().maxMemory() / 4).toInt()
         assertTrue(others.take(room - 10))
         val answer = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\nContent-Length: 20\r\n\r\n" + "x".repeat(20)
-        repeat(TARGETS) { script += { connection -> connection.write(answer.toByteArray()) } }
+        repeat(GatewayFixture.TARGETS) { script += { connection -> connection.write(answer.toByteArray()) } }
         assertEquals("HTTP/1.1 502", ask().take("HTTP/1.1 502".length))
         others.close()
         script += { connection -> connection.write(answer.toByteArray()) }
@@ -214,25 +148,8 @@
     }
 
     private companion object {
-        const val TARGETS = 2
-        const val LOOPBACK = "127.0.0.1"
         const val BLOCK_BYTES = 16_384
         const val DRIP_MS = 20L
         const val LONG_PAUSE_MS = 1_300L
-        val NAMES =
-            HeaderNames(
-                "Id",
-                "Deadline",
-                "Model",
-                "Tokens",
-                "Parts",
-                "Last-Event",
-                "Signature",
-                "Target",
-                "Answering",
-                "Not-Run",
-                "Urgency",
-                setOf("target"),
-            )
     }
 }
