Keeper: one model on its way, as it behaves; one piece gathers requests; demand is kept as it is told

What stayed of the trial with two models on their way (a list of works, their claims, room reserved for others) was never used with one: nothing else could hold a claim. modelStep is one table again, and what makes way is in `leaving` alone. Two copies of "once, a moment after the first request" are Gathering; ToldDemand keeps the message's own type. Behaviour as before.

--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -48,31 +48,20 @@
     private val orders = Mutex()
     private val adapterWishes = mutableSetOf<Pair<String, String?>>()
 
-    /** A model on its way onto the engine. */
-    private class Work(
-        valued: ValuedWish,
-    ) {
-        val wish = valued.wish
-        val valueMs = valued.valueMs
-
-        /** Models that make way for it. */
-        val claimed = mutableSetOf<String>()
-
-        /** Whether room was made for it, so that nothing else may take that. */
-        var madeRoom = false
-    }
-
-    private val works = mutableListOf<Work>()
-    private var gathering = false
-
     /** Models that take no new requests since they make way, with the time since when. */
     private val leaving = mutableMapOf<String, Long>()
     private val modelWishes = WishQueue()
     private val sizes = mutableMapOf<String, ModelSize>()
+    private var loading: String? = null
     private var fence = firstFence
     private var snapshot: EngineSnapshot? = null
     private var misses = 0
-    private var gatewaysChanged = false
+
+    /** All gateways are told together of those that come or go at about one time. */
+    private val gatewaysChanged = Gathering(scope, GATEWAYS_GATHER_MS) { markDirty() }
+
+    /** On an empty engine anything could be loaded: gateways that have just met it ask within a moment, and most is worth most. */
+    private val firstWishes = Gathering(scope, WISHES_GATHER_MS) { beginNext() }
 
     /** When the engine was last heard, or a gateway last came for it. */
     private var expectedMs = clock.nowMs()
@@ -108,7 +97,7 @@
                 sessions -= session
                 usage.forget(session.gateway)
                 demand.forget(session.gateway)
-                tellOfGateways()
+                gatewaysChanged.request()
             }
         }
     }
@@ -122,19 +111,11 @@
                 session.gateway = message.gateway
                 expectedMs = clock.nowMs()
                 push(session.also { it.dirty = true })
-                tellOfGateways()
+                gatewaysChanged.request()
             }
             is KeeperMessage.Usage -> {
                 usage.record(session.gateway, message.uses, clock.nowMs())
-                message.demand.forEach {
-                    demand.tell(
-                        session.gateway,
-                        it.model,
-                        it.requestsPerSecond.toDouble(),
-                        clock.nowMs(),
-                        it.answerMs,
-                    )
-                }
+                message.demand.forEach { demand.tell(session.gateway, it, clock.nowMs()) }
                 answerUsage(session)
             }
             is KeeperMessage.Wish -> begin(session.gateway, message)
@@ -149,17 +130,6 @@
         push(session)
     }
 
-    /** Tells all gateways that one has come or gone; many that come at once are told of together. */
-    private fun tellOfGateways() {
-        if (gatewaysChanged) return
-        gatewaysChanged = true
-        scope.launch {
-            delay(GATEWAYS_GATHER_MS)
-            gatewaysChanged = false
-            markDirty()
-        }
-    }
-
     private suspend fun refresh(): EngineSnapshot? {
         val before = snapshot
         val now = engine.report()
@@ -237,8 +207,8 @@
                     )
                 },
             leaving = leaving.keys.toList(),
-            loading = works.firstOrNull()?.wish?.model,
-            wished = works.drop(1).map { it.wish.model } + modelWishes.models(nowMs),
+            loading = loading,
+            wished = modelWishes.models(nowMs),
             inMemory = current?.inMemory.orEmpty(),
             onDisk = current?.onDisk.orEmpty(),
             gateways = gateways,
@@ -260,46 +230,32 @@
     ) {
         wish.sizes.forEach { sizes[it.model] = it }
         if (wish.adapter != null) return carryOutAdapter(wish)
-        if (!wish.mayEvict && works.isNotEmpty()) return
+        if (!wish.mayEvict && loading != null) return
         modelWishes.add(gateway, wish, clock.nowMs())
-        demand.tell(gateway, wish.model, wish.requestsPerSecond.toDouble(), clock.nowMs())
-        if (works.isEmpty() && snapshot?.models.isNullOrEmpty()) gatherWishes() else beginWorks()
-    }
-
-    /** On an empty engine anything could be loaded: gateways that have just met it ask within a moment, and most is worth most. */
-    private fun gatherWishes() {
-        if (gathering) return
-        gathering = true
-        scope.launch {
-            delay(WISHES_GATHER_MS)
-            gathering = false
-            beginWorks()
-        }
+        demand.tell(gateway, Demand(wish.model, wish.requestsPerSecond), clock.nowMs())
+        if (loading == null && snapshot?.models.isNullOrEmpty()) firstWishes.request() else beginNext()
     }
 
-    /** One model is loaded at a time; meanwhile what makes room for the next one comes to its end. */
-    private fun beginWorks() {
-        while (works.size < MOST_WORKS) {
-            val inHand = snapshot?.models?.keys.orEmpty() + works.map { it.wish.model }
-            carryOut(modelWishes.take(clock.nowMs(), inHand) ?: return)
-        }
+    /** Begins with the wish that is worth most, unless a model is on its way already. */
+    private fun beginNext() {
+        if (loading != null) return
+        modelWishes.take(clock.nowMs(), snapshot?.models?.keys.orEmpty())?.let { carryOut(it) }
     }
 
     private fun carryOut(valued: ValuedWish) {
-        val work = Work(valued)
-        works += work
+        loading = valued.wish.model
         markDirty()
         scope.launch {
             val outcome =
                 try {
-                    fulfil(work.wish) { modelStep(work) }
+                    fulfil(valued.wish) { modelStep(valued) }
                 } finally {
-                    works -= work
-                    leaving -= work.claimed
+                    loading = null
+                    leaving.clear()
                 }
-            logEnd(work.wish, outcome)
+            logEnd(valued.wish, outcome)
             markDirty()
-            beginWorks()
+            beginNext()
         }
     }
 
@@ -363,58 +319,48 @@
         }
     }
 
-    private suspend fun modelStep(work: Work): Step {
+    private suspend fun modelStep(valued: ValuedWish): Step {
         val report = refresh() ?: return absent()
-        if (work.wish.model in report.models) {
-            usage.touch(work.wish.model, null, clock.nowMs())
+        val wish = valued.wish
+        if (wish.model in report.models) {
+            usage.touch(wish.model, null, clock.nowMs())
             return Step.Done
         }
-        val neededMb = (sizes[work.wish.model] ?: return Step.Impossible("size of the model is unknown")).weightsMb
+        val neededMb = (sizes[wish.model] ?: return Step.Impossible("size of the model is unknown")).weightsMb
         val usedMb = usedMb(report) ?: return Step.Impossible("size of a held model is unknown")
-        val reserveMb = (sizes.values.maxOf { it.adapterMb } * work.wish.adapterSlots - adapterMb(report)).coerceAtLeast(0)
-        val freeMb = work.wish.memoryMb - usedMb - reserveMb
-        val others = works.filter { it !== work && it.wish.model !in report.models }
-        if (!report.busy && neededMb + others.filter { it.madeRoom }.sumOf { weightsMb(it) } <= freeMb) {
-            return order(work.wish, report, EngineOrder.Kind.LOAD, work.wish.model, null)
-        }
-        if (!work.wish.mayEvict) return if (report.busy) Step.Wait else Step.Impossible("no room")
-        val victim = work.claimed.firstOrNull { it in report.models }
+        val reserveMb = (sizes.values.maxOf { it.adapterMb } * wish.adapterSlots - adapterMb(report)).coerceAtLeast(0)
+        val missingMb = usedMb + neededMb + reserveMb - wish.memoryMb
+        val victim = leaving.keys.firstOrNull { it in report.models }
         return when {
-            victim == null -> claim(work, report, neededMb + others.sumOf { weightsMb(it) } - freeMb)
+            missingMb > 0 && wish.mayEvict && victim == null -> chooseVictim(valued, report, missingMb)
             report.busy -> Step.Wait
-            else -> unloadOnceUnused(work, report, victim)
+            missingMb <= 0 -> order(wish, report, EngineOrder.Kind.LOAD, wish.model, null)
+            victim == null -> Step.Impossible("no room")
+            else -> unloadOnceUnused(wish, report, victim)
         }
     }
 
     private fun absent() = if (snapshot == null) Step.Impossible("the engine does not answer") else Step.Wait
 
-    private fun weightsMb(work: Work) = sizes[work.wish.model]?.weightsMb ?: 0
-
-    /** Chooses what makes way for [work], if anything has to beside what other works have claimed; gateways send that no more requests. */
-    private fun claim(
-        work: Work,
+    /** Chooses what makes way for the wish; gateways send that no more requests. */
+    private fun chooseVictim(
+        valued: ValuedWish,
         report: EngineSnapshot,
-        neededMb: Long,
+        missingMb: Long,
     ): Step {
-        val claimed = works.flatMap { it.claimed }.filter { it in report.models }
-        val missingMb = neededMb - claimed.sumOf { sizes.getValue(it).weightsMb }
-        if (missingMb <= 0) return Step.Wait
-        val candidates = evictionCandidates(work.wish, report).filter { it.model.value !in claimed }
-        val chosen = EvictionPlan.choose(candidates, missingMb, LoadValue.callersOf(work.valueMs)) ?: return tooSmall(claimed)
-        if (chosen.costMs > work.valueMs) return Step.Impossible("what is held is worth more")
+        val candidates = evictionCandidates(valued.wish, report)
+        val chosen =
+            EvictionPlan.choose(candidates, missingMb, LoadValue.callersOf(valued.valueMs))
+                ?: return Step.Impossible("all that is held is too small")
+        if (chosen.costMs > valued.valueMs) return Step.Impossible("what is held is worth more")
         val victim = candidates.first { it.model == chosen.models.first() }
         val justLoaded = victim.inFlight == 0 && EvictionPlan.waitMs(victim) > 0
         if (justLoaded) return Step.Wait
-        work.claimed += victim.model.value
         leaving[victim.model.value] = clock.nowMs()
         markDirty()
         return Step.Wait
     }
 
-    /** What others have claimed comes free once their models are loaded or given up. */
-    private fun tooSmall(claimed: List<String>): Step =
-        if (claimed.isEmpty() && works.size == 1) Step.Impossible("all that is held is too small") else Step.Wait
-
     private fun evictionCandidates(
         wish: KeeperMessage.Wish,
         report: EngineSnapshot,
@@ -437,15 +383,12 @@
 
     /** Gateways send [victim] no more requests by now; those in progress may end first. */
     private suspend fun unloadOnceUnused(
-        work: Work,
+        wish: KeeperMessage.Wish,
         report: EngineSnapshot,
         victim: String,
     ): Step {
         val drains = usage.inFlight(victim, null) > 0 && clock.nowMs() - leaving.getValue(victim) < LONGEST_DRAIN_MS
-        if (drains) return Step.Wait
-        // Set before the order, which may be carried out though its answer is lost.
-        work.madeRoom = true
-        return order(work.wish, report, EngineOrder.Kind.UNLOAD, victim, null)
+        return if (drains) Step.Wait else order(wish, report, EngineOrder.Kind.UNLOAD, victim, null)
     }
 
     private suspend fun loadAdapter(
@@ -549,9 +492,6 @@
         /** Time in which gateways that start together have all come. */
         const val GATEWAYS_GATHER_MS = 300L
 
-        /** Models on their way at once: one that is loaded, and one for which room is made meanwhile. */
-        const val MOST_WORKS = 1
-
         /** Time in which gateways that have just met an empty engine ask for what their callers wait for. */
         const val WISHES_GATHER_MS = 100L
 
--- a/keeper/src/main/kotlin/MessageChannel.kt
+++ b/keeper/src/main/kotlin/MessageChannel.kt
@@ -1,7 +1,6 @@
 package org.almondjunction.keeper
 
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import org.almondjunction.common.EventLog
 import org.almondjunction.common.LogFields
@@ -53,8 +52,6 @@
         internal fun decode(body: ByteArray): KeeperMessage? =
             try {
                 CODEC.decodeFromByteArray(KeeperMessage.serializer(), body)
-            } catch (failure: SerializationException) {
-                unreadable(failure)
             } catch (failure: IllegalArgumentException) {
                 unreadable(failure)
             } catch (failure: IllegalStateException) {
--- a/keeper/src/main/kotlin/ToldDemand.kt
+++ b/keeper/src/main/kotlin/ToldDemand.kt
@@ -3,8 +3,7 @@
 /** Demand for models as the gateways tell it; what a gateway told long ago, or before it left, no longer counts. */
 internal class ToldDemand {
     private class Told(
-        val perSecond: Double,
-        val answerMs: Int,
+        val demand: Demand,
         val atMs: Long,
     )
 
@@ -12,12 +11,10 @@
 
     fun tell(
         gateway: String,
-        model: String,
-        perSecond: Double,
+        demand: Demand,
         nowMs: Long,
-        answerMs: Int = 0,
     ) {
-        byModel.getOrPut(model) { mutableMapOf() }[gateway] = Told(perSecond, answerMs, nowMs)
+        byModel.getOrPut(demand.model) { mutableMapOf() }[gateway] = Told(demand, nowMs)
     }
 
     fun forget(gateway: String): Unit = byModel.values.forEach { it -= gateway }
@@ -26,24 +23,26 @@
     fun perSecond(
         model: String,
         nowMs: Long,
-    ): Double? = fresh(model, nowMs).takeIf { it.isNotEmpty() }?.sumOf { it.perSecond }
+    ): Double? = fresh(model, nowMs).takeIf { it.isNotEmpty() }?.sumOf { it.requestsPerSecond.toDouble() }
 
     /** Returns how long requests for [model] take by what the gateways tell; null where none has told of it lately. */
     fun answerMs(
         model: String,
         nowMs: Long,
-    ): Long? =
-        fresh(model, nowMs)
-            .map { it.answerMs }
-            .filter { it > 0 }
-            .takeIf { it.isNotEmpty() }
-            ?.average()
-            ?.toLong()
+    ): Long? {
+        val told = fresh(model, nowMs).map { it.answerMs }.filter { it > 0 }
+        return if (told.isEmpty()) null else told.average().toLong()
+    }
 
     private fun fresh(
         model: String,
         nowMs: Long,
-    ) = byModel[model]?.values.orEmpty().filter { nowMs - it.atMs <= FORGET_MS }
+    ): List<Demand> =
+        byModel[model]
+            ?.values
+            .orEmpty()
+            .filter { nowMs - it.atMs <= FORGET_MS }
+            .map { it.demand }
 
     private companion object {
         /** Gateways with callers tell every 500 ms. */
