--- a/decisions/src/main/kotlin/AnswerDurations.kt
+++ b/decisions/src/main/kotlin/AnswerDurations.kt
@@ -6,24 +6,12 @@
  * An answer takes the wait for its first part, and from then on a time that grows with its size.
  */
 public class AnswerDurations {
-    private class Samples {
-        val firstPartMs = ArrayDeque<Double>()
-        val restMsPerUnit = ArrayDeque<Double>()
+    private class Sample(
+        val firstPartMs: Long,
+        val restMsPerUnit: Double,
+    )
 
-        fun add(
-            firstMs: Double,
-            restMs: Double,
-        ) {
-            firstPartMs.addLast(firstMs)
-            restMsPerUnit.addLast(restMs)
-            if (firstPartMs.size > MOST_SAMPLES) {
-                firstPartMs.removeFirst()
-                restMsPerUnit.removeFirst()
-            }
-        }
-    }
-
-    private val routes = RecentlyUsed<String, Samples>(MOST_ROUTES)
+    private val routes = RecentlyUsed<String, ArrayDeque<Sample>>(MOST_ROUTES)
 
     /**
      * Notes an answer on [route] that was complete [wholeMs] after its request came.
@@ -38,7 +26,9 @@
         size: Long,
     ) {
         val restMs = (wholeMs - firstPartMs).coerceAtLeast(0).toDouble()
-        routes.getOrPut(route) { Samples() }.add(firstPartMs.toDouble(), restMs / size.coerceAtLeast(1))
+        val samples = routes.getOrPut(route) { ArrayDeque() }
+        samples.addLast(Sample(firstPartMs, restMs / size.coerceAtLeast(1)))
+        if (samples.size > MOST_SAMPLES) samples.removeFirst()
     }
 
     /** Returns a time within which an answer of [size] on [route] very likely ends, in milliseconds; null where nothing is known. */
@@ -47,9 +37,8 @@
         size: Long,
     ): Long? {
         val samples = routes[route] ?: return null
-        val first = samples.firstPartMs.sorted()
-        val firstMs = first[(first.size - 1) * FIRST_PART_PERCENTILE / PERCENT]
-        return (firstMs + samples.restMsPerUnit.max() * size.coerceAtLeast(1)).toLong()
+        val firstMs = samples.map { it.firstPartMs }.sorted()[(samples.size - 1) * FIRST_PART_PERCENTILE / PERCENT]
+        return (firstMs + samples.maxOf { it.restMsPerUnit } * size.coerceAtLeast(1)).toLong()
     }
 
     private companion object {
--- a/decisions/src/main/kotlin/EvictionPlan.kt
+++ b/decisions/src/main/kotlin/EvictionPlan.kt
@@ -81,17 +81,15 @@
                 candidate.otherCopies > 0 -> SHARE_OF_COPY
                 else -> 1.0
             }
-        val assumed = LEAST_REQUESTS_PER_SECOND * (1 + candidate.otherCopies.coerceAtMost(MOST_TELLING_COPIES))
+        // Each replica of a model that nobody has asked for yet tells that it is a busy one.
+        val assumed = LoadValue.LEAST_REQUESTS_PER_SECOND * (1 + candidate.otherCopies.coerceAtMost(MOST_TELLING_COPIES))
         return (candidate.requestsPerSecond * share + assumed) * candidate.reloadMs * HORIZON_S
     }
 
     /** A model that was asked for more recently is likely to be asked for again; a few times the gap of a busy model. */
     private const val SHORTEST_IDLE_MS = 700L
 
-    /** Demand assumed of a model that has not been asked for, one request in fifty seconds for each of its replicas. */
-    private const val LEAST_REQUESTS_PER_SECOND = 0.02
-
-    /** Before callers come, replicas tell which models are busy; more of them than this tell nothing more. */
+    /** More replicas than this tell nothing more of the demand. */
     private const val MOST_TELLING_COPIES = 3
 
     /** Part of the demand that the loss of one of several replicas touches. */
--- a/decisions/src/main/kotlin/LoadValue.kt
+++ b/decisions/src/main/kotlin/LoadValue.kt
@@ -24,8 +24,8 @@
     /** Time for which a loaded model usually stays, over which those who will ask for it are counted. */
     private const val HORIZON_S = 3.0
 
-    /** Demand assumed of a model that nobody has asked for yet. */
-    private const val LEAST_REQUESTS_PER_SECOND = 0.02
+    /** Demand assumed of a model that nobody has asked for yet, one request in fifty seconds. */
+    internal const val LEAST_REQUESTS_PER_SECOND = 0.02
 
     /** What a late answer is worth beside one in time. */
     private const val LATE_WEIGHT = 0.25
--- a/decisions/src/main/kotlin/WorkBook.kt
+++ b/decisions/src/main/kotlin/WorkBook.kt
@@ -21,7 +21,7 @@
     }
 
     /** Returns how long answers of [model] take at their engine; assumed where nothing is known. */
-    public fun answerMs(model: String): Double = entries[model]?.answerMs ?: UNKNOWN_ANSWER_MS
+    public fun answerMs(model: String): Double = entries[model]?.answerMs ?: EvictionCandidate.USUAL_ANSWER_MS.toDouble()
 
     /** Returns the load of [model] under [requestsPerSecond], at engines that read [tokensReadPerMs]; assumed where nothing is known. */
     public fun load(
@@ -32,16 +32,15 @@
     ): ModelLoad {
         val entry = entries[model]
         val readMs = entry?.let { it.unreadTokens / tokensReadPerMs } ?: UNKNOWN_READ_MS
-        return ModelLoad(requestsPerSecond, readMs, entry?.answerMs ?: UNKNOWN_ANSWER_MS, batch)
+        return ModelLoad(requestsPerSecond, readMs, answerMs(model), batch)
     }
 
     private companion object {
         /** Some dozen answers tell what a model's requests are like by now. */
         const val NEWEST_WEIGHT = 0.06
 
-        /** Assumed of a model without answers: a prompt of some thousand tokens, and a stream of a second. */
+        /** Assumed of a model without answers: a prompt of some thousand tokens. */
         const val UNKNOWN_READ_MS = 80.0
-        const val UNKNOWN_ANSWER_MS = 1_200.0
 
         /** Bound on the models that are remembered; the least recently used are forgotten. */
         const val MOST_MODELS = 4_096
--- a/gateway/src/main/kotlin/Fleet.kt
+++ b/gateway/src/main/kotlin/Fleet.kt
@@ -54,9 +54,19 @@
     /** Targets that are no longer listed and still answer requests. */
     private val departed = mutableSetOf<Target>()
 
+    private var gatewaysSeen = setOf(gateway)
+    private var gatewaysSeenAt = state.changed.count
+
     /** Names of the gateways that keepers see. */
     val gateways: Set<String>
-        get() = targets.values.flatMapTo(mutableSetOf(gateway)) { it.status?.gateways.orEmpty() }
+        get() {
+            val changes = state.changed.count
+            if (changes != gatewaysSeenAt) {
+                gatewaysSeen = targets.values.flatMapTo(mutableSetOf(gateway)) { it.status?.gateways.orEmpty() }
+                gatewaysSeenAt = changes
+            }
+            return gatewaysSeen
+        }
 
     fun start() {
         scope.launchAlways("sweep of kept connections") {
@@ -127,7 +137,7 @@
     /** What callers of this gateway ask of the models of [target]; engines that hold the same model share it. */
     private fun demandAt(target: Target): List<Demand> {
         val nowMs = loop.clock.nowMs()
-        val others = ready(target.entry.service).filter { it !== target }
+        val others = othersBeside(target)
         return target.models.keys.map { model ->
             val copies = 1 + others.count { model in it.models }
             Demand(model, (state.demand.perSecond(model, nowMs) / copies).toFloat(), state.work.answerMs(model).toInt())
@@ -150,6 +160,9 @@
                     it.answering
             }.let { possible -> possible.filterNot { it.silent }.ifEmpty { possible } }
 
+    /** Targets that may take requests for the service of [target] in its place. */
+    fun othersBeside(target: Target): List<Target> = ready(target.entry.service).filter { it !== target }
+
     private companion object {
         const val SWEEP_MS = 1_000L
         const val EXAMINATION_MS = 100L
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -322,7 +322,7 @@
             when (part) {
                 is BodyPart.Data -> {
                     val whole = attempt.events.feed(part.bytes)
-                    val room = attempt.gathered.hold(attempt.events.pendingBytes)
+                    val room = attempt.gathered.hold(attempt.events.pendingBytes.toLong())
                     if (!room || attempt.events.pendingBytes > EventSplitter.MAXIMUM_EVENT_BYTES) {
                         return streamBroke(target, attempt, "an event does not end")
                     }
@@ -332,8 +332,9 @@
                     attempt.lastSignMs = clock.nowMs()
                     send.lastSignMs = attempt.lastSignMs
                     if (!attempt.answer.begun) {
-                        metrics.record(MetricName.TIME_TO_FIRST_TOKEN, clock.nowMs() - attempt.request.arrivedMs)
-                        attempt.firstPartMs = clock.nowMs() - attempt.request.arrivedMs
+                        val firstPartMs = attempt.lastSignMs - attempt.request.arrivedMs
+                        metrics.record(MetricName.TIME_TO_FIRST_TOKEN, firstPartMs)
+                        attempt.firstPartMs = firstPartMs
                         attempt.answer.begin(answer.head)
                     }
                     if (!attempt.answer.add(whole)) return null
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -50,14 +50,17 @@
     val answering: Boolean get() = status?.answering ?: true
 
     /** Models that can take requests now, with the adapters that are loaded. */
-    val models: Map<String, Set<String>>
-        get() {
-            val current = status ?: return entry.models
-            return current.models.filter { it.model !in current.leaving }.associate { it.model to it.adapters.toSet() }
-        }
+    var models: Map<String, Set<String>> = entry.models
+        private set
 
     fun update(newEntry: TargetEntry) {
         entry = newEntry
+        models = usableModels()
+    }
+
+    private fun usableModels(): Map<String, Set<String>> {
+        val current = status ?: return entry.models
+        return current.models.filter { it.model !in current.leaving }.associate { it.model to it.adapters.toSet() }
     }
 
     /** How long the load that its keeper tells of has been in progress. */
@@ -74,6 +77,7 @@
         if (newStatus?.loading != status?.loading) loadingSinceMs = clock.nowMs()
         val wasAnswering = answering
         status = newStatus?.copy(gateways = newStatus.gateways ?: status?.gateways)
+        models = usableModels()
         if (wasAnswering && !answering) inFlight.toList().forEach { it.leaveIfRepeatable() }
         if (newStatus != null) {
             heard()
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -71,18 +71,8 @@
             ) {
                 Choice.None("holders tried")
             } else {
-                askForModel(
-                    ready,
-                    plan,
-                    modelPlan,
-                    mayEvict = true,
-                    callers =
-                        state.waiting
-                            .weight(
-                                model,
-                                nowMs + modelPlan.loadFromDiskMs,
-                            ).coerceAtLeast(LoadValue.weightOf(inTime = false)),
-                )
+                val waiting = state.waiting.weight(model, nowMs + modelPlan.loadFromDiskMs)
+                askForModel(ready, plan, modelPlan, mayEvict = true, callers = maxOf(waiting, LoadValue.weightOf(inTime = false)))
             }
         }
         val adapter = request.adapter
@@ -153,14 +143,14 @@
         callers: Double = 0.0,
     ): Choice {
         val name = model.model.value
+        val nowMs = clock.nowMs()
         val inTouch = ready.filter { it.status != null }
         val near = inTouch.filter { it.hasAtHand(name) }
         val loading = inTouch.filter { it.status?.loading == name }.minByOrNull { remainingLoadMs(it, plan) }
         if (loading != null && (near.isEmpty() || loading in near)) return Choice.Later(currentLoadMs(loading, plan))
-        asked[name]?.takeIf { it.untilMs > clock.nowMs() && it.target in inTouch }?.let { return Choice.Later(it.expectedMs) }
+        asked[name]?.takeIf { it.untilMs > nowMs && it.target in inTouch }?.let { return Choice.Later(it.expectedMs) }
         if (inTouch.isEmpty()) return Choice.None("no keeper in touch")
-        if (near.isEmpty() && inTouch.size < ready.size && clock.nowMs() - startedMs < MEETING_MS) return Choice.Later(MEETING_MS)
-        val nowMs = clock.nowMs()
+        if (near.isEmpty() && inTouch.size < ready.size && nowMs - startedMs < MEETING_MS) return Choice.Later(MEETING_MS)
         val demand = state.demand.perSecond(name, nowMs) * fleet.gateways.size
         val mostLoads = if (demand >= BUSY_REQUESTS_PER_SECOND) MOST_STORE_LOADS_WITH_BUSY_MODELS else MOST_STORE_LOADS
         if (near.isEmpty() && inTouch.count { it.loadsFromStore } >= mostLoads) return Choice.Later(model.loadMs * 2)
@@ -175,7 +165,7 @@
         // What many callers wait for is loaded before what else is wished for.
         val beforeMs = if (demand >= BUSY_REQUESTS_PER_SECOND) currentLoadMs(target, plan) else remainingLoadMs(target, plan)
         val expectedMs = beforeMs + loadMs(target, model)
-        asked[name] = Asked(target, clock.nowMs() + MODEL_ASK_INTERVAL_MS, expectedMs)
+        asked[name] = Asked(target, nowMs + MODEL_ASK_INTERVAL_MS, expectedMs)
         wish(target, plan, name, null, model.loadMs * 2, mayEvict, callers)
         return Choice.Later(expectedMs)
     }
@@ -242,8 +232,9 @@
         status: KeeperMessage.Status,
         plan: EnginePlan,
     ): List<EvictionCandidate> {
-        val others = fleet.ready(target.entry.service).filter { it !== target }
+        val others = fleet.othersBeside(target)
         return status.models.map { held ->
+            val copies = copiesBeside(target, others, held.model, plan)
             val heldPlan = plan.models[ModelId(held.model)]
             val atHand = held.model in status.inMemory || held.model in status.onDisk
             EvictionCandidate(
@@ -252,9 +243,9 @@
                 requestsPerSecond = held.requestsPerSecond.toDouble(),
                 idleMs = held.idleMs,
                 inFlight = held.inFlight,
-                otherCopies = spareCopies(target, others, held.model),
+                otherCopies = copies.count,
                 answerMs = state.work.answerMs(held.model).toLong(),
-                surplus = spareCopies(target, others, held.model) > 0 && isSurplus(target, others, held.model, plan),
+                surplus = copies.suffice,
                 reloadMs = (if (atHand) heldPlan?.loadFromDiskMs else heldPlan?.loadMs) ?: 0,
             )
         }
@@ -270,15 +261,16 @@
         callers: Double = 1.0,
     ) {
         val held =
-            target.models.keys +
-                target.status
-                    ?.models
-                    .orEmpty()
-                    .map { it.model } + model
-        val sizes = held.distinct().mapNotNull { plan.models[ModelId(it)] }.map { ModelSize(it.model.value, it.weightsMb, it.adapterMb) }
-        val others = fleet.ready(target.entry.service).filter { it !== target }
-        val elsewhere = held.distinct().flatMap { name -> List(spareCopies(target, others, name)) { name } }
-        val nowMs = clock.nowMs()
+            (
+                target.models.keys +
+                    target.status
+                        ?.models
+                        .orEmpty()
+                        .map { it.model } + model
+            ).distinct()
+        val sizes = held.mapNotNull { plan.models[ModelId(it)] }.map { ModelSize(it.model.value, it.weightsMb, it.adapterMb) }
+        val others = fleet.othersBeside(target)
+        val copies = held.associateWith { copiesBeside(target, others, it, plan) }
         target.keeper?.send(
             KeeperMessage.Wish(
                 target = target.entry.target.value,
@@ -289,38 +281,40 @@
                 memoryMb = plan.weightsMb,
                 adapterSlots = plan.adapterSlots,
                 sizes = sizes,
-                copiesElsewhere = elsewhere,
-                surplus = elsewhere.distinct().filter { isSurplus(target, others, it, plan) },
+                copiesElsewhere = copies.flatMap { (name, copies) -> List(copies.count) { name } },
+                surplus = copies.filterValues { it.suffice }.keys.toList(),
                 callers = callers.toFloat(),
-                requestsPerSecond = state.demand.perSecond(model, nowMs).toFloat(),
+                requestsPerSecond = state.demand.perSecond(model, clock.nowMs()).toFloat(),
             ),
         )
     }
 
+    /**
+     * Copies of a model for which the one on a target may be given up.
+     *
+     * @property suffice whether they serve all callers of the model without it
+     */
+    private class Copies(
+        val count: Int,
+        val suffice: Boolean,
+    )
+
     /**
      * Returns the copies of [model] on [others] if that on [target] may be given up for them.
      *
      * Only one copy counts as spare, the same one for every gateway; engines that decide at the same moment never give up all of them.
      */
-    private fun spareCopies(
-        target: Target,
-        others: List<Target>,
-        model: String,
-    ): Int {
-        val holders = others.filter { model in it.models }
-        val share = { holder: Target -> Rendezvous.share(model, holder.entry.target.value) }
-        return if (holders.any { share(it) < share(target) }) 0 else holders.size.coerceAtMost(MOST_COPIES_TOLD)
-    }
-
-    /** Whether the holders of [model] among [others] serve its callers without [target]. */
-    private fun isSurplus(
+    private fun copiesBeside(
         target: Target,
         others: List<Target>,
         model: String,
         plan: EnginePlan,
-    ): Boolean {
+    ): Copies {
         val holders = others.filter { model in it.models }
-        return holders.size >= CopyPlan.needed(loadOf(model, holders + target, plan))
+        val share = { holder: Target -> Rendezvous.share(model, holder.entry.target.value) }
+        if (holders.isEmpty() || holders.any { share(it) < share(target) }) return Copies(0, suffice = false)
+        val suffice = holders.size >= CopyPlan.needed(loadOf(model, holders + target, plan))
+        return Copies(holders.size.coerceAtMost(MOST_COPIES_TOLD), suffice)
     }
 
     /** Returns what callers of all gateways ask of [model], as the keepers of its [holders] tell. */
--- a/keeper/src/main/kotlin/UsageBook.kt
+++ b/keeper/src/main/kotlin/UsageBook.kt
@@ -1,12 +1,11 @@
 package org.almondjunction.keeper
 
-import kotlin.math.exp
+import org.almondjunction.decisions.DecayingRate
 
 /** Recent uses of the models and adapters of one engine, as its gateways tell them. */
 internal class UsageBook {
     private class Entry {
-        var ratePerSecond = 0.0
-        var updatedMs = 0L
+        val rate = DecayingRate(MEMORY_MS)
         var lastUseMs: Long? = null
         val inFlight = mutableMapOf<String, Int>()
     }
@@ -19,9 +18,8 @@
         nowMs: Long,
     ) {
         uses.forEach { use ->
-            val entry = entries.getOrPut(use.model to use.adapter) { Entry().apply { updatedMs = nowMs } }
-            entry.decay(nowMs)
-            entry.ratePerSecond += use.count * MILLISECONDS_PER_SECOND / MEMORY_MS
+            val entry = entries.getOrPut(use.model to use.adapter) { Entry() }
+            entry.rate.add(use.count, nowMs)
             if (use.count > 0 || use.inFlight > 0) entry.lastUseMs = nowMs
             if (use.inFlight > 0) entry.inFlight[gateway] = use.inFlight else entry.inFlight.remove(gateway)
         }
@@ -33,8 +31,7 @@
         adapter: String?,
         nowMs: Long,
     ) {
-        val entry = entries.getOrPut(model to adapter) { Entry().apply { updatedMs = nowMs } }
-        entry.lastUseMs = nowMs
+        entries.getOrPut(model to adapter) { Entry() }.lastUseMs = nowMs
     }
 
     fun forget(gateway: String): Unit = entries.values.forEach { it.inFlight.remove(gateway) }
@@ -43,7 +40,7 @@
         model: String,
         adapter: String?,
         nowMs: Long,
-    ): Double = entries[model to adapter]?.also { it.decay(nowMs) }?.ratePerSecond ?: 0.0
+    ): Double = entries[model to adapter]?.rate?.perSecond(nowMs) ?: 0.0
 
     fun idleMs(
         model: String,
@@ -56,15 +53,9 @@
         adapter: String?,
     ): Int = entries[model to adapter]?.inFlight?.values?.sum() ?: 0
 
-    private fun Entry.decay(nowMs: Long) {
-        ratePerSecond *= exp(-(nowMs - updatedMs) / MEMORY_MS)
-        updatedMs = nowMs
-    }
-
     private companion object {
         /** Uses count for about this long; a few gaps between requests of a rare model at the users' sheets. */
         const val MEMORY_MS = 10_000.0
-        const val MILLISECONDS_PER_SECOND = 1_000.0
 
         /** Idle time of what was never used; one hour. */
         const val NEVER_MS = 3_600_000L
--- a/network/src/main/kotlin/ByteBudget.kt
+++ b/network/src/main/kotlin/ByteBudget.kt
@@ -16,18 +16,13 @@
         private var heldBytes = 0L
 
         /** Adds [bytes]; returns false, and adds nothing, when the budget has no room for them. */
-        public fun take(bytes: Int): Boolean {
-            if (takenBytes + bytes > totalBytes) return false
-            takenBytes += bytes
-            heldBytes += bytes
-            return true
-        }
+        public fun take(bytes: Int): Boolean = hold(heldBytes + bytes)
 
         /** Makes [bytes] the whole of what is held; returns false, and changes nothing, when the budget has no room for them. */
-        public fun hold(bytes: Int): Boolean {
+        public fun hold(bytes: Long): Boolean {
             if (takenBytes - heldBytes + bytes > totalBytes) return false
             takenBytes += bytes - heldBytes
-            heldBytes = bytes.toLong()
+            heldBytes = bytes
             return true
         }
 
