Log lines tell how far a request came, also of those held when a gateway ends

Each held request now has its line (outcome 'unfinished'), and lines of requests not served carry 'phase' and 'silentMs', the time since their target or its keeper gave a sign. What is known of a request while it is forwarded has a file of its own. Nothing is decided differently.

--- /dev/null
+++ b/gateway/src/main/kotlin/Attempt.kt
@@ -0,0 +1,94 @@
+package org.almondjunction.gateway
+
+import org.almondjunction.common.Clock
+import org.almondjunction.common.EventLog
+import org.almondjunction.common.LogFields
+import org.almondjunction.common.RequestId
+import org.almondjunction.common.TargetId
+import org.almondjunction.network.ByteBudget
+
+/** What is known of a request while it is forwarded. */
+internal class Attempt(
+    val request: ForwardedRequest,
+    val answer: CallerAnswer,
+    val gathered: ByteBudget.Reservation,
+    private val clock: Clock,
+) {
+    val tried = mutableMapOf<Target, Long>()
+    var lastTarget: Target? = null
+
+    /** The send in progress; null while none is. */
+    var exchange: Exchange? = null
+        private set
+    private var lastSendPhase: RequestPhase? = null
+    val events = EventSplitter()
+    var mayHaveRun = false
+    var runs = 0
+    var refusals = 0
+    var sends = 0
+    var detail = ""
+    var outcome = "cancelled"
+    var failure: SendAnswer.Answered? = null
+    var failureBody: ByteArray? = null
+
+    /** Time until the first part of the answer; null until it came. */
+    var firstPartMs: Long? = null
+
+    /** When the caller came, or last got a part of the answer. */
+    var lastSignMs = request.arrivedMs
+
+    val timeLeftMs get() = request.endMs - clock.nowMs()
+
+    fun waits() {
+        lastSendPhase = null
+    }
+
+    fun beginSend(begun: Exchange) {
+        exchange = begun
+    }
+
+    fun endSend() {
+        lastSendPhase = phase
+        exchange = null
+    }
+
+    private val phase: RequestPhase get() = lastSendPhase ?: exchange?.let { phaseOf(it) } ?: RequestPhase.WAITING
+
+    private fun phaseOf(current: Exchange): RequestPhase =
+        when {
+            answer.begun -> RequestPhase.ANSWER_BEGUN
+            current.answered -> RequestPhase.ANSWER_ARRIVING
+            current.mayHaveArrived -> RequestPhase.SENT
+            else -> RequestPhase.CONNECTING
+        }
+
+    /** Writes the line that tells what became of the request under configuration [version]. */
+    fun log(version: Long?) {
+        val served = outcome == SERVED
+        EventLog.info(
+            "request",
+            LogFields(
+                requestId = RequestId(request.id),
+                target = lastTarget?.entry?.target ?: TargetId("none"),
+                outcome = outcome,
+                reason = detail,
+                extra =
+                    mapOf(
+                        "route" to request.route.name,
+                        "service" to request.service.value,
+                        "model" to request.model?.let { request.weights },
+                        "sends" to sends.toString(),
+                        "tookMs" to (clock.nowMs() - request.arrivedMs).toString(),
+                        "leftMs" to timeLeftMs.toString(),
+                        "phase" to phase.label.takeUnless { served },
+                        "silentMs" to lastTarget?.let { "${clock.nowMs() - it.heardMs}" }.takeUnless { served },
+                        "version" to version.toString(),
+                    ),
+            ),
+        )
+    }
+
+    companion object {
+        const val SERVED = "served"
+    }
+}
--- a/gateway/src/main/kotlin/Exchange.kt
+++ b/gateway/src/main/kotlin/Exchange.kt
@@ -45,6 +45,13 @@
     private var answer: ResponseHead? = null
     private var body: BodyReader? = null
     private var framing: BodyFraming = BodyFraming.None
+    private var writtenBefore = 0L
+
+    /** Whether the head of an answer to this request has come. */
+    val answered: Boolean get() = answer != null
+
+    /** Whether any byte of the request may have reached the target. */
+    val mayHaveArrived: Boolean get() = connection?.let { it.bytesWritten > writtenBefore } ?: false
 
     suspend fun send(
         request: ForwardedRequest,
@@ -57,7 +64,7 @@
                 ?: target.pool.dial(timeoutMs)
                 ?: return SendAnswer.Unserved(SendResult.NotSent, "the target cannot be reached")
         connection = opened
-        val before = opened.bytesWritten
+        writtenBefore = opened.bytesWritten
         val sent = CompletableDeferred<Boolean>()
         writer =
             scope.launch {
@@ -65,7 +72,7 @@
                 sent.complete(wholeRequestSent)
             }
         val answer = awaitAnswer(request, opened)
-        val nothingLeft = opened.bytesWritten == before
+        val nothingLeft = opened.bytesWritten == writtenBefore
         if (answer is SendAnswer.Unserved && answer.result == SendResult.Lost && nothingLeft) {
             return SendAnswer.Unserved(SendResult.NotSent, "the connection failed before the request left")
         }
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -4,12 +4,8 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
 import org.almondjunction.common.Clock
-import org.almondjunction.common.EventLog
-import org.almondjunction.common.LogFields
 import org.almondjunction.common.MetricName
 import org.almondjunction.common.Metrics
-import org.almondjunction.common.RequestId
-import org.almondjunction.common.TargetId
 import org.almondjunction.decisions.ForwardingDecision
 import org.almondjunction.decisions.ForwardingState
 import org.almondjunction.decisions.ForwardingStep
@@ -30,50 +26,33 @@
     private val allowance: RepeatAllowance,
     private val metrics: Metrics,
 ) {
-    /** What is known of a request while it is forwarded. */
-    private inner class Attempt(
-        val request: ForwardedRequest,
-        val answer: CallerAnswer,
-    ) {
-        val tried = mutableMapOf<Target, Long>()
-        var lastTarget: Target? = null
-        val events = EventSplitter()
-        var mayHaveRun = false
-        var runs = 0
-        var refusals = 0
-        var sends = 0
-        var detail = ""
-        var outcome = "cancelled"
-        var failure: SendAnswer.Answered? = null
-        var failureBody: ByteArray? = null
-
-        /** What is held of the answer at this moment. */
-        val gathered = state.gathered.reserve()
-
-        /** Time until the first part of the answer; null until it came. */
-        var firstPartMs: Long? = null
-
-        /** When the caller came, or last got a part of the answer. */
-        var lastSignMs = request.arrivedMs
-
-        val timeLeftMs get() = request.endMs - clock.nowMs()
-    }
+    private val held = mutableSetOf<Attempt>()
 
     /** Serves [request]; returns when its answer is complete or cannot be. */
     suspend fun forward(
         request: ForwardedRequest,
         answer: CallerAnswer,
     ) {
-        val attempt = Attempt(request, answer)
+        val attempt = Attempt(request, answer, state.gathered.reserve(), clock)
         allowance.first(clock.nowMs())
         metrics.count(MetricName.REQUESTS)
         request.model?.let { state.demand.arrive(it, clock.nowMs()) }
+        held += attempt
         try {
             val inTime = withTimeoutOrNull(attempt.timeLeftMs.coerceAtLeast(0)) { run(attempt) }
             if (inTime == null) timedOut(attempt)
         } finally {
+            held -= attempt
             attempt.gathered.close()
-            log(attempt)
+            attempt.log(state.configuration?.version)
+        }
+    }
+
+    /** Writes a line for each request that is still held, for a process that ends before they do. */
+    fun logHeld() {
+        held.forEach {
+            it.outcome = "unfinished"
+            it.log(state.configuration?.version)
         }
     }
 
@@ -100,6 +79,7 @@
     }
 
     private suspend fun awaitTarget(attempt: Attempt): Target? {
+        attempt.waits()
         val request = attempt.request
         val model = request.model ?: return findTarget(attempt)
         val objectiveMs = request.arrivedMs + request.route.latencyObjectiveMs
@@ -173,6 +153,7 @@
         val request = attempt.request
         val send = sendOf(request, target, attempt)
         val exchange = Exchange(scope, target, names)
+        attempt.beginSend(exchange)
         send.leave = { exchange.close() }
         target.begin(send)
         attempt.tried[target] = clock.nowMs()
@@ -187,6 +168,7 @@
                 is SendAnswer.Answered -> answered(target, exchange, attempt, answer, send)
             }
         } finally {
+            attempt.endSend()
             exchange.close()
             target.end(send)
         }
@@ -295,7 +277,7 @@
             attempt.detail = "status ${answer.head.status}"
             return decide(attempt, SendResult.Failed)
         }
-        attempt.outcome = "served"
+        attempt.outcome = Attempt.SERVED
         attempt.detail = "status ${answer.head.status}"
         learnDuration(attempt)
         attempt.answer.pass(answer.head, body.bytes)
@@ -343,7 +325,7 @@
                     if (attempt.events.unfinished) return streamBroke(target, attempt, "the stream ended inside an event")
                     exchange.finish(bodyRead = true)
                     target.weigh(failed = false)
-                    attempt.outcome = "served"
+                    attempt.outcome = Attempt.SERVED
                     learnDuration(attempt)
                     send.model?.let { state.work.record(it, send.promptTokens, clock.nowMs() - send.beganMs) }
                     if (!attempt.answer.begun) attempt.answer.begin(answer.head)
@@ -429,30 +411,6 @@
         if (!attempt.answer.begun) attempt.answer.refuse(status, "outcome unknown")
     }
 
-    private fun log(attempt: Attempt) {
-        val request = attempt.request
-        EventLog.info(
-            "request",
-            LogFields(
-                requestId = RequestId(request.id),
-                target =
-                    attempt.lastTarget?.entry?.target ?: TargetId("none"),
-                outcome = attempt.outcome,
-                reason = attempt.detail,
-                extra =
-                    mapOf(
-                        "route" to request.route.name,
-                        "service" to request.service.value,
-                        "model" to request.model?.let { request.weights },
-                        "sends" to attempt.sends.toString(),
-                        "tookMs" to (clock.nowMs() - request.arrivedMs).toString(),
-                        "leftMs" to attempt.timeLeftMs.toString(),
-                        "version" to state.configuration?.version.toString(),
-                    ),
-            ),
-        )
-    }
-
     private companion object {
         const val BAD_GATEWAY = 502
         const val SERVICE_UNAVAILABLE = 503
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -124,6 +124,7 @@
             if (connections.isEmpty()) break
             delay(LEAVING_POLL_MS)
         }
+        forwarder.logHeld()
         EventLog.info("left", LogFields(extra = mapOf("unfinished" to connections.size.toString())))
     }
 
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -37,6 +37,10 @@
     var silent = false
         private set
 
+    /** When it or its keeper last gave a sign of life. */
+    var heardMs = clock.nowMs()
+        private set
+
     private var health: ConnectionHealth? = null
     private var lastWorkMs = 0L
     private var loadingSinceMs = 0L
@@ -97,7 +101,8 @@
 
     /** Notes a sign of life from it or its keeper. */
     fun heard() {
-        health?.heard(clock.nowMs())
+        heardMs = clock.nowMs()
+        health?.heard(heardMs)
         if (silent) EventLog.info("target heard again", LogFields(target = entry.target))
         silent = false
     }
