--- a/gateway/src/test/kotlin/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/GatewayFixture.kt
@@ -46,11 +46,19 @@
         engine: EnginePlan? = null,
         hosts: List<String> = List(TARGETS) { LOOPBACK },
         target: suspend (TcpConnection) -> Unit,
+    ): Unit = start(listOf(route), engine, hosts, target)
+
+    /** Starts the gateway with [routes] and a target on each of [hosts], whose connections [target] serves. */
+    fun start(
+        routes: List<Route>,
+        engine: EnginePlan? = null,
+        hosts: List<String> = List(TARGETS) { LOOPBACK },
+        target: suspend (TcpConnection) -> Unit,
     ) {
         val started = CountDownLatch(1)
         scope.launch {
             gateway.start()
-            gateway.accept(GatewayConfiguration(1, listOf(route), mapOf(SERVICE to ServicePlan(SERVICE, 9, engine))))
+            gateway.accept(GatewayConfiguration(1, routes, mapOf(SERVICE to ServicePlan(SERVICE, 9, engine))))
             hosts.forEachIndexed { index, host ->
                 val listener = TcpListener(loop, Address(host, 0)) { connection -> scope.launch { target(connection) } }
                 val address = Address(host, listener.port)
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -4,6 +4,7 @@
 import org.almondjunction.common.Address
 import org.almondjunction.common.ModelId
 import org.almondjunction.decisions.RepeatKind
+import org.almondjunction.keeper.HeldModel
 import org.almondjunction.keeper.KeeperMessage
 import org.almondjunction.keeper.MessageChannel
 import org.almondjunction.network.BodyFraming
@@ -14,6 +15,7 @@
 import org.almondjunction.network.RequestHead
 import org.almondjunction.network.TcpConnection
 import org.almondjunction.network.TcpListener
+import java.net.Socket
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
@@ -239,18 +241,91 @@
             val head = "POST /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\nModel: m\r\nContent-Length: 0\r\n\r\n"
             socket.getOutputStream().write(head.toByteArray())
             wished.await()
-            val left = CountDownLatch(1)
-            scope.launch {
-                gateway.leave()
-                left.countDown()
-            }
-            left.await()
+            runLeave()
             val answer = socket.getInputStream().run { readNBytes(available()) }.decodeToString()
             assertEquals("HTTP/1.1 503", answer.take("HTTP/1.1 503".length))
         }
         assertEquals(emptyList(), seen)
     }
 
+    /** A request that a target has not answered when the gateway goes; [beginning] is what came of its answer. */
+    private data class HeldCase(
+        val pattern: String,
+        val repeat: RepeatKind,
+        val streaming: Boolean,
+        val beginning: String = "",
+    )
+
+    private val heldCases =
+        listOf(
+            HeldCase("a stream that may run once waits in the queue of its engine", RepeatKind.ONCE, streaming = true),
+            HeldCase("a resumable stream waits in the queue of its engine", RepeatKind.RESUMABLE, streaming = true),
+            HeldCase("a charge is worked on", RepeatKind.ONCE, streaming = false),
+            HeldCase("the head of a stream came, and no event", RepeatKind.RESUMABLE, streaming = true, streamHead),
+            HeldCase("an answer came in part", RepeatKind.ONCE, streaming = false, torn),
+        )
+
+    /** A keeper whose engine holds the model "m" and that answers each telling of uses, so that its target never counts as silent. */
+    private suspend fun attentiveKeeper(
+        connection: TcpConnection,
+        touch: CountDownLatch,
+    ) {
+        val channel = MessageChannel(connection)
+        while (true) {
+            when (channel.receive() ?: break) {
+                is KeeperMessage.Greeting -> channel.send(KeeperMessage.Status(models = listOf(HeldModel("m", emptyList()))))
+                is KeeperMessage.Usage -> channel.send(KeeperMessage.Load()).also { touch.countDown() }
+                else -> continue
+            }
+        }
+    }
+
+    /** Sends one request for each held case on a connection of its own, each on the route that bears its index. */
+    private fun sendHeld(): List<Socket> =
+        heldCases.mapIndexed { index, case ->
+            val model = if (case.streaming) "Model: m\r\n" else ""
+            val head = "POST /$index/ HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\n${model}Content-Length: 0\r\n\r\n"
+            fixture.connect().apply { getOutputStream().write(head.toByteArray()) }
+        }
+
+    // Guards against a planned stop that closes connections whose requests a target still holds, so that their callers hear nothing.
+    @Test
+    fun `whoever a target has not answered when the gateway goes hears that the outcome is unknown`() {
+        val plan = ModelPlan(ModelId("m"), weightsMb = 1, adapterMb = 0, loadMs = 1, loadFromMemoryMs = 1, loadFromDiskMs = 1)
+        val engine = EnginePlan(9, 9_999, weightsMb = 1, adapterSlots = 0, mapOf(plan.model to plan))
+        val touch = CountDownLatch(GatewayFixture.TARGETS)
+        val reached = CountDownLatch(heldCases.size)
+        TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { attentiveKeeper(it, touch) } }
+        val routes =
+            heldCases.mapIndexed { index, case ->
+                GatewayFixture.route(case.repeat, case.streaming).copy(name = "r$index", pathPrefix = "/$index/")
+            }
+        fixture.start(routes, engine) { connection ->
+            val head = (HttpReader(connection).requestHead(9_999) as HeadResult.Read).head
+            connection.write(heldCases[head.target.trim('/').toInt()].beginning.toByteArray())
+            reached.countDown()
+        }
+        touch.await()
+        val callers = sendHeld()
+        reached.await()
+        runLeave()
+        heldCases.zip(callers).forEach { (case, caller) ->
+            val answer = caller.use { socket -> socket.getInputStream().run { readNBytes(available()) }.decodeToString() }
+            assertEquals("HTTP/1.1 502", answer.take("HTTP/1.1 502".length), case.pattern)
+            assertTrue(answer.endsWith("}\n"), "${case.pattern}: $answer")
+        }
+    }
+
+    /** Lets the gateway leave, and returns when it has. */
+    private fun runLeave() {
+        val left = CountDownLatch(1)
+        scope.launch {
+            gateway.leave()
+            left.countDown()
+        }
+        left.await()
+    }
+
     @Test
     fun `a gateway that goes begins no answer that it could not finish, and still gives short ones`() {
         start(RepeatKind.ONCE, streaming = true)
