A planned stop answers what it still holds

The cause: at the end of the grace time the process ended, whatever it held. Only requests that waited for a target were refused before; one that a target had not answered was left without a word. Ruled out: requests that wait at the gateway (refused 200 ms before the end, a test shows it). Now each request whose answer has not begun is dismissed 200 ms before the end and its caller hears 503 if no byte of it can have reached a target, else 502, or the failure that an earlier target gave. Answers that have begun go on to the end and are broken off with a line each. Every way out of the stop passes through this, so that no phase of a request can be forgotten again.

--- a/gateway/src/main/kotlin/Attempt.kt
+++ b/gateway/src/main/kotlin/Attempt.kt
@@ -1,5 +1,8 @@
 package org.almondjunction.gateway
 
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
 import org.almondjunction.common.Clock
 import org.almondjunction.common.EventLog
 import org.almondjunction.common.LogFields
@@ -39,6 +42,27 @@
 
     val timeLeftMs get() = request.endMs - clock.nowMs()
 
+    private var work: Job? = null
+
+    /** Whether [dismiss] has ended the work on it. */
+    var dismissed = false
+        private set
+
+    /** Runs [block] until it ends or [dismiss] ends it; returns whether it ended by itself. */
+    suspend fun runUntilDismissed(block: suspend () -> Unit): Boolean =
+        coroutineScope {
+            val started = launch { block() }
+            work = started
+            started.join()
+            !started.isCancelled
+        }
+
+    /** Ends the work on it, so that its caller can still be told what is known. */
+    fun dismiss() {
+        dismissed = true
+        work?.cancel()
+    }
+
     fun waits() {
         lastSendPhase = null
     }
@@ -48,6 +72,7 @@
     }
 
     fun endSend() {
+        if (dismissed && exchange?.mayHaveArrived == true) mayHaveRun = true
         lastSendPhase = phase
         exchange = null
     }
--- a/gateway/src/main/kotlin/Fleet.kt
+++ b/gateway/src/main/kotlin/Fleet.kt
@@ -181,8 +181,8 @@
     var configuration: GatewayConfiguration? = null
     var leaving = false
 
-    /** When requests that wait for a target are to be refused, since this gateway goes; never before it leaves. */
-    var waitsEndMs = Long.MAX_VALUE
+    /** When requests whose answers have not begun get their last word, since this gateway goes; never before it leaves. */
+    var lastWordMs = Long.MAX_VALUE
 
     /** When this process ends; never before it leaves. */
     var endMs = Long.MAX_VALUE
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -39,8 +39,12 @@
         request.model?.let { state.demand.arrive(it, clock.nowMs()) }
         held += attempt
         try {
-            val inTime = withTimeoutOrNull(attempt.timeLeftMs.coerceAtLeast(0)) { run(attempt) }
-            if (inTime == null) timedOut(attempt)
+            val ended = withTimeoutOrNull(attempt.timeLeftMs.coerceAtLeast(0)) { attempt.runUntilDismissed { run(attempt) } }
+            when (ended) {
+                null -> timedOut(attempt)
+                true -> Unit
+                false -> giveUp(attempt, "the gateway goes before an answer came", RETRY_AT_ONCE_MS)
+            }
         } finally {
             held -= attempt
             attempt.gathered.close()
@@ -48,13 +52,11 @@
         }
     }
 
-    /** Writes a line for each request that is still held, for a process that ends before they do. */
-    fun logHeld() {
-        held.forEach {
-            it.outcome = "unfinished"
-            it.log(state.configuration?.version)
-        }
-    }
+    /** Tells every caller whose answer has not begun what is known of its request, for a process that is about to end. */
+    fun answerHeld(): Unit = held.filter { !it.answer.begun }.forEach { it.dismiss() }
+
+    /** Breaks off every request that is still held and returns how many those were. */
+    fun breakOffHeld(): Int = held.toList().onEach { it.dismiss() }.size
 
     private suspend fun timedOut(attempt: Attempt) {
         if (attempt.answer.begun) {
@@ -95,7 +97,7 @@
         val request = attempt.request
         while (true) {
             val seen = state.changed.count
-            if (clock.nowMs() >= state.waitsEndMs) {
+            if (clock.nowMs() >= state.lastWordMs) {
                 giveUp(attempt, "the gateway goes", RETRY_AT_ONCE_MS)
                 return null
             }
@@ -139,7 +141,8 @@
     ) {
         attempt.detail = reason
         when {
-            attempt.failure != null && !attempt.answer.begun -> passFailure(attempt)
+            attempt.answer.begun -> breakOff(attempt)
+            attempt.failure != null -> passFailure(attempt)
             attempt.mayHaveRun -> respondUnknown(attempt, BAD_GATEWAY)
             else -> respondNotRun(attempt, retryAfterMs)
         }
@@ -381,10 +384,15 @@
 
     private fun ForwardingStep.brokenOff(attempt: Attempt): ForwardingStep? {
         if (this == ForwardingStep.SendAgain || !attempt.answer.begun) return this
-        attempt.outcome = "broken off"
+        attempt.outcome = BROKEN_OFF
         return null
     }
 
+    private fun breakOff(attempt: Attempt) {
+        attempt.outcome = BROKEN_OFF
+        metrics.count(MetricName.UNKNOWN_OUTCOMES, attempt.detail.take(MOST_REASON_CHARACTERS))
+    }
+
     private suspend fun passFailure(attempt: Attempt) {
         val failure = attempt.failure
         val body = attempt.failureBody
@@ -412,6 +420,7 @@
     }
 
     private companion object {
+        const val BROKEN_OFF = "broken off"
         const val BAD_GATEWAY = 502
         const val SERVICE_UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -110,22 +110,28 @@
         connection.close()
     }
 
-    /** Leaves the balancer, finishes what is in progress and returns when nothing is left or the grace time is nearly over. */
+    /**
+     * Leaves the balancer, finishes what is in progress and returns when nothing is left or the grace time is nearly over.
+     *
+     * Whoever has no answer by then is told what is known of its request; only answers that have begun are broken off.
+     */
     public suspend fun leave() {
         if (state.leaving) return
         state.leaving = true
         EventLog.info("leaving", LogFields(extra = mapOf("connections" to connections.size.toString())))
         val endMs = clock.nowMs() + settings.graceMs - EXIT_MARGIN_MS
-        state.waitsEndMs = endMs - LAST_REFUSALS_MS
+        state.lastWordMs = endMs - LAST_WORD_MS
         state.endMs = endMs
-        delay(BALANCER_MS)
+        delay(minOf(BALANCER_MS, state.lastWordMs - clock.nowMs()))
         while (clock.nowMs() < endMs) {
             connections.filter { !it.busy }.forEach { it.close() }
             if (connections.isEmpty()) break
+            if (clock.nowMs() >= state.lastWordMs) forwarder.answerHeld()
             delay(LEAVING_POLL_MS)
         }
-        forwarder.logHeld()
-        EventLog.info("left", LogFields(extra = mapOf("unfinished" to connections.size.toString())))
+        val brokenOff = forwarder.breakOffHeld()
+        if (brokenOff > 0) delay(LEAVING_POLL_MS)
+        EventLog.info("left", LogFields(extra = mapOf("unfinished" to brokenOff.toString())))
     }
 
     private companion object {
@@ -140,8 +146,8 @@
         const val BALANCER_MS = 2_600L
         const val LEAVING_POLL_MS = 50L
 
-        /** Time kept for the last refusals to reach their callers: a few ways between regions. */
-        const val LAST_REFUSALS_MS = 200L
+        /** Time kept for the last answers to reach their callers: a few ways between regions. */
+        const val LAST_WORD_MS = 200L
 
         /** Time kept for the end of the process itself. */
         const val EXIT_MARGIN_MS = 500L
