A second SIGTERM does not cut short the stop that is in progress

What callers would see: all accepted requests cut the moment a second SIGTERM comes, since the second call of leave returned at once and its caller then stopped the event loop. The new test failed before: the second call had returned before the accepted request was answered. Now a further call returns when the first does.

--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -1,5 +1,6 @@
 package org.almondjunction.gateway
 
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -38,6 +39,7 @@
     private val forwarder = Forwarder(clock, selector, fleet, state, names, allowance, metrics)
     private val connections = mutableSetOf<CallerConnection>()
     private var targetsKnown = false
+    private val left = CompletableDeferred<Unit>()
 
     /** The targets that this gateway knows. */
     public val directory: TargetDirectory = TargetDirectory(clock, settings.lapseMs) { fleet.apply(it) }
@@ -114,10 +116,19 @@
      * Leaves the balancer, finishes what is in progress and returns when nothing is left or the grace time is nearly over.
      *
      * Whoever has no answer by then is told what is known of its request; only answers that have begun are broken off.
+     * A further call returns when the first does.
      */
     public suspend fun leave() {
-        if (state.leaving) return
+        if (state.leaving) return left.await()
         state.leaving = true
+        try {
+            finishAccepted()
+        } finally {
+            left.complete(Unit)
+        }
+    }
+
+    private suspend fun finishAccepted() {
         EventLog.info("leaving", LogFields(extra = mapOf("connections" to connections.size.toString())))
         val endMs = clock.nowMs() + settings.graceMs - EXIT_MARGIN_MS
         state.lastWordMs = endMs - LAST_WORD_MS
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -1,6 +1,7 @@
 package org.almondjunction.gateway
 
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.yield
 import org.almondjunction.common.Address
 import org.almondjunction.common.ModelId
 import org.almondjunction.decisions.RepeatKind
@@ -16,11 +17,14 @@
 import org.almondjunction.network.TcpConnection
 import org.almondjunction.network.TcpListener
 import java.net.Socket
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
 /** A gateway before two targets on loopback whose answers are scripted, one for each request that reaches either of them. */
@@ -316,6 +320,26 @@
         }
     }
 
+    // Guards against a second SIGTERM that ends the process while the first still waits for accepted requests.
+    @Test
+    fun `a second call to leave does not return before accepted requests are answered`() {
+        start(RepeatKind.ONCE, streaming = false)
+        val secondReturned = AtomicBoolean()
+        val returnedBeforeAnswer = CompletableFuture<Boolean>()
+        script += { connection, _ ->
+            scope.launch { gateway.leave() }
+            scope.launch {
+                gateway.leave()
+                secondReturned.set(true)
+            }
+            repeat(ROUNDS_OF_THE_LOOP) { yield() }
+            returnedBeforeAnswer.complete(secondReturned.get())
+            connection.write(served.toByteArray())
+        }
+        assertEquals("HTTP/1.1 200", ask().take("HTTP/1.1 200".length))
+        assertFalse(returnedBeforeAnswer.get())
+    }
+
     /** Lets the gateway leave, and returns when it has. */
     private fun runLeave() {
         val left = CountDownLatch(1)
@@ -348,6 +372,9 @@
         const val LOOPBACK = GatewayFixture.LOOPBACK
         const val HOST_WITHOUT_KEEPER = "127.0.0.2"
 
+        /** Enough for a coroutine that was launched before to run until it waits. */
+        const val ROUNDS_OF_THE_LOOP = 9
+
         /** Ends a test that would hang; far beyond what any machine needs. */
         const val NEVER_S = 300L
     }
