Answers that begin while a gateway goes say that their connection ends

Only answers to requests that came after SIGTERM said Connection: close; a caller whose request came before it kept using its connection, and each such request had less of the grace time left. The new test failed before: the answer bore no Connection header. The head of an answer now says what holds when it is written.

--- a/gateway/src/main/kotlin/CallerAnswer.kt
+++ b/gateway/src/main/kotlin/CallerAnswer.kt
@@ -11,6 +11,7 @@
 internal class CallerAnswer(
     private val connection: TcpConnection,
     private val request: RequestHead?,
+    private val leaving: () -> Boolean = { false },
 ) {
     /** Whether the head was written; from then on a failure can only be shown by ending the connection. */
     var begun = false
@@ -71,7 +72,10 @@
 
     private val closesWithBody get() = request?.version == HttpVersion.HTTP_1_0
 
-    private fun connectionHeaders() = if (closes) listOf(HttpHeader("Connection", "close")) else emptyList()
+    private fun connectionHeaders(): List<HttpHeader> {
+        closes = closes || leaving()
+        return if (closes) listOf(HttpHeader("Connection", "close")) else emptyList()
+    }
 
     private companion object {
         val EMPTY = ByteArray(0)
--- a/gateway/src/main/kotlin/CallerConnection.kt
+++ b/gateway/src/main/kotlin/CallerConnection.kt
@@ -77,8 +77,7 @@
         arrivedMs: Long,
         limits: CallerLimits,
     ): Boolean {
-        val answer = CallerAnswer(connection, head)
-        if (state.leaving) answer.closes = true
+        val answer = CallerAnswer(connection, head) { state.leaving }
         val framing = HttpHeadParser.framingOf(head)
         val hosts = head.headers.all("Host")
         if (framing == null || hosts.size != 1) return refuse(head, answer, BAD_REQUEST, "the request can be read in two ways", null)
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -320,6 +320,23 @@
         }
     }
 
+    // Guards against callers that keep using a connection to a gateway that goes, since nothing in its answers tells them.
+    @Test
+    fun `an answer that begins while the gateway goes tells its caller to use another connection`() {
+        start(RepeatKind.ONCE, streaming = false)
+        script += { connection, _ ->
+            scope.launch { gateway.leave() }
+            repeat(ROUNDS_OF_THE_LOOP) { yield() }
+            connection.write(served.toByteArray())
+        }
+        fixture.connect().use { socket ->
+            val head = "POST /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\nContent-Length: 0\r\n\r\n"
+            socket.getOutputStream().write(head.toByteArray())
+            val answer = socket.getInputStream().readAllBytes().decodeToString()
+            assertTrue("Connection: close\r\n" in answer, answer)
+        }
+    }
+
     // Guards against a second SIGTERM that ends the process while the first still waits for accepted requests.
     @Test
     fun `a second call to leave does not return before accepted requests are answered`() {
