Entry host: a stop that is cut short tells every caller what is known

Seen by callers: after a second SIGTERM, or at the end of drain_limit_ms, every request in progress ended with a closed connection, streams in the middle and the others without an answer, although docs/OPERATIONS.md promised explicit errors. Requests that had not begun were not told so, so that nobody could repeat them safely.

Cause: both ways completed the stop at once, and the HTTP server then cancelled what it had in progress. Nothing told the requests that their process ends.

Change: the end of the process is a deadline that comes early. The dispatcher waits for it beside the answer, withdraws what it has handed over as it does before a deadline, and concludes: "not run" where the target gave the request up or never had it, "unknown, interrupted" otherwise. Nothing is handed over after that. The stop waits up to 5 s for these answers; a caller that reads nothing is cut then. The agent hears that nobody waits, and cancels at the engine.

Ruled out: cancelling the requests with the process. It loses what the target says last, and all that waited would be "unknown".

RequestOutcomeTest runs 20,000 schedules in which the process ends early: "not run" never ran, and what may not be repeated runs once at most.

--- a/bench/src/test/kotlin/PlannedStopTest.kt
+++ b/bench/src/test/kotlin/PlannedStopTest.kt
@@ -113,6 +113,51 @@
         }
     }
 
+    /** Guards against callers that get a closed connection in place of an answer when an operator cuts a stop short. */
+    @Test
+    fun `a second SIGTERM of an entry host ends what is in progress with explicit errors`() {
+        LocalCluster(engines = 1, entries = 1).use { cluster ->
+            cluster.apply(number = 1, replicas = 1, models = listOf("wax", "klister"))
+            val lines = cluster.lines(cluster.endless())
+            repeat(5) { lines.next() }
+            val whole = cluster.sendAsync(cluster.endless(stream = false))
+            cluster.awaitRuns(2)
+            val waiting = cluster.sendAsync(cluster.endless(model = "klister"))
+            eventually("the agent has the request that waits") { "\"waiting\": 1" in cluster.status() }
+            cluster.entryNodes[0].signal("TERM")
+            eventually("the stop has begun") { !cluster.isReady(0) }
+            cluster.entryNodes[0].signal("TERM")
+            assertInterrupted(readToEnd(lines))
+            assertEquals("unknown", whole.join().outcome(), whole.join().body())
+            assertTrue("\"reason\":\"interrupted\"" in whole.join().body(), whole.join().body())
+            assertEquals("not-run", waiting.join().outcome(), waiting.join().body())
+            assertEquals(0, cluster.entryNodes[0].awaitExit())
+            assertEquals(2, cluster.runs())
+            eventually("the engine is told that nobody waits") {
+                cluster.engineStandIns
+                    .single()
+                    .counts()
+                    .cancels == 2L
+            }
+        }
+    }
+
+    /** Guards against streams that end in the middle, without a word, when the longest stop of an entry host is over. */
+    @Test
+    fun `the end of an entry host's longest stop ends what is in progress with explicit errors`() {
+        LocalCluster(engines = 1, entries = 1, drainLimitMs = 500).use { cluster ->
+            cluster.apply(number = 1, replicas = 1)
+            val lines = cluster.lines(cluster.endless())
+            repeat(5) { lines.next() }
+            val whole = cluster.sendAsync(cluster.endless(stream = false))
+            cluster.awaitRuns(2)
+            cluster.entryNodes[0].signal("TERM")
+            assertInterrupted(readToEnd(lines))
+            assertEquals("unknown", whole.join().outcome(), whole.join().body())
+            assertEquals(0, cluster.entryNodes[0].awaitExit())
+        }
+    }
+
     private companion object {
         const val CUT = "the connection was cut"
 
--- a/decisions/src/main/kotlin/RequestMachine.kt
+++ b/decisions/src/main/kotlin/RequestMachine.kt
@@ -34,6 +34,12 @@
 
     /** The deadline passed. */
     public data object DeadlinePassed : RequestEvent()
+
+    /** This process ends, and the target still has the request. */
+    public data object Interrupted : RequestEvent()
+
+    /** This process ends, and the target does not have the request: it was not handed over, or was given up there. */
+    public data object GivenUp : RequestEvent()
 }
 
 /** What an entry host does next with a request. */
@@ -92,6 +98,8 @@
             RequestEvent.Lost -> afterFailure(UnknownReason.TARGET_LOST, retryReason = "lost")
             RequestEvent.DeadlineNear -> if (handedOver) RequestStep.Withdraw else RequestStep.Wait
             RequestEvent.DeadlinePassed -> conclude(RefusalReason.DEADLINE_PASSED, UnknownReason.TARGET_SILENT)
+            RequestEvent.Interrupted -> conclude(RefusalReason.LEAVING, UnknownReason.INTERRUPTED)
+            RequestEvent.GivenUp -> RequestStep.Conclude(notRunOutcome(RefusalReason.LEAVING)).also { handedOver = false }
         }
 
     private fun afterRefusal(reason: RefusalReason): RequestStep =
--- a/decisions/src/test/kotlin/RequestOutcomeTest.kt
+++ b/decisions/src/test/kotlin/RequestOutcomeTest.kt
@@ -48,6 +48,7 @@
     private class World(
         private val random: Random,
         private val repeatable: Boolean,
+        private val processEndsMs: Long = Long.MAX_VALUE / 2,
     ) {
         val agents = List(3) { Agent() }
         private val id = RequestId("r")
@@ -79,6 +80,7 @@
         }
 
         private fun send(target: Int) {
+            if (ending()) return follow(machine.next(RequestEvent.GivenUp))
             current = target
             sentTo = agents[target].incarnation
             if (random.nextInt(8) == 0) return follow(machine.next(RequestEvent.NotSent))
@@ -99,7 +101,8 @@
             val agent = agents[current]
             when {
                 nowMs >= deadlineMs -> follow(machine.next(RequestEvent.DeadlinePassed))
-                nowMs >= deadlineMs - MARGIN_MS && !withdrawn -> {
+                nowMs >= processEndsMs + MARGIN_MS -> follow(machine.next(RequestEvent.Interrupted))
+                (ending() || nowMs >= deadlineMs - MARGIN_MS) && !withdrawn -> {
                     withdrawn = true
                     follow(machine.next(RequestEvent.DeadlineNear))
                 }
@@ -116,9 +119,12 @@
             val answer = agent.answers.firstOrNull { it.first <= nowMs } ?: return
             agent.answers.remove(answer)
             if (answer.second == RequestEvent.Completed) answered += current
-            follow(machine.next(answer.second))
+            val givenUp = ending() && answer.second is RequestEvent.Refused
+            follow(machine.next(if (givenUp) RequestEvent.GivenUp else answer.second))
         }
 
+        private fun ending() = nowMs >= processEndsMs
+
         private fun tickAgents() {
             nowMs += 25
             agents.forEach { agent ->
@@ -186,6 +192,7 @@
         fun verify() {
             val runs = agents.sumOf { it.runs }
             assertTrue(endedMs <= deadlineMs + MARGIN_MS, "The request ended at $endedMs ms, after its deadline $deadlineMs ms.")
+            assertTrue(endedMs <= processEndsMs + 2 * MARGIN_MS, "The request ended at $endedMs ms, after its process.")
             if (!repeatable) assertTrue(runs <= 1, "A request that may not be repeated ran $runs times.")
             when (val ended = checkNotNull(outcome)) {
                 Outcome.Served -> assertEquals(setOf(current), answered)
@@ -209,6 +216,21 @@
             assertTrue(seen.keys.size == 3 && seen.values.all { it > 500 }, "The schedules reach too few outcomes: $seen")
         }
 
+    /** Guards against "not run" for a request that runs, when the process that has it ends before its deadline. */
+    @Test
+    fun `a request has one true outcome also when its process ends`() =
+        runBlocking<Unit> {
+            val seen = mutableMapOf<String, Int>()
+            checkAll(PropTestConfig(seed = 5_102, iterations = 20_000), Arb.long()) { seed ->
+                val random = Random(seed)
+                val world = World(random, repeatable = random.nextBoolean(), processEndsMs = random.nextLong(1_000))
+                world.run()
+                world.verify()
+                seen.merge(checkNotNull(world.outcome).headerValue, 1, Int::plus)
+            }
+            assertTrue(seen.keys.size == 3 && seen.values.all { it > 500 }, "The schedules reach too few outcomes: $seen")
+        }
+
     private companion object {
         const val MARGIN_MS = 300L
     }
--- a/entry/src/main/kotlin/Dispatcher.kt
+++ b/entry/src/main/kotlin/Dispatcher.kt
@@ -1,9 +1,11 @@
 package org.almondjunction.entry
 
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withContext
-import kotlinx.coroutines.withTimeoutOrNull
 import org.almondjunction.common.Clock
 import org.almondjunction.common.Distance
 import org.almondjunction.common.EventLog
@@ -34,6 +36,7 @@
     private val settings: EntrySettings,
     private val holder: StateHolder,
     private val links: TargetLinks,
+    private val drain: DrainState,
     private val clock: Clock,
     private val metrics: Metrics,
 ) {
@@ -59,7 +62,7 @@
             val delayMs = MINIMUM_ROUND_DELAY_MS + backoff.nextDelayMs()
             if (clock.nowMs() + delayMs >= endMs) return outcome
             metrics.count(MetricName.RETRIES, "round-${outcome.reason.code}")
-            delay(delayMs)
+            drain.beforeEnd { delay(delayMs) } ?: return outcome
             round++
         }
     }
@@ -192,6 +195,7 @@
         machine: RequestMachine,
         answer: AnswerWriter,
     ): RequestEvent {
+        if (drain.ended.isCompleted) return RequestEvent.GivenUp
         val link = links.link(target)
         val startedMs = clock.nowMs()
         val call = link.start(exchange.id, plan.work, exchange.deadlineMs - startedMs, plan.priority)
@@ -202,13 +206,14 @@
         var concluded = false
         try {
             val event = receive(exchange, plan, target, link, call, machine, answer)
-            concluded = event != RequestEvent.DeadlinePassed
+            concluded = event != RequestEvent.DeadlinePassed && event != RequestEvent.Interrupted
             return event
         } finally {
             withContext(NonCancellable) { link.finish(call, concluded) }
         }
     }
 
+    @OptIn(ExperimentalCoroutinesApi::class)
     private suspend fun receive(
         exchange: Exchange,
         plan: Plan,
@@ -221,11 +226,17 @@
         val crossRegion = settings.location.distanceTo(target.location) == Distance.OTHER_REGION
         if (crossRegion) metrics.count(MetricName.CROSS_REGION_BYTES, "request", exchange.body.size.toDouble())
         var withdrawing = false
+        var endMs = exchange.deadlineMs - WITHDRAW_MARGIN_MS
         var passedOn = 0L
         var acknowledged = 0L
         while (true) {
-            val limitMs = exchange.deadlineMs - (if (withdrawing) 0 else WITHDRAW_MARGIN_MS) - clock.nowMs()
-            val event = withTimeoutOrNull(limitMs.coerceAtLeast(1)) { call.events.receive() }
+            val limitMs = (endMs - clock.nowMs()).coerceAtLeast(1)
+            val event =
+                select<CallEvent?> {
+                    call.events.onReceive { it }
+                    if (!withdrawing) drain.ended.onAwait { null }
+                    onTimeout(limitMs) { null }
+                }
             when (event) {
                 is CallEvent.Head -> {
                     links.noteWarm(target.record.target, plan.model, event.status < FIRST_ERROR_STATUS)
@@ -248,8 +259,9 @@
                 CallEvent.Lost -> return RequestEvent.Lost.also { links.noteUnreachable(target.record.target) }
                 CallEvent.Running -> Unit
                 null -> {
-                    if (withdrawing) return RequestEvent.DeadlinePassed
+                    if (withdrawing) return if (drain.ended.isCompleted) RequestEvent.Interrupted else RequestEvent.DeadlinePassed
                     withdrawing = true
+                    endMs = minOf(exchange.deadlineMs, clock.nowMs() + WITHDRAW_MARGIN_MS)
                     if (machine.next(RequestEvent.DeadlineNear) == RequestStep.Withdraw) link.withdraw(call)
                 }
             }
@@ -264,11 +276,12 @@
     ): RequestEvent {
         links.noteWarm(target, model, false)
         if (event.reason == RefusalReason.LEAVING) links.noteUnreachable(target)
+        if (drain.ended.isCompleted) return RequestEvent.GivenUp
         return RequestEvent.Refused(if (withdrawing) RefusalReason.DEADLINE_PASSED else event.reason)
     }
 
     private companion object {
-        /** Time before the deadline at which a request that has not begun is taken back. */
+        /** Time before its end, by its deadline or with this process, at which a request that has not begun is taken back. */
         const val WITHDRAW_MARGIN_MS = 300L
 
         /** Time for which a request is tried again while no target can take it for a passing reason. */
--- a/entry/src/main/kotlin/DrainState.kt
+++ b/entry/src/main/kotlin/DrainState.kt
@@ -16,10 +16,14 @@
     var leaving: Boolean = false
 
     private val refusal = CompletableDeferred<Unit>()
+    private val end = CompletableDeferred<Unit>()
 
     /** Whether new requests are refused. */
     val refusing: Boolean get() = refusal.isCompleted
 
+    /** Completes when requests in progress must end. */
+    val ended: Deferred<Unit> get() = end
+
     /** Whether anything is in progress for which a stop must wait. */
     val busy: Boolean get() = works.get() > 0
 
@@ -28,6 +32,14 @@
         refusal.complete(Unit)
     }
 
+    /** Ends the requests in progress: each is told at once what is known of it. */
+    fun end() {
+        end.complete(Unit)
+    }
+
+    /** Runs [work]; returns null when requests in progress must end before it has ended. */
+    suspend fun <T : Any> beforeEnd(work: suspend () -> T): T? = before(end, work)
+
     /** Runs [work]; returns null when requests begin to be refused before it has ended. */
     suspend fun <T : Any> beforeRefusing(work: suspend () -> T): T? = before(refusal, work)
 
--- a/entry/src/main/kotlin/EntryProcess.kt
+++ b/entry/src/main/kotlin/EntryProcess.kt
@@ -19,6 +19,7 @@
 import org.almondjunction.common.SystemClock
 import org.almondjunction.objectstore.HttpObjectStore
 import org.almondjunction.protocol.Listener
+import java.util.concurrent.atomic.AtomicBoolean
 
 /** One entry host's process: serves callers and operators, and runs the controllers while it holds their lease. */
 public class EntryProcess(
@@ -46,7 +47,7 @@
             DepartureController(settings.settlingMs, clock, peers::lastHeard),
         )
     private val drain = DrainState()
-    private val dispatcher = Dispatcher(settings, holder, TargetLinks(settings, selector, clock, metrics, scope), clock, metrics)
+    private val dispatcher = Dispatcher(settings, holder, TargetLinks(settings, selector, clock, metrics, scope), drain, clock, metrics)
     private val handle = chain(listOf(ReadinessFilter(holder, drain), IdempotencyFilter(store, drain, scope)), dispatcher::dispatch)
     private val callers = CallerServer(settings, holder, drain, handle, clock, metrics).create()
     private val admin =
@@ -60,7 +61,7 @@
             metrics,
         ).create()
     private val stopped = CompletableDeferred<Unit>()
-    private var stopping: Job? = null
+    private val stopping = AtomicBoolean()
     private lateinit var listener: Job
 
     /** Starts serving; throws when an address is in use. */
@@ -81,25 +82,27 @@
         EventLog.info("entry host started", LogFields(outcome = settings.host.value))
     }
 
-    /** Begins a graceful stop; the second call ends it without waiting for requests in progress. */
+    /** Begins a graceful stop; the second call ends requests in progress with explicit errors. */
     public fun requestStop() {
-        if (stopping != null) {
+        if (!stopping.compareAndSet(false, true)) return drain.end()
+        scope.launch {
+            drain.leaving = true
+            drain.beforeEnd { delay(settings.drainNoticeMs) }
+            drain.refuse()
+            leader.resign()
+            withTimeoutOrNull(settings.drainLimitMs) { drain.beforeEnd { awaitIdle() } }
+            drain.end()
+            withTimeoutOrNull(END_LIMIT_MS) { awaitIdle() }
+            delay(LAST_BYTES_MS)
+            listener.cancel()
+            internal.closeAll()
+            members.leave()
             stopped.complete(Unit)
-            return
         }
-        stopping =
-            scope.launch {
-                drain.leaving = true
-                delay(settings.drainNoticeMs)
-                drain.refuse()
-                leader.resign()
-                withTimeoutOrNull(settings.drainLimitMs) { while (drain.busy) delay(DRAIN_CHECK_MS) }
-                delay(LAST_BYTES_MS)
-                listener.cancel()
-                internal.closeAll()
-                members.leave()
-                stopped.complete(Unit)
-            }
+    }
+
+    private suspend fun awaitIdle() {
+        while (drain.busy) delay(DRAIN_CHECK_MS)
     }
 
     /** Suspends until a requested stop is complete. */
@@ -116,6 +119,9 @@
         const val DRAIN_CHECK_MS = 50L
         const val SERVER_STOP_MS = 300L
 
+        /** Time for requests that must end to be told so; above the time of a dial and of a call to the platform's service. */
+        const val END_LIMIT_MS = 5_000L
+
         /** Time for the HTTP server to pass the end of the last answers on; it does not tell when it has. */
         const val LAST_BYTES_MS = 500L
     }
