Agent: a stop that is cut short refuses what waits, and interrupts only what runs

Seen by callers: after a second SIGTERM of an agent, or at the end of its drain_limit_ms, a request that waited for its model, and had never begun, ended as "unknown, interrupted". A caller may not send that again unless it may run twice, and its idempotency key is spent.

Cause: the agent ended everything it knew in one way, beside the state machine that alone knows what waits and what runs. The machine kept the request in its queue and could still have dispatched it.

Change: the end of the drain is an event of the machine. What waits is refused as leaving, so that entry hosts try other targets; what runs is interrupted. Both signals go the same way: drain, then end, then wait for the entry hosts to have it all.

Refuted: that the process ends before its explicit errors reach the entry hosts.

PlannedStopTest "a second SIGTERM of an agent…" failed before: "interrupted … expected: <not-run> but was: <unknown>". It passes now, as does the new case of TargetMachineTest.

--- a/agent/src/main/kotlin/AgentProcess.kt
+++ b/agent/src/main/kotlin/AgentProcess.kt
@@ -30,6 +30,7 @@
 import org.almondjunction.decisions.plainServiceState
 import org.almondjunction.protocol.Listener
 import java.util.UUID
+import java.util.concurrent.atomic.AtomicBoolean
 
 /** One agent: the only process that gives orders to the target beside it. */
 public class AgentProcess(
@@ -58,7 +59,8 @@
             scope.launch { subscriber.giveBack(rights) }
         }
     private val stopped = CompletableDeferred<Unit>()
-    private var stopRequested = false
+    private val stopping = AtomicBoolean()
+    private val hurried = CompletableDeferred<Unit>()
     private lateinit var admin: EmbeddedServer<*, *>
 
     private fun initialState(): TargetState =
@@ -106,15 +108,18 @@
 
     /** Begins a graceful stop; the second call ends what is still in progress with explicit errors. */
     public fun requestStop() {
-        if (stopRequested) return server.interruptAll()
-        stopRequested = true
+        if (!stopping.compareAndSet(false, true)) {
+            hurried.complete(Unit)
+            return
+        }
         scope.launch {
             controller.submit(TargetEvent.DrainRequested)
             delay(DRAIN_NOTICE_MS)
             subscriber.sendStatus()
             server.announceLeaving()
-            withTimeoutOrNull(settings.drainLimitMs) { while (server.busy) delay(DRAIN_CHECK_MS) } ?: server.interruptAll()
-            withTimeoutOrNull(CLOSE_LIMIT_MS) { while (server.connected) delay(DRAIN_CHECK_MS) }
+            withTimeoutOrNull(settings.drainLimitMs) { while (server.busy && !hurried.isCompleted) delay(DRAIN_CHECK_MS) }
+            controller.submit(TargetEvent.DrainEnded)
+            withTimeoutOrNull(CLOSE_LIMIT_MS) { while (server.busy || server.connected) delay(DRAIN_CHECK_MS) }
             stopped.complete(Unit)
         }
     }
--- a/agent/src/main/kotlin/RequestServer.kt
+++ b/agent/src/main/kotlin/RequestServer.kt
@@ -210,9 +210,6 @@
 
     override fun giveBack(rights: List<RightKey>) = onGiveBack(rights)
 
-    /** Ends every request in progress with an explicit error. */
-    fun interruptAll() = active.values.filterNot { it.ended }.forEach { interrupt(TargetEffect.Interrupt(it.id)) }
-
     private fun end(
         request: ActiveRequest,
         message: Message.AboutRequest,
--- a/bench/src/test/kotlin/PlannedStopTest.kt
+++ b/bench/src/test/kotlin/PlannedStopTest.kt
@@ -158,6 +158,41 @@
         }
     }
 
+    /** Guards against an agent that goes before entry hosts have heard how its requests ended. */
+    @Test
+    fun `the end of an agent's longest stop ends what is in progress with explicit errors`() {
+        LocalCluster(engines = 1, entries = 1, drainLimitMs = 500).use { cluster ->
+            cluster.apply(number = 1, replicas = 1)
+            val lines = cluster.lines(cluster.endless())
+            repeat(5) { lines.next() }
+            val whole = cluster.sendAsync(cluster.endless(stream = false))
+            cluster.awaitRuns(2)
+            cluster.agentNodes[0].signal("TERM")
+            assertInterrupted(readToEnd(lines))
+            assertTrue("\"reason\":\"interrupted\"" in whole.join().body(), whole.join().body())
+            assertEquals(0, cluster.agentNodes[0].awaitExit())
+        }
+    }
+
+    /** Guards against a request that never began being called unknown, which spends its idempotency key, when an agent's stop is cut short. */
+    @Test
+    fun `a second SIGTERM of an agent refuses what waits and ends what runs with explicit errors`() {
+        LocalCluster(engines = 1, entries = 1).use { cluster ->
+            cluster.apply(number = 1, replicas = 1, models = listOf("wax", "klister"))
+            val lines = cluster.lines(cluster.endless())
+            repeat(5) { lines.next() }
+            val waiting = cluster.sendAsync(cluster.endless(model = "klister"))
+            eventually("the agent has the request that waits") { "\"waiting\": 1" in cluster.status() }
+            cluster.agentNodes[0].signal("TERM")
+            eventually("the stop has begun") { "\"draining\": true" in cluster.status() }
+            cluster.agentNodes[0].signal("TERM")
+            assertInterrupted(readToEnd(lines))
+            assertEquals("not-run", waiting.join().outcome(), waiting.join().body())
+            assertEquals(0, cluster.agentNodes[0].awaitExit())
+            assertEquals(1, cluster.runs())
+        }
+    }
+
     private companion object {
         const val CUT = "the connection was cut"
 
--- a/decisions/src/main/kotlin/TargetEvent.kt
+++ b/decisions/src/main/kotlin/TargetEvent.kt
@@ -59,6 +59,9 @@
 
     /** The process was told to stop, or its host is leaving. */
     public data object DrainRequested : TargetEvent()
+
+    /** The time for requests in progress is over: what waits is refused, what runs is interrupted. */
+    public data object DrainEnded : TargetEvent()
 }
 
 /** An order to the engine. */
--- a/decisions/src/main/kotlin/TargetMachine.kt
+++ b/decisions/src/main/kotlin/TargetMachine.kt
@@ -60,6 +60,7 @@
             is TargetEvent.OrderReplied -> reconciliation.reply(step, event)
             is TargetEvent.Reported -> reconciliation.report(step, event)
             TargetEvent.DrainRequested -> step.state = step.state.copy(draining = true)
+            TargetEvent.DrainEnded -> endDrain(step)
             TargetEvent.Contact, TargetEvent.Tick -> Unit
         }
     }
@@ -92,6 +93,13 @@
         }
     }
 
+    private fun endDrain(step: TargetStep) {
+        step.state = step.state.copy(draining = true)
+        step.state.waiting.forEach { step.refuse(it.id, RefusalReason.LEAVING) }
+        step.state.running.keys
+            .forEach { step.effects += TargetEffect.Interrupt(it) }
+    }
+
     private fun finish(
         step: TargetStep,
         id: RequestId,
--- a/decisions/src/test/kotlin/TargetMachineTest.kt
+++ b/decisions/src/test/kotlin/TargetMachineTest.kt
@@ -101,6 +101,7 @@
                 Triple("no right", { request("x", model = "c") }, RefusalReason.NO_RIGHT),
                 Triple("too short", { request("x", timeoutMs = 200) }, RefusalReason.DEADLINE_TOO_SHORT),
                 Triple("draining", { handle(TargetEvent.DrainRequested).also { request("x") } }, RefusalReason.LEAVING),
+                Triple("drain ended", { request("x").also { handle(TargetEvent.DrainEnded) } }, RefusalReason.LEAVING),
                 Triple("withdrawn", { request("x").also { handle(TargetEvent.Withdrawn(RequestId("x"))) } }, RefusalReason.CANCELLED),
                 Triple("full", { repeat(5) { request("r$it", priority = 6) }.also { request("x") } }, RefusalReason.QUEUE_FULL),
             )
