Agent: a stop waits until the end of every answer was sent

Would be seen by callers: a stream that its engine has ended, and whose caller reads slowly, breaks off with "target-lost" when the agent stops, 3 s after SIGTERM and however long drain_limit_ms is. Without a stop, 15 s after the engine ended: what such an entry host acknowledged was not heard any more, and the answer stood still until its deadline.

Cause: "busy" asked whether the engine had ended, not whether the answer was sent, against its own description. An agent sends 256 KB beyond what was passed on, so the rest of a longer answer was still its to give. The time for which an answer is kept ran from the same moment.

Change: a request is done when the end of its answer was sent, when its entry host cancelled it or stayed away for the time in which it may resume, or past its deadline. The stop waits for that, and answers are kept from then on. What a lost connection leaves behind is settled by a coroutine of its own, since that of a connection which this side closes is cancelled.

Ruled out: that a caller who left keeps the stop waiting (RequestServerTest "…an answer that was cancelled").

RequestServerTest "an agent is busy until the end of every answer was sent" failed before: "Expected value to be true". It passes now.

--- a/agent/src/main/kotlin/ActiveRequest.kt
+++ b/agent/src/main/kotlin/ActiveRequest.kt
@@ -1,5 +1,6 @@
 package org.almondjunction.agent
 
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
@@ -41,6 +42,11 @@
     var connection: Connection? = null
         private set
 
+    private val whole = CompletableDeferred<Unit>()
+
+    /** Whether the end of the answer was sent, or nobody waits for it. */
+    val sent: Boolean get() = whole.isCompleted
+
     /** Whether the request has ended. */
     val ended: Boolean get() = synchronized(lock) { terminal != null }
 
@@ -81,6 +87,14 @@
         signal.trySend(Unit)
     }
 
+    /** Notes that nobody waits for the answer. */
+    fun abandon() {
+        whole.complete(Unit)
+    }
+
+    /** Suspends until the end of the answer was sent, or nobody waits for it. */
+    suspend fun awaitSent() = whole.await()
+
     /** Notes that [lost] has ended; returns whether the answer went over it. */
     fun detach(lost: Connection): Boolean {
         if (connection !== lost) return false
@@ -106,7 +120,7 @@
                 position += part.bytes.size
                 wake.trySend(Unit)
             } else if (part.terminal != null) {
-                connection.send(part.terminal)
+                if (connection.send(part.terminal)) whole.complete(Unit)
                 return
             }
         }
--- a/agent/src/main/kotlin/RequestServer.kt
+++ b/agent/src/main/kotlin/RequestServer.kt
@@ -55,7 +55,7 @@
     }
 
     /** Whether a request waits, runs, or has an answer that was not yet sent whole. */
-    val busy: Boolean get() = active.values.any { !it.ended }
+    val busy: Boolean get() = active.values.any { !it.sent }
 
     suspend fun onMessage(
         connection: Connection,
@@ -68,7 +68,7 @@
             is Message.Resume -> resume(connection, message)
             is Message.Acknowledge -> active[message.id]?.acknowledge(message.offset)
             is Message.Withdraw -> withdraw(connection, message.id)
-            is Message.Cancel -> controller.submit(TargetEvent.Withdrawn(message.id))
+            is Message.Cancel -> cancel(message.id)
             else -> {
                 metrics.count(MetricName.PROTOCOL_ERRORS, "unexpected")
                 connection.close()
@@ -144,6 +144,11 @@
         }
     }
 
+    private fun cancel(id: RequestId) {
+        controller.submit(TargetEvent.Withdrawn(id))
+        active[id]?.abandon()
+    }
+
     private suspend fun refuseUnseen(
         connection: Connection,
         id: RequestId,
@@ -155,12 +160,14 @@
 
     private fun lost(id: RequestId) = Message.Failed(id, UnknownReason.TARGET_LOST)
 
-    suspend fun onClosed(connection: Connection) {
+    fun onClosed(connection: Connection) {
         guards.remove(connection)
         val detached = active.values.filter { it.detach(connection) }
         if (detached.isEmpty()) return
-        delay(RESUME_WINDOW_MS)
-        detached.filter { it.connection == null && !it.ended }.forEach { controller.submit(TargetEvent.Withdrawn(it.id)) }
+        scope.launch {
+            delay(RESUME_WINDOW_MS)
+            detached.filter { it.connection == null }.forEach { cancel(it.id) }
+        }
     }
 
     override fun dispatch(effect: TargetEffect.Dispatch) {
@@ -228,6 +235,8 @@
         request.finish(message)
         EventLog.info("request ended", LogFields(request.id, target, outcome, reason))
         scope.launch {
+            val leftMs = (request.deadlineMs - clock.nowMs()).coerceAtLeast(0)
+            withTimeoutOrNull(leftMs + RESUME_WINDOW_MS) { request.awaitSent() } ?: request.abandon()
             delay(ANSWER_RETENTION_MS)
             active.remove(request.id)
         }
@@ -237,7 +246,7 @@
         /** Time in which an entry host may ask for the rest of an answer after its connection was lost. */
         const val RESUME_WINDOW_MS = 10_000L
 
-        /** Time for which a complete answer is kept. */
+        /** Time for which an answer is kept once it was sent whole. */
         const val ANSWER_RETENTION_MS = 15_000L
     }
 }
--- /dev/null
+++ b/agent/src/test/kotlin/RequestServerTest.kt
@@ -0,0 +1,153 @@
+package org.almondjunction.agent
+
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import org.almondjunction.common.Address
+import org.almondjunction.common.Metrics
+import org.almondjunction.common.RequestId
+import org.almondjunction.common.SystemClock
+import org.almondjunction.common.TargetId
+import org.almondjunction.decisions.EngineReport
+import org.almondjunction.decisions.Order
+import org.almondjunction.decisions.OrderReply
+import org.almondjunction.decisions.ResidentKey
+import org.almondjunction.decisions.TargetMachine
+import org.almondjunction.decisions.plainServiceState
+import org.almondjunction.protocol.Connection
+import org.almondjunction.protocol.Listener
+import org.almondjunction.protocol.Message
+import org.almondjunction.protocol.Work
+import java.net.ServerSocket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+/** The end of an agent as its entry hosts meet it. No assertion depends on how long something takes. */
+class RequestServerTest {
+    /** Answers every request at once with [ANSWER_BYTES] bytes. */
+    private class InstantBackend : Backend {
+        override suspend fun order(order: Order) = OrderReply.REFUSED
+
+        override suspend fun report(): EngineReport? = null
+
+        override suspend fun run(
+            id: RequestId,
+            work: Work,
+            resident: ResidentKey,
+            priority: Int,
+            answer: AnswerSink,
+        ): BackendResult {
+            answer.head(200, "text/plain")
+            answer.append(ByteArray(ANSWER_BYTES))
+            return BackendResult.Complete
+        }
+
+        override suspend fun cancel(id: RequestId) = Unit
+    }
+
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val metrics = Metrics()
+    private val backend = InstantBackend()
+    private val controller =
+        TargetController(
+            initial = plainServiceState(SystemClock.nowMs()),
+            machine = TargetMachine(),
+            backend = backend,
+            clock = SystemClock,
+            metrics = metrics,
+            scope = scope,
+            reportIntervalMs = 1_000,
+        )
+    private val server = RequestServer(TargetId("booking"), "first", controller, backend, SystemClock, metrics, scope) {}
+    private val address = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
+    private val heard = CopyOnWriteArrayList<Message>()
+
+    @AfterTest
+    fun close() {
+        scope.cancel()
+        selector.close()
+    }
+
+    private suspend fun start() {
+        Listener(selector, scope, metrics).listen(
+            address,
+            onMessage = { connection, message -> server.onMessage(connection, message) },
+            onClosed = { connection -> server.onClosed(connection) },
+        )
+        controller.start(server)
+    }
+
+    private suspend fun dial(onMessage: suspend (Message) -> Unit = { heard += it }): Connection {
+        val connection =
+            checkNotNull(Connection.dial(selector, address, scope, metrics, { _, message -> onMessage(message) }, onClosed = {}))
+        connection.send(Message.Hello("entry", incarnation = ""))
+        return connection
+    }
+
+    private fun request(id: RequestId): Message {
+        val work = Work.PlainCall("POST", "/slots", contentType = null, idempotencyKey = null, body = ByteArray(0))
+        return Message.Start(id, work, timeLeftMs = 600_000, priority = 5, sentMs = SystemClock.nowMs())
+    }
+
+    private fun bytesHeard() = heard.filterIsInstance<Message.Chunk>().sumOf { it.bytes.size }
+
+    private suspend fun eventually(
+        what: String,
+        condition: suspend () -> Boolean,
+    ) = checkNotNull(withTimeoutOrNull(EVENTUALLY_LIMIT_MS) { while (!condition()) delay(EVENTUALLY_STEP_MS) }) {
+        "It never happened that $what."
+    }
+
+    /** Guards against an agent that stops while the end of an answer waits for a slow caller to take what was before it. */
+    @Test
+    fun `an agent is busy until the end of every answer was sent`() =
+        runBlocking {
+            start()
+            val connection = dial()
+            val id = RequestId("r")
+            connection.send(request(id))
+            eventually("the first part of the answer has come") { bytesHeard() > 0 }
+            eventually("the call has ended") { controller.state.running.isEmpty() }
+            assertTrue(server.busy)
+            var acknowledged = 0
+            while (bytesHeard() < ANSWER_BYTES) {
+                eventually("more of the answer comes") { bytesHeard() > acknowledged }
+                acknowledged = bytesHeard()
+                connection.send(Message.Acknowledge(id, acknowledged.toLong()))
+            }
+            eventually("the end of the answer has come") { heard.last() is Message.End }
+            eventually("nothing is left to do") { !server.busy }
+            assertEquals(ANSWER_BYTES.toLong(), (heard.last() as Message.End).length)
+        }
+
+    /** Guards against a stop that waits for an answer which nobody takes any more. */
+    @Test
+    fun `an agent is not busy with an answer that was cancelled`() =
+        runBlocking {
+            start()
+            val connection = dial()
+            val id = RequestId("r")
+            connection.send(request(id))
+            eventually("the first part of the answer has come") { bytesHeard() > 0 }
+            connection.send(Message.Cancel(id))
+            eventually("nothing is left to do") { !server.busy }
+            assertFalse(heard.any { it is Message.End })
+        }
+
+    private companion object {
+        /** More than an agent sends beyond what was acknowledged. */
+        const val ANSWER_BYTES = 600_000
+        const val EVENTUALLY_LIMIT_MS = 30_000L
+        const val EVENTUALLY_STEP_MS = 10L
+    }
+}
