Agent: an entry host that reads nothing holds up no stop

Would be seen: an agent is told to stop while one entry host is frozen with answers on their way to it. The agent never says to the others that it leaves, never comes to the end of its stop, not even by drain_limit_ms or a second SIGTERM, and has to be killed.

Cause: the word that it leaves was sent to one entry host after the other, each time waiting for room in the queue of its connection, and the limits of the stop began after that.

Change: each entry host is told by a coroutine of its own. The limits of the stop begin at once.

Ruled out: the agent's status before it. Its session has a queue of its own and is closed after 3.5 s of silence.

RequestServerTest "an entry host that does not read…" failed before: "It never happened that the announcement is over". It passes now.

--- a/agent/src/main/kotlin/RequestServer.kt
+++ b/agent/src/main/kotlin/RequestServer.kt
@@ -49,9 +49,9 @@
     val connected: Boolean get() = guards.isNotEmpty()
 
     /** Tells every entry host that this agent takes nothing new; each closes its connection when it has all its answers. */
-    suspend fun announceLeaving() {
+    fun announceLeaving() {
         leaving = true
-        guards.keys.forEach { it.send(Message.Leaving) }
+        guards.keys.forEach { connection -> scope.launch { connection.send(Message.Leaving) } }
     }
 
     /** Whether a request waits, runs, or has an answer that was not yet sent whole. */
--- a/agent/src/test/kotlin/RequestServerTest.kt
+++ b/agent/src/test/kotlin/RequestServerTest.kt
@@ -4,8 +4,10 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
 import org.almondjunction.common.Address
@@ -70,6 +72,7 @@
         )
     private val server = RequestServer(TargetId("booking"), "first", controller, backend, SystemClock, metrics, scope) {}
     private val address = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
+    private val accepted = CopyOnWriteArrayList<Connection>()
     private val heard = CopyOnWriteArrayList<Message>()
 
     @AfterTest
@@ -81,7 +84,10 @@
     private suspend fun start() {
         Listener(selector, scope, metrics).listen(
             address,
-            onMessage = { connection, message -> server.onMessage(connection, message) },
+            onMessage = { connection, message ->
+                accepted.addIfAbsent(connection)
+                server.onMessage(connection, message)
+            },
             onClosed = { connection -> server.onClosed(connection) },
         )
         controller.start(server)
@@ -144,9 +150,30 @@
             assertFalse(heard.any { it is Message.End })
         }
 
+    /** Guards against a stop that never goes on since one entry host is frozen and takes nothing more. */
+    @Test
+    fun `an entry host that does not read keeps nobody else from hearing that an agent leaves`() =
+        runBlocking {
+            start()
+            val frozen = dial { awaitCancellation() }
+            repeat(REQUESTS_BEYOND_ALL_BUFFERS) { frozen.send(request(RequestId("r$it"))) }
+            eventually("nothing more can be sent to it") { accepted.singleOrNull()?.let { isFull(it) } == true }
+            dial()
+            eventually("the other one is greeted") { heard.any { it is Message.Hello } }
+            val announcement = scope.launch { server.announceLeaving() }
+            eventually("the other one hears that the agent leaves") { Message.Leaving in heard }
+            eventually("the announcement is over") { announcement.isCompleted }
+        }
+
+    private suspend fun isFull(connection: Connection) = withTimeoutOrNull(FULL_AFTER_MS) { connection.send(Message.Pong(0)) } == null
+
     private companion object {
         /** More than an agent sends beyond what was acknowledged. */
         const val ANSWER_BYTES = 600_000
+
+        /** Each may have 256 KB on its way; the network takes some 4 MB, and the queue of a connection 256 messages of 64 KB. */
+        const val REQUESTS_BEYOND_ALL_BUFFERS = 110
+        const val FULL_AFTER_MS = 100L
         const val EVENTUALLY_LIMIT_MS = 30_000L
         const val EVENTUALLY_STEP_MS = 10L
     }
