An error of the Java machine in one task or connection ends that alone

Seen in the code: an Error, such as of an exhausted stack or heap or of a class that cannot be loaded, in a task of the event loop, in the handler of a socket or about a connection just accepted ended the loop and with it the process. Coroutines were guarded already; an IOException out of a handler ended the loop too.

Change: the loop and the listener guard against every Throwable, close the channel concerned and tell of it. Where telling fails, as without memory, the process goes on.

Both new tests of ProcessScopeTest failed before: the next task was not run within 20 s, and the connection was not closed within 20 s.

--- a/network/src/main/kotlin/EventLoop.kt
+++ b/network/src/main/kotlin/EventLoop.kt
@@ -108,7 +108,19 @@
             while (true) ready.addLast(posted.poll() ?: break)
             runTimers()
             val task = ready.removeFirstOrNull() ?: return
-            task.run()
+            guarded("task") { task.run() }
+        }
+    }
+
+    /** An unexpected error in [work], also one of the Java machine such as an exhausted stack or heap, ends that work alone. */
+    private inline fun guarded(
+        where: String,
+        work: () -> Unit,
+    ) {
+        try {
+            work()
+        } catch (failure: Throwable) {
+            logUnexpected(where, failure)
         }
     }
 
@@ -134,16 +146,21 @@
         while (keys.hasNext()) {
             val key = keys.next()
             keys.remove()
-            try {
-                @Suppress("UNCHECKED_CAST")
-                if (key.isValid) (key.attachment() as (SelectionKey) -> Unit)(key)
-            } catch (_: CancelledKeyException) {
-                // The channel was closed by a handler that ran before in this round; its owner knows.
-                continue
-            } catch (failure: RuntimeException) {
-                logUnexpected("handler", failure)
-                key.channel().close()
-            }
+            guarded("handler") { handle(key) }
+        }
+    }
+
+    private fun handle(key: SelectionKey) {
+        var failed = true
+        try {
+            @Suppress("UNCHECKED_CAST")
+            if (key.isValid) (key.attachment() as (SelectionKey) -> Unit)(key)
+            failed = false
+        } catch (_: CancelledKeyException) {
+            // The channel was closed by a handler that ran before in this round; its owner knows.
+            failed = false
+        } finally {
+            if (failed) key.channel().close()
         }
     }
 
--- a/network/src/main/kotlin/ProcessScope.kt
+++ b/network/src/main/kotlin/ProcessScope.kt
@@ -46,9 +46,21 @@
         }
     }
 
+/** Tells of [failure]; where even that fails, as without memory, the process goes on and tells the next one. */
 internal fun logUnexpected(
     where: String,
     failure: Throwable,
+) {
+    try {
+        writeUnexpected(where, failure)
+    } catch (unwritten: Throwable) {
+        failure.addSuppressed(unwritten)
+    }
+}
+
+private fun writeUnexpected(
+    where: String,
+    failure: Throwable,
 ) {
     val place = failure.stackTrace.firstOrNull()?.toString()
     EventLog.error("unexpected error", LogFields(reason = failure.toString(), extra = mapOf("where" to where, "place" to place)))
--- a/network/src/main/kotlin/TcpListener.kt
+++ b/network/src/main/kotlin/TcpListener.kt
@@ -47,11 +47,11 @@
         }
     }
 
-    /** An unexpected error about one connection ends that one alone; the listener goes on. */
+    /** An unexpected error about one connection, also one of the Java machine, ends that one alone; the listener goes on. */
     private fun hand(connection: TcpConnection) {
         try {
             onConnection(connection)
-        } catch (failure: RuntimeException) {
+        } catch (failure: Throwable) {
             logUnexpected("connection accepted", failure)
             connection.close()
         }
--- a/network/src/test/kotlin/ProcessScopeTest.kt
+++ b/network/src/test/kotlin/ProcessScopeTest.kt
@@ -4,11 +4,14 @@
 import org.almondjunction.common.Address
 import java.net.Socket
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
+import kotlin.coroutines.EmptyCoroutineContext
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 /** Unexpected errors, as a bug or a hostile peer may bring them about. */
 class ProcessScopeTest {
@@ -43,6 +46,31 @@
         begun.await()
     }
 
+    @Test
+    fun `an error of the Java machine in a task ends that task alone`() {
+        val others = CountDownLatch(1)
+        loop.dispatch(EmptyCoroutineContext) { throw OutOfMemoryError("no heap") }
+        loop.dispatch(EmptyCoroutineContext) { others.countDown() }
+        assertTrue(others.await(LONGEST_WAIT_S, TimeUnit.SECONDS))
+    }
+
+    @Test
+    fun `an error of the Java machine about one connection closes it, and the next one is served`() {
+        var connections = 0
+        val listener =
+            TcpListener(loop, Address("127.0.0.1", 0)) { connection ->
+                if (connections++ == 0) throw StackOverflowError()
+                connection.close()
+            }
+        repeat(2) { assertEquals(END, Socket("127.0.0.1", listener.port).use { it.readByte() }) }
+        assertEquals(2, connections)
+    }
+
+    private fun Socket.readByte(): Int {
+        soTimeout = LONGEST_WAIT_S.toInt() * MILLISECONDS_PER_SECOND
+        return getInputStream().read()
+    }
+
     @Test
     fun `an error about one connection closes it, and the next one is served`() {
         var connections = 0
@@ -58,4 +86,10 @@
         fun read() = Socket("127.0.0.1", listener.port).use { it.getInputStream().readAllBytes().decodeToString() }
         assertEquals(listOf("", "ok"), List(2) { read() })
     }
+
+    private companion object {
+        const val LONGEST_WAIT_S = 20L
+        const val MILLISECONDS_PER_SECOND = 1_000
+        const val END = -1
+    }
 }
