--- a/network/src/main/kotlin/EventLoop.kt
+++ b/network/src/main/kotlin/EventLoop.kt
@@ -89,10 +89,10 @@
             if (Thread.currentThread() !== thread) selector.wakeup()
         }
 
-    private fun schedule(
+    internal fun schedule(
         delayMs: Long,
         task: Runnable,
-    ): Timer {
+    ): DisposableHandle {
         val timer = Timer(clock.nowMs() + delayMs.coerceIn(0, LONGEST_DELAY_MS), timerCount++, task)
         if (Thread.currentThread() === thread) {
             timers.add(timer)
