A keeper that fails to tell a gateway something ends that connection

Seen in the code: an unexpected error while a message to a gateway was made left the session marked as sending. The connection stayed open, and the gateway was told nothing more on it until it ended by itself; a target whose keeper is silent gets no new requests for up to 2 s at a time.

Change: the mark is taken back in any case, and after an error the connection is closed, so that the gateway comes again. The test runs in the scope that programs use.

The new test of KeeperTest failed before: the connection had not ended after 20 s.

--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -171,14 +171,25 @@
         if (session.sending || session.gateway.isEmpty()) return
         session.sending = true
         scope.launch {
-            while (session.dirty || session.loadDirty) {
-                val message = if (session.dirty) statusFor(session) else load()
-                session.dirty = false
-                session.loadDirty = false
-                session.sentMs = clock.nowMs()
-                if (!session.channel.send(message)) break
+            var failed = true
+            try {
+                sendChanges(session)
+                failed = false
+            } finally {
+                session.sending = false
+                // A gateway that would hear nothing more comes again.
+                if (failed) session.channel.close()
             }
-            session.sending = false
+        }
+    }
+
+    private suspend fun sendChanges(session: Session) {
+        while (session.dirty || session.loadDirty) {
+            val message = if (session.dirty) statusFor(session) else load()
+            session.dirty = false
+            session.loadDirty = false
+            session.sentMs = clock.nowMs()
+            if (!session.channel.send(message)) return
         }
     }
 
--- a/keeper/src/test/kotlin/KeeperTest.kt
+++ b/keeper/src/test/kotlin/KeeperTest.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -12,6 +11,7 @@
 import org.almondjunction.network.EventLoop
 import org.almondjunction.network.TcpConnection
 import org.almondjunction.network.TcpListener
+import org.almondjunction.network.processScope
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -130,6 +130,21 @@
     }
 }
 
+/** A clock that fails once while a status is made, as an exhausted stack or heap may. */
+private class FailingClock : Clock {
+    var failing = false
+    var failures = 0
+
+    override fun nowMs(): Long {
+        if (failing && StackWalker.getInstance().walk { frames -> frames.anyMatch { it.methodName == "statusFor" } }) {
+            failing = false
+            failures++
+            throw OutOfMemoryError("no heap")
+        }
+        return SystemClock.nowMs()
+    }
+}
+
 class KeeperTest {
     private fun wish(
         model: String,
@@ -163,7 +178,7 @@
         gateways: suspend CoroutineScope.(loop: EventLoop, port: Int, engine: FakeEngine) -> Unit,
     ): FakeEngine {
         val loop = EventLoop(clock)
-        val scope = CoroutineScope(SupervisorJob() + loop)
+        val scope = processScope(loop)
         val engine = FakeEngine(Random(seed), scope, loop.clock)
         val keeper = Keeper(scope, loop.clock, engine, firstFence = 7)
         val listener = TcpListener(loop, Address("127.0.0.1", 0)) { keeper.accept(it) }
@@ -298,6 +313,29 @@
         assertEquals(STATUSES, rates.count { it > 0 })
     }
 
+    @Test
+    fun `an unexpected error about a message to a gateway ends its connection, never only the messages on it`() {
+        val clock = FailingClock()
+        var ended = false
+        withKeeper(seed = 1, clock) { loop, port, _ ->
+            val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), NEVER_MS)))
+            channel.send(KeeperMessage.Greeting("g"))
+            channel.receive()
+            clock.failing = true
+            val telling =
+                launch {
+                    while (channel.send(KeeperMessage.Usage(listOf(Use("m1", null, count = 1, inFlight = 1))))) delay(100)
+                }
+            withTimeoutOrNull(LONGEST_END_MS) {
+                while (channel.receive() != null) continue
+                ended = true
+            }
+            telling.cancel()
+        }
+        assertEquals(1, clock.failures)
+        assertTrue(ended)
+    }
+
     @Test
     fun `every gateway hears what the engine holds and who else is connected`() {
         val engine =
@@ -312,6 +350,9 @@
         const val TELLINGS = 10
         const val STATUSES = 2
 
+        /** Far beyond the time in which a connection ends. */
+        const val LONGEST_END_MS = 20_000L
+
         /** Ends a test that would hang; far beyond what any machine needs. */
         const val NEVER_MS = 300_000L
     }
