A dial without a free descriptor gives no connection, and no error

Seen in the code, while looking for what ends a process: TcpConnection.dial promises null when it fails, but the socket was opened outside its guard. With all descriptors in use an IOException ran through whatever dialled: the watch of an engine or the store began again after 500 ms, a caller's request ended unanswered.

Change: it is told of and gives no connection.

TcpConnectionTest, a process of its own under a limit of 256 descriptors, failed before: "Too many open files" out of the coroutine.

--- a/network/src/main/kotlin/TcpConnection.kt
+++ b/network/src/main/kotlin/TcpConnection.kt
@@ -4,6 +4,8 @@
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
 import org.almondjunction.common.Address
+import org.almondjunction.common.EventLog
+import org.almondjunction.common.LogFields
 import java.io.IOException
 import java.net.InetSocketAddress
 import java.net.StandardSocketOptions
@@ -149,7 +151,13 @@
             address: Address,
             timeoutMs: Long,
         ): TcpConnection? {
-            val channel = SocketChannel.open()
+            val channel =
+                try {
+                    SocketChannel.open()
+                } catch (failure: IOException) {
+                    EventLog.warn("no connection opened", LogFields(reason = failure.toString()))
+                    return null
+                }
             return try {
                 channel.configureBlocking(false)
                 channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
--- /dev/null
+++ b/network/src/test/kotlin/TcpConnectionTest.kt
@@ -0,0 +1,22 @@
+package org.almondjunction.network
+
+import kotlin.test.Test
+import kotlin.test.assertContains
+
+class TcpConnectionTest {
+    @Test
+    fun `a dial without a free descriptor gives no connection, and no error`() {
+        val java = "exec \"\$0\" -cp \"\$1\" ${DescriptorShortage::class.java.name}"
+        val arguments = listOf("${System.getProperty("java.home")}/bin/java", System.getProperty("java.class.path"))
+        val process =
+            ProcessBuilder(listOf("bash", "-c", "ulimit -n $DESCRIPTORS; $java") + arguments)
+                .redirectErrorStream(true)
+                .start()
+        assertContains(process.inputStream.readAllBytes().decodeToString(), DescriptorShortage.NO_CONNECTION)
+    }
+
+    private companion object {
+        /** Some more than a Java machine with all its jars open needs. */
+        const val DESCRIPTORS = 256
+    }
+}
