Agent: a stop waits until its engine has heard of every cancellation

Would be seen: after a second SIGTERM, at the end of drain_limit_ms, or when callers leave during a stop, an agent tells its entry hosts how requests ended and goes before it has told the engine. The engine works on, for nobody, until it notices by itself.

Cause: a request counted as ended from the moment at which its end was decided; the call that cancels it at the engine comes after that.

Ruled out: waiting for the agent's own work on the request; it is cancelled first.

RequestServerTest "…until its engine has heard of every cancellation" failed before: "Expected value to be true". It passes now.

--- a/agent/src/main/kotlin/RequestServer.kt
+++ b/agent/src/main/kotlin/RequestServer.kt
@@ -54,8 +54,8 @@
         guards.keys.forEach { connection -> scope.launch { connection.send(Message.Leaving) } }
     }
 
-    /** Whether a request waits, runs, or has an answer that was not yet sent whole. */
-    val busy: Boolean get() = active.values.any { !it.sent }
+    /** Whether a request waits, runs, is being cancelled, or has an answer that was not yet sent whole. */
+    val busy: Boolean get() = active.values.any { !it.sent } || controller.state.running.isNotEmpty()
 
     suspend fun onMessage(
         connection: Connection,
--- a/agent/src/test/kotlin/RequestServerTest.kt
+++ b/agent/src/test/kotlin/RequestServerTest.kt
@@ -1,6 +1,7 @@
 package org.almondjunction.agent
 
 import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -35,8 +36,11 @@
 
 /** The end of an agent as its entry hosts meet it. No assertion depends on how long something takes. */
 class RequestServerTest {
-    /** Answers every request at once with [ANSWER_BYTES] bytes. */
-    private class InstantBackend : Backend {
+    /** Answers every request at once with [ANSWER_BYTES] bytes, but for the one that hangs until it is cancelled. */
+    private class TestBackend : Backend {
+        val cancelling = CompletableDeferred<Unit>()
+        val mayCancel = CompletableDeferred<Unit>()
+
         override suspend fun order(order: Order) = OrderReply.REFUSED
 
         override suspend fun report(): EngineReport? = null
@@ -49,17 +53,21 @@
             answer: AnswerSink,
         ): BackendResult {
             answer.head(200, "text/plain")
+            if (id == HANGING) awaitCancellation()
             answer.append(ByteArray(ANSWER_BYTES))
             return BackendResult.Complete
         }
 
-        override suspend fun cancel(id: RequestId) = Unit
+        override suspend fun cancel(id: RequestId) {
+            cancelling.complete(Unit)
+            mayCancel.await()
+        }
     }
 
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val selector = SelectorManager(Dispatchers.IO)
     private val metrics = Metrics()
-    private val backend = InstantBackend()
+    private val backend = TestBackend()
     private val controller =
         TargetController(
             initial = plainServiceState(SystemClock.nowMs()),
@@ -150,6 +158,21 @@
             assertFalse(heard.any { it is Message.End })
         }
 
+    /** Guards against an engine that works on for nobody since its agent went before it had passed the cancellation on. */
+    @Test
+    fun `an agent is busy until its engine has heard of every cancellation`() =
+        runBlocking {
+            start()
+            val connection = dial()
+            connection.send(request(HANGING))
+            eventually("the request runs") { heard.any { it is Message.Head } }
+            connection.send(Message.Cancel(HANGING))
+            backend.cancelling.await()
+            assertTrue(server.busy)
+            backend.mayCancel.complete(Unit)
+            eventually("nothing is left to do") { !server.busy }
+        }
+
     /** Guards against a stop that never goes on since one entry host is frozen and takes nothing more. */
     @Test
     fun `an entry host that does not read keeps nobody else from hearing that an agent leaves`() =
@@ -174,6 +197,7 @@
         /** Each may have 256 KB on its way; the network takes some 4 MB, and the queue of a connection 256 messages of 64 KB. */
         const val REQUESTS_BEYOND_ALL_BUFFERS = 110
         const val FULL_AFTER_MS = 100L
+        val HANGING = RequestId("hanging")
         const val EVENTUALLY_LIMIT_MS = 30_000L
         const val EVENTUALLY_STEP_MS = 10L
     }
