A request that was left at its target in the last moment is not called not run

What a caller would hear: 503, not run, for a request that its target had read, where the target was removed, fell silent or lost its keeper in the same moment in which the stop gave its last word. The cause: Exchange.close forgot that bytes had left. The test failed before: 503 instead of 502. It now remembers.

--- a/gateway/src/main/kotlin/Exchange.kt
+++ b/gateway/src/main/kotlin/Exchange.kt
@@ -51,7 +51,8 @@
     val answered: Boolean get() = answer != null
 
     /** Whether any byte of the request may have reached the target. */
-    val mayHaveArrived: Boolean get() = connection?.let { it.bytesWritten > writtenBefore } ?: false
+    val mayHaveArrived: Boolean get() = closedAfterBytes || connection?.let { it.bytesWritten > writtenBefore } ?: false
+    private var closedAfterBytes = false
 
     suspend fun send(
         request: ForwardedRequest,
@@ -150,6 +151,7 @@
 
     /** Ends the send; a target that still works on it sees its caller gone, and bytes still on their way never arrive. */
     override fun close() {
+        closedAfterBytes = mayHaveArrived
         writer?.cancel()
         connection?.abort()
         connection = null
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.yield
 import org.almondjunction.common.Address
 import org.almondjunction.common.ModelId
+import org.almondjunction.common.TargetId
 import org.almondjunction.decisions.RepeatKind
 import org.almondjunction.keeper.HeldModel
 import org.almondjunction.keeper.KeeperMessage
@@ -16,6 +17,7 @@
 import org.almondjunction.network.RequestHead
 import org.almondjunction.network.TcpConnection
 import org.almondjunction.network.TcpListener
+import java.io.IOException
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
@@ -24,6 +26,7 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
@@ -289,7 +292,10 @@
         heldCases.mapIndexed { index, case ->
             val model = if (case.streaming) "Model: m\r\n" else ""
             val head = "POST /$index/ HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\n${model}Content-Length: 0\r\n\r\n"
-            fixture.connect().apply { getOutputStream().write(head.toByteArray()) }
+            fixture.connect().apply {
+                soTimeout = TimeUnit.SECONDS.toMillis(NEVER_S).toInt()
+                getOutputStream().write(head.toByteArray())
+            }
         }
 
     // Guards against a planned stop that closes connections whose requests a target still holds, so that their callers hear nothing.
@@ -314,12 +320,34 @@
         reached.await()
         runLeave()
         heldCases.zip(callers).forEach { (case, caller) ->
-            val answer = caller.use { socket -> socket.getInputStream().run { readNBytes(available()) }.decodeToString() }
+            val answer = caller.use { socket -> socket.getInputStream().readAllBytes().decodeToString() }
             assertEquals("HTTP/1.1 502", answer.take("HTTP/1.1 502".length), case.pattern)
             assertTrue(answer.endsWith("}\n"), "${case.pattern}: $answer")
         }
     }
 
+    // Guards against a promise that nothing ran for a request that its target had read when the target was removed as the gateway went.
+    @Test
+    fun `a request that was left at its target in the last moment is not called not run`() {
+        GatewayFixture(graceMs = 0).use { gateways ->
+            val reached = CountDownLatch(1)
+            gateways.start(GatewayFixture.route(RepeatKind.IDEMPOTENT, streaming = false)) { connection ->
+                HttpReader(connection).requestHead(9_999)
+                reached.countDown()
+            }
+            gateways.connect().use { socket ->
+                socket.getOutputStream().write("GET /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\n\r\n".toByteArray())
+                reached.await()
+                gateways.scope.launch {
+                    repeat(GatewayFixture.TARGETS) { gateways.gateway.directory.remove(TargetId("t$it"), trusted = true) }
+                    gateways.gateway.leave()
+                }
+                val answer = ByteArray("HTTP/1.1 502".length).also { socket.getInputStream().readNBytes(it, 0, it.size) }
+                assertEquals("HTTP/1.1 502", answer.decodeToString())
+            }
+        }
+    }
+
     // Guards against callers that keep using a connection to a gateway that goes, since nothing in its answers tells them.
     @Test
     fun `an answer that begins while the gateway goes tells its caller to use another connection`() {
