An unexpected error about a request is answered

An unexpected error in the work on a request closed its caller's connection without a byte. The test (a route without services) failed before with an empty answer. The caller now hears 502, which promises nothing, and the log names the request. A connection on which a further request has been read is not announced as closing.

--- a/gateway/src/main/kotlin/CallerConnection.kt
+++ b/gateway/src/main/kotlin/CallerConnection.kt
@@ -1,5 +1,6 @@
 package org.almondjunction.gateway
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
@@ -77,7 +78,7 @@
         arrivedMs: Long,
         limits: CallerLimits,
     ): Boolean {
-        val answer = CallerAnswer(connection, head) { state.leaving }
+        val answer = CallerAnswer(connection, head) { state.leaving && connection.input.size == 0 }
         val framing = HttpHeadParser.framingOf(head)
         val hosts = head.headers.all("Host")
         if (framing == null || hosts.size != 1) return refuse(head, answer, BAD_REQUEST, "the request can be read in two ways", null)
@@ -116,11 +117,29 @@
                 note(head, NOT_FOUND, "no route")
                 answer.refuse(NOT_FOUND, "no route")
             }
-            else -> watched(ForwardedRequest.of(head, body, route, arrivedMs, names), answer)
+            else -> guarded(head, answer) { watched(ForwardedRequest.of(head, body, route, arrivedMs, names), answer) }
         }
         return answer.complete && !answer.closes
     }
 
+    /** An unexpected error in [work] ends this request alone; its caller hears that its outcome is unknown. */
+    private suspend fun guarded(
+        head: RequestHead,
+        answer: CallerAnswer,
+        work: suspend () -> Unit,
+    ) {
+        try {
+            work()
+        } catch (cancellation: CancellationException) {
+            throw cancellation
+        } catch (failure: Throwable) {
+            metrics.count(MetricName.UNEXPECTED_ERRORS, "request")
+            val extra = mapOf("id" to head.headers[names.requestId], "place" to failure.stackTrace.firstOrNull()?.toString())
+            EventLog.error("unexpected error", LogFields(outcome = "unknown", reason = failure.toString(), extra = extra))
+            if (!answer.begun) answer.refuse(BAD_GATEWAY, "outcome unknown")
+        }
+    }
+
     /** Forwards [request] until it is answered or its caller is gone. */
     private suspend fun watched(
         request: ForwardedRequest,
@@ -179,6 +198,7 @@
         const val REQUEST_TIMEOUT = 408
         const val CONTENT_TOO_LARGE = 413
         const val HEADERS_TOO_LARGE = 431
+        const val BAD_GATEWAY = 502
         const val SERVICE_UNAVAILABLE = 503
         const val RETRY_WITHOUT_CONFIGURATION_MS = 500L
         const val RETRY_WITHOUT_ROOM_MS = 500L
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -348,6 +348,15 @@
         }
     }
 
+    // Guards against an unexpected error that closes its caller's connection without an answer.
+    @Test
+    fun `an unexpected error about a request is answered`() {
+        val routeWithoutService = GatewayFixture.route(RepeatKind.ONCE, streaming = false).copy(destinations = emptyList())
+        fixture.start(routeWithoutService) { target(it) }
+        val answer = ask()
+        assertEquals("HTTP/1.1 502", answer.take("HTTP/1.1 502".length))
+    }
+
     // Guards against callers that keep using a connection to a gateway that goes, since nothing in its answers tells them.
     @Test
     fun `an answer that begins while the gateway goes tells its caller to use another connection`() {
