A stream of HTTP/1.0 that broke off does not look whole

To a caller of HTTP/1.0 the end of a stream is the end of its connection, so that a stream which broke off looked like a whole one. The test failed before: all bytes were read without an error. The connection is now reset.

--- a/gateway/src/main/kotlin/CallerAnswer.kt
+++ b/gateway/src/main/kotlin/CallerAnswer.kt
@@ -70,6 +70,11 @@
         complete = closesWithBody || connection.write(HttpWriter.LAST_CHUNK)
     }
 
+    /** Shows an answer that ends before it is complete as broken off where its end would look like that of a whole one. */
+    fun endIncomplete() {
+        if (begun && !complete && closesWithBody) connection.abort()
+    }
+
     private val closesWithBody get() = request?.version == HttpVersion.HTTP_1_0
 
     private fun connectionHeaders(): List<HttpHeader> {
--- a/gateway/src/main/kotlin/CallerConnection.kt
+++ b/gateway/src/main/kotlin/CallerConnection.kt
@@ -119,6 +119,7 @@
             }
             else -> guarded(head, answer) { watched(ForwardedRequest.of(head, body, route, arrivedMs, names), answer) }
         }
+        answer.endIncomplete()
         return answer.complete && !answer.closes
     }
 
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -357,6 +357,17 @@
         assertEquals("HTTP/1.1 502", answer.take("HTTP/1.1 502".length))
     }
 
+    // Guards against a stream to a caller of HTTP/1.0, whose end is that of its connection, that looks whole though it broke off.
+    @Test
+    fun `a stream to a caller of an old version that broke off ends with a failure of its connection`() {
+        start(RepeatKind.ONCE, streaming = true)
+        script += thenClose(streamHead + chunk(events(1) + "id: 2\nda"))
+        fixture.connect().use { socket ->
+            socket.getOutputStream().write("GET /x HTTP/1.0\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\n\r\n".toByteArray())
+            assertFailsWith<IOException> { socket.getInputStream().readAllBytes() }
+        }
+    }
+
     // Guards against callers that keep using a connection to a gateway that goes, since nothing in its answers tells them.
     @Test
     fun `an answer that begins while the gateway goes tells its caller to use another connection`() {
