--- a/gateway/src/main/kotlin/Fleet.kt
+++ b/gateway/src/main/kotlin/Fleet.kt
@@ -86,7 +86,7 @@
             // Signs that came while this process itself stood still are not read yet.
             val stoodStill = nowMs - examinedMs > STOOD_STILL_MS
             examinedMs = nowMs
-            if (stoodStill) targets.values.forEach { it.heard() }
+            if (stoodStill) targets.values.forEach { it.excuseSilence() }
             departed.removeIf { it.inFlight.isEmpty() }
             departed.toList().forEach { it.examineSilence() }
             if (targets.values.toList().count { it.examineSilence() } > 0) state.changed.raise()
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -135,7 +135,7 @@
         state.endMs = endMs
         delay(minOf(BALANCER_MS, state.lastWordMs - clock.nowMs()))
         while (clock.nowMs() < endMs) {
-            connections.filter { !it.busy }.forEach { it.close() }
+            closeIdle()
             if (connections.isEmpty()) break
             if (clock.nowMs() >= state.lastWordMs) forwarder.answerHeld()
             delay(LEAVING_POLL_MS)
@@ -145,6 +145,12 @@
         EventLog.info("left", LogFields(extra = mapOf("unfinished" to brokenOff.toString())))
     }
 
+    private suspend fun closeIdle() {
+        // Lets the loop read requests that came while this process stood still.
+        delay(SHORTEST_DELAY_MS)
+        connections.filter { !it.busy }.forEach { it.close() }
+    }
+
     private companion object {
         const val OK = 200
         const val NOT_FOUND = 404
@@ -155,6 +161,7 @@
 
         /** The balancer asks each second and believes two misses; requests on open connections are served meanwhile. */
         const val BALANCER_MS = 2_600L
+        const val SHORTEST_DELAY_MS = 1L
         const val LEAVING_POLL_MS = 50L
 
         /** Time kept for the last answers to reach their callers: a few ways between regions. */
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -107,6 +107,12 @@
         silent = false
     }
 
+    /** Forgives its silence so far, of which this process would not know. */
+    fun excuseSilence() {
+        health?.heard(clock.nowMs())
+        silent = false
+    }
+
     /**
      * Examines whether it has fallen silent, and gives up what has waited too long and may be sent elsewhere.
      *
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -368,6 +368,21 @@
         }
     }
 
+    // Guards against a begun answer that the end of a stop leaves open.
+    @Test
+    fun `a stream that has begun is broken off when the gateway goes`() {
+        start(RepeatKind.ONCE, streaming = true)
+        script += raw(streamHead + chunk(events(1)))
+        fixture.connect().use { socket ->
+            socket.soTimeout = TimeUnit.SECONDS.toMillis(NEVER_S).toInt()
+            socket.getOutputStream().write("GET /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\n\r\n".toByteArray())
+            val begun = ByteArray("HTTP/1.1 200".length).also { socket.getInputStream().readNBytes(it, 0, it.size) }
+            runLeave()
+            val rest = socket.getInputStream().readAllBytes()
+            assertEquals(events(1) + "|cut", unchunk((begun + rest).decodeToString()))
+        }
+    }
+
     // Guards against callers that keep using a connection to a gateway that goes, since nothing in its answers tells them.
     @Test
     fun `an answer that begins while the gateway goes tells its caller to use another connection`() {
