Speed of reading and work of a plain request are learned from answers

Cause: the choice of a target used the figures of one site: 38.7 prompt tokens read in a ms, 40 ms of work for a plain request, and 120 ms and 12 ms for prompts that others have in a queue or in progress. Where targets work at another speed, prompts that are kept far away and queues were weighed wrongly, and a target that turned slow was not left.

Ruled out: a mean, which single answers that waited behind others move; a figure of each target alone, since most have few answers in the time that counts.

Change: `ReadingSpeed` and `PlainWork` keep the weighted median of the latest answers of each target and of its service, in bounded memory. A target has a figure of its own where it differs clearly from its service. Only answers of targets that had nothing else to read, or a place free, count, without the way there and back. Until answers tell, named priors are assumed. Queued prompts and those of others count as parts of a usual prompt, whose length is learned from requests. Work of plain requests counts per target.

--- a/gateway/src/main/kotlin/Fleet.kt
+++ b/gateway/src/main/kotlin/Fleet.kt
@@ -10,6 +10,8 @@
 import org.almondjunction.common.ZoneId
 import org.almondjunction.decisions.AnswerDurations
 import org.almondjunction.decisions.DemandBook
+import org.almondjunction.decisions.PlainWork
+import org.almondjunction.decisions.ReadingSpeed
 import org.almondjunction.decisions.WorkBook
 import org.almondjunction.keeper.Demand
 import org.almondjunction.network.ByteBudget
@@ -194,6 +196,8 @@
     val demand = DemandBook()
     val waiting = WaitingCallers()
     val work = WorkBook()
+    val reading = ReadingSpeed()
+    val plainWork = PlainWork()
 
     /** How long the answers of each route last. */
     val durations = AnswerDurations()
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -185,6 +185,7 @@
         model = request.model,
         adapter = request.adapter,
         promptTokens = target.unreadTokens(request),
+        wholePromptTokens = request.promptTokens,
         repeatable = request.route.repeat != RepeatKind.ONCE,
         patienceMs = request.route.callerPatienceMs,
         lastSignMs = attempt.lastSignMs,
@@ -283,6 +284,7 @@
         attempt.outcome = Attempt.SERVED
         attempt.detail = "status ${answer.head.status}"
         learnDuration(attempt)
+        if (send.model == null) selector.learn(target, send)
         attempt.answer.pass(answer.head, body.bytes)
         return null
     }
@@ -313,6 +315,7 @@
                     }
                     if (whole.isEmpty()) continue
                     target.heard()
+                    if (!send.answering) selector.learn(target, send)
                     send.answering = true
                     attempt.lastSignMs = clock.nowMs()
                     send.lastSignMs = attempt.lastSignMs
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -140,6 +140,7 @@
     fun begin(send: Send) {
         val nowMs = clock.nowMs()
         send.beganMs = nowMs
+        send.alone = if (send.model == null) inFlight.size < entry.slots else load.queued == 0 && inFlight.all { it.answering }
         val limitMs = send.silenceLimitMs
         val examined = health ?: ConnectionHealth(limitMs, limitMs, Long.MAX_VALUE, nowMs).also { health = it }
         examined.check(nowMs, working = inFlight.isNotEmpty())
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -7,6 +7,7 @@
 import org.almondjunction.decisions.EvictionPlan
 import org.almondjunction.decisions.LoadValue
 import org.almondjunction.decisions.ModelLoad
+import org.almondjunction.decisions.ReadingSpeed
 import org.almondjunction.decisions.Rendezvous
 import org.almondjunction.decisions.TargetCandidate
 import org.almondjunction.decisions.TargetChoice
@@ -99,25 +100,48 @@
     ): TargetCandidate {
         val model = request.model
         val key = if (model == null) request.id else request.weights + request.parts.take(SHARED_PARTS).joinToString { it.id }
+        val service = target.entry.service
+        val id = target.entry.target
+        val nowMs = clock.nowMs()
         val ownReading = target.inFlight.filter { !it.answering }.sumOf { it.promptTokens }
+        val tokensPerMs = state.reading.tokensPerMs(service, id, nowMs)
+        val plainMs = state.plainWork.requestMs(service, id, nowMs)
         val others = (target.load.active + target.load.queued - target.inFlight.size).coerceAtLeast(0)
         val wait =
             if (model == null) {
                 val beyond = (target.inFlight.size + 1 - target.entry.slots).coerceAtLeast(0)
-                target.inFlight.size * PLAIN_SHARE_MS + beyond * PLAIN_WORK_MS / target.entry.slots.coerceAtLeast(1)
+                (target.inFlight.size * PLAIN_SHARE + beyond.toDouble() / target.entry.slots.coerceAtLeast(1)) * plainMs
             } else {
-                ownReading / TOKENS_READ_PER_MS + others * OTHERS_READING_MS + target.load.queued * QUEUED_MS
+                val prompts = others * SHARE_IN_READING + target.load.queued
+                (ownReading + prompts * state.reading.usualPromptTokens(service)) / tokensPerMs
             }
         return TargetCandidate(
-            target = target.entry.target,
+            target = id,
             distanceMs = place.distanceMs(target.entry.zone),
             waitMs = wait,
-            workMs = if (model == null) 0.0 else target.unreadTokens(request) / TOKENS_READ_PER_MS,
+            workMs = if (model == null) plainMs else target.unreadTokens(request) / tokensPerMs,
             failureShare = target.failureShare(),
-            affinity = Rendezvous.share(key, target.entry.target.value),
+            affinity = Rendezvous.share(key, id.value),
         )
     }
 
+    /** Learns from the first event of the answer to [send], or from the answer of a plain [target]. */
+    fun learn(
+        target: Target,
+        send: Send,
+    ) {
+        val nowMs = clock.nowMs()
+        val service = target.entry.service
+        if (send.model != null) state.reading.prompt(service, send.wholePromptTokens)
+        if (!send.alone) return
+        val tookMs = nowMs - send.beganMs - 2 * place.distanceMs(target.entry.zone)
+        if (send.model == null) {
+            state.plainWork.record(service, target.entry.target, tookMs, nowMs)
+        } else {
+            state.reading.record(service, target.entry.target, send.promptTokens, tookMs, nowMs)
+        }
+    }
+
     private suspend fun askForAdapter(
         holders: List<Target>,
         plan: EnginePlan,
@@ -328,27 +352,19 @@
                 val held = holder.status?.models?.firstOrNull { it.model == model }
                 held?.requestsPerSecond?.toDouble() ?: 0.0
             }
-        return state.work.load(model, requestsPerSecond, TOKENS_READ_PER_MS, plan.batch)
+        val tokensPerMs = holders.firstOrNull()?.let { state.reading.tokensPerMs(it.entry.service, clock.nowMs()) }
+        return state.work.load(model, requestsPerSecond, tokensPerMs ?: ReadingSpeed.PRIOR_TOKENS_PER_MS, plan.batch)
     }
 
     private companion object {
         /** Requests that a plain target may hold for each of its places, counted by this gateway alone. */
         const val PLAIN_QUEUE_FACTOR = 3
 
-        /** Work of a short request, as on the users' sheets. */
-        const val PLAIN_WORK_MS = 40.0
-
-        /** Preference for the less busy of two targets with free places. */
-        const val PLAIN_SHARE_MS = 4.0
-
-        /** Speed at which engines read prompts, from the users' sheets. */
-        const val TOKENS_READ_PER_MS = 38.7
-
-        /** A request of another gateway is still being read for a part of its time only. */
-        const val OTHERS_READING_MS = 12.0
+        /** Preference for the less busy of two targets with free places, as a part of a request's work. */
+        const val PLAIN_SHARE = 0.1
 
-        /** A request that waits within an engine stands for a prompt that is still to be read. */
-        const val QUEUED_MS = 120.0
+        /** Part of the requests in progress that are still being read; a queued one is still to be read as a whole. */
+        const val SHARE_IN_READING = 0.1
 
         /** Leading parts of a prompt that requests share; the last belongs to one session. */
         const val SHARED_PARTS = 2
