Memory for prompts, used and promised, counts in the choice

Cause: a choice saw places and queues of an engine, and about 25 reviews fill its memory for prompts long before its 64 places. Keepers of 33 gateways tell the load to each of them every 1.3 s only, so all of them went on sending to the same engine meanwhile.

Ruled out: a memory of 2 s or 5 s for what this gateway sent, and a share of the memory drawn anew for each request. In the load of the test, neither was better than 1 s and the whole memory, and shares left more prompts to be read anew.

Change: `PromptUse` counts the tokens that the keeper told, those that wait within the engine, those that this gateway has sent since (prompt and half of the longest answer), and those that other gateways have likely sent since beyond what ended, as they send like this one. An engine that has no room by that is passed over while another holder has; if none has, the emptiest that has room without what others may have sent; if none, the request waits as for weights. What others have likely sent also counts as prompts in progress.

--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -186,6 +186,7 @@
         adapter = request.adapter,
         promptTokens = target.unreadTokens(request),
         wholePromptTokens = request.promptTokens,
+        memoryTokens = request.memoryTokens,
         repeatable = request.route.repeat != RepeatKind.ONCE,
         patienceMs = request.route.callerPatienceMs,
         lastSignMs = attempt.lastSignMs,
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -7,6 +7,7 @@
 import org.almondjunction.decisions.EvictionPlan
 import org.almondjunction.decisions.LoadValue
 import org.almondjunction.decisions.ModelLoad
+import org.almondjunction.decisions.PromptUse
 import org.almondjunction.decisions.ReadingSpeed
 import org.almondjunction.decisions.Rendezvous
 import org.almondjunction.decisions.TargetCandidate
@@ -77,9 +78,9 @@
             }
         }
         val adapter = request.adapter
-        if (adapter == null) return use(holders, request) ?: Choice.None("no target")
+        if (adapter == null) return useWhereRoom(holders, request, plan)
         val equipped = holders.filter { adapter in it.models[model].orEmpty() }
-        if (equipped.isNotEmpty()) return use(equipped, request) ?: Choice.None("no target")
+        if (equipped.isNotEmpty()) return useWhereRoom(equipped, request, plan)
         if (plan == null || modelPlan == null) return Choice.None("adapter not loaded")
         return askForAdapter(holders, plan, model, adapter)
     }
@@ -87,16 +88,37 @@
     private fun use(
         targets: List<Target>,
         request: ForwardedRequest,
+        uses: Map<Target, PromptUse> = emptyMap(),
     ): Choice? {
-        val candidates = targets.associateBy({ candidate(it, request) }, { it })
+        val candidates = targets.associateBy({ candidate(it, request, uses[it]) }, { it })
         return TargetChoice.choose(candidates.keys.toList())?.let { Choice.Use(candidates.getValue(it)) }
     }
 
+    /** Passes over engines whose memory for prompts is likely full; what no engine is known to have room for waits here, not there. */
+    private fun useWhereRoom(
+        targets: List<Target>,
+        request: ForwardedRequest,
+        plan: EnginePlan?,
+    ): Choice {
+        if (plan == null) return use(targets, request) ?: Choice.None("no target")
+        val capacity = plan.promptMemoryTokens
+        val tokens = request.memoryTokens
+        val gateways = fleet.gateways.size
+        val usualTokens = state.reading.usualPromptTokens(request.service)
+        val answerMs = state.work.answerMs(request.model.orEmpty())
+        val uses = targets.associateWith { it.promptUse(gateways, usualTokens, answerMs) }
+        use(targets.filter { uses.getValue(it).fits(tokens, capacity) }, request, uses)?.let { return it }
+        val emptiest = uses.entries.filter { it.value.fits(tokens, capacity, it.value.knownTokens) }.minByOrNull { it.value.likelyTokens }
+        if (emptiest != null) return Choice.Use(emptiest.key)
+        return Choice.Later(uses.values.minOf { it.waitMs(tokens, capacity) })
+    }
+
     private fun hasRoom(target: Target) = target.inFlight.size < target.entry.slots * PLAIN_QUEUE_FACTOR
 
     private fun candidate(
         target: Target,
         request: ForwardedRequest,
+        use: PromptUse?,
     ): TargetCandidate {
         val model = request.model
         val key = if (model == null) request.id else request.weights + request.parts.take(SHARED_PARTS).joinToString { it.id }
@@ -106,13 +128,14 @@
         val ownReading = target.inFlight.filter { !it.answering }.sumOf { it.promptTokens }
         val tokensPerMs = state.reading.tokensPerMs(service, id, nowMs)
         val plainMs = state.plainWork.requestMs(service, id, nowMs)
-        val others = (target.load.active + target.load.queued - target.inFlight.size).coerceAtLeast(0)
+        val told = (target.load.active + target.load.queued - target.inFlight.size).coerceAtLeast(0)
+        val unseen = if (use == null) 0.0 else use.unseenTokens / use.usualTokens
         val wait =
             if (model == null) {
                 val beyond = (target.inFlight.size + 1 - target.entry.slots).coerceAtLeast(0)
                 (target.inFlight.size * PLAIN_SHARE + beyond.toDouble() / target.entry.slots.coerceAtLeast(1)) * plainMs
             } else {
-                val prompts = others * SHARE_IN_READING + target.load.queued
+                val prompts = (told + unseen) * SHARE_IN_READING + target.load.queued
                 (ownReading + prompts * state.reading.usualPromptTokens(service)) / tokensPerMs
             }
         return TargetCandidate(
