What a failed send costs is the time in which its caller wants an answer

Cause: a choice counted 500 ms for each failed send, whatever the route. Objectives of routes differ from 243 to 2,508 ms on the users' sheets: callers who want an answer soon left a target that fails now and then too early, those with time too late.

Ruled out: learning it from answers, since a route's objective is in the configuration already.

Change: `TargetCandidate` carries the cost, and a request brings the latency objective of its route.

--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -144,6 +144,7 @@
             waitMs = wait,
             workMs = if (model == null) plainMs else target.unreadTokens(request) / tokensPerMs,
             failureShare = target.failureShare(),
+            failureMs = request.route.latencyObjectiveMs.toDouble(),
             affinity = Rendezvous.share(key, id.value),
         )
     }
--- a/gateway/src/test/kotlin/ChoiceFollowsAnswersTest.kt
+++ b/gateway/src/test/kotlin/ChoiceFollowsAnswersTest.kt
@@ -58,9 +58,12 @@
             return fleet.ready(service).first { it.entry.target.value == zone }
         }
 
-        fun request(vararg headers: HttpHeader): ForwardedRequest {
+        fun request(
+            vararg headers: HttpHeader,
+            objectiveMs: Long = route.latencyObjectiveMs,
+        ): ForwardedRequest {
             val head = RequestHead("POST", "/", HttpHeaders(headers.toList()))
-            return ForwardedRequest.of(head, ByteArray(0), route, nowMs, names)
+            return ForwardedRequest.of(head, ByteArray(0), route.copy(latencyObjectiveMs = objectiveMs), nowMs, names)
         }
 
         /** Both targets answer some requests, each [workMs] after it came there. */
@@ -127,6 +130,19 @@
             }
         }
 
+    @Test
+    fun `a target that failed is left for another region as soon as callers want their answers`() =
+        runBlocking<Unit> {
+            checkAll(PropTestConfig(seed = 15, iterations = 300), Arb.long(25L, 2_500L)) { objectiveMs ->
+                val world = World()
+                world.near.weigh(failed = true)
+                val costMs = world.near.failureShare() * objectiveMs
+                if (isNear(costMs, wayMs)) return@checkAll
+                val choice = world.choice(world.request(objectiveMs = objectiveMs))
+                assertEquals(if (costMs > wayMs) "far" else "near", choice, "answers wanted within $objectiveMs ms")
+            }
+        }
+
     @Test
     fun `a target that has turned slow is left`() {
         val world = World()
