--- a/decisions/src/main/kotlin/TargetChoice.kt
+++ b/decisions/src/main/kotlin/TargetChoice.kt
@@ -9,7 +9,6 @@
  * @property waitMs expected wait before it begins with the request
  * @property workMs expected work before the first part of the answer, beyond the wait
  * @property failureShare recent share of sends to it that failed, 0 to 1
- * @property failureMs time that a failed send costs the caller, about the time in which it wants an answer
  * @property affinity 0 to 1; breaks ties the same way in every gateway
  */
 public data class TargetCandidate(
@@ -18,12 +17,16 @@
     val waitMs: Double,
     val workMs: Double,
     val failureShare: Double,
-    val failureMs: Double,
     val affinity: Double,
 ) {
     /** Expected time to the first part of an answer, with failures counted as time. */
     public val expectedMs: Double
-        get() = 2 * distanceMs + waitMs + workMs + failureShare * failureMs
+        get() = 2 * distanceMs + waitMs + workMs + failureShare * FAILURE_MS
+
+    private companion object {
+        /** Time that a failed send costs its caller, about the latency objective of a short request. */
+        const val FAILURE_MS = 500.0
+    }
 }
 
 /** Chooses among targets. */
--- a/gateway/src/main/kotlin/Fleet.kt
+++ b/gateway/src/main/kotlin/Fleet.kt
@@ -10,8 +10,6 @@
 import org.almondjunction.common.ZoneId
 import org.almondjunction.decisions.AnswerDurations
 import org.almondjunction.decisions.DemandBook
-import org.almondjunction.decisions.PlainWork
-import org.almondjunction.decisions.ReadingSpeed
 import org.almondjunction.decisions.WorkBook
 import org.almondjunction.keeper.Demand
 import org.almondjunction.network.ByteBudget
@@ -196,8 +194,6 @@
     val demand = DemandBook()
     val waiting = WaitingCallers()
     val work = WorkBook()
-    val reading = ReadingSpeed()
-    val plainWork = PlainWork()
 
     /** How long the answers of each route last. */
     val durations = AnswerDurations()
--- a/gateway/src/main/kotlin/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/ForwardedRequest.kt
@@ -27,9 +27,6 @@
     /** Name of the weights that read the prompt; what is kept of prompts belongs to it. */
     val weights: String get() = if (adapter == null) "$model" else "$model/$adapter"
 
-    /** Tokens that it is likely to take of an engine's memory: the prompt, and an answer that is seldom as long as it may be. */
-    val memoryTokens: Long get() = promptTokens + answerTokens / ANSWER_PART
-
     /** When a final answer must be there. */
     val endMs: Long get() = minOf(arrivedMs + route.timeoutMs, deadlineMs ?: Long.MAX_VALUE)
 
@@ -37,9 +34,6 @@
     val patienceEndMs: Long get() = minOf(endMs, arrivedMs + route.callerPatienceMs)
 
     companion object {
-        /** Part of the longest answer, as its divisor, that an answer usually is. */
-        private const val ANSWER_PART = 2
-
         fun of(
             head: RequestHead,
             body: ByteArray,
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -185,8 +185,6 @@
         model = request.model,
         adapter = request.adapter,
         promptTokens = target.unreadTokens(request),
-        wholePromptTokens = request.promptTokens,
-        memoryTokens = request.memoryTokens,
         repeatable = request.route.repeat != RepeatKind.ONCE,
         patienceMs = request.route.callerPatienceMs,
         lastSignMs = attempt.lastSignMs,
@@ -285,7 +283,6 @@
         attempt.outcome = Attempt.SERVED
         attempt.detail = "status ${answer.head.status}"
         learnDuration(attempt)
-        if (send.model == null) selector.learn(target, send)
         attempt.answer.pass(answer.head, body.bytes)
         return null
     }
@@ -316,7 +313,6 @@
                     }
                     if (whole.isEmpty()) continue
                     target.heard()
-                    if (!send.answering) selector.learn(target, send)
                     send.answering = true
                     attempt.lastSignMs = clock.nowMs()
                     send.lastSignMs = attempt.lastSignMs
--- a/gateway/src/main/kotlin/Send.kt
+++ b/gateway/src/main/kotlin/Send.kt
@@ -3,8 +3,6 @@
 /**
  * A request on its way to a target or being answered there.
  *
- * @property promptTokens tokens of its prompt that its target still has to read, as far as known
- * @property memoryTokens tokens that it is likely to take of its target's memory, its answer included
  * @property repeatable whether it may be sent to another target while nothing of its answer has come
  * @property patienceMs time after which its caller leaves if nothing reaches it
  * @property lastSignMs when its caller came, or last got a part of the answer
@@ -16,15 +14,10 @@
     val repeatable: Boolean = false,
     private val patienceMs: Long = Long.MAX_VALUE / 2,
     var lastSignMs: Long = 0,
-    val wholePromptTokens: Long = promptTokens,
-    val memoryTokens: Long = wholePromptTokens,
 ) {
     var beganMs = 0L
     var answering = false
 
-    /** Whether its target had nothing else to read, or a place free, when it was sent, as far as known. */
-    var alone = false
-
     /** Ends it at its target; may be called more than once. */
     var leave: () -> Unit = {}
 
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -5,8 +5,6 @@
 import org.almondjunction.common.LogFields
 import org.almondjunction.decisions.ConnectionAction
 import org.almondjunction.decisions.ConnectionHealth
-import org.almondjunction.decisions.DecayingRate
-import org.almondjunction.decisions.PromptUse
 import org.almondjunction.keeper.KeeperMessage
 import org.almondjunction.keeper.Use
 import org.almondjunction.network.EventLoop
@@ -43,8 +41,6 @@
     var heardMs = clock.nowMs()
         private set
 
-    private var toldMs: Long? = null
-    private val sentTokens = DecayingRate(SENT_MEMORY_MS)
     private var health: ConnectionHealth? = null
     private var lastWorkMs = 0L
     private var loadingSinceMs = 0L
@@ -87,45 +83,16 @@
         status = newStatus?.copy(gateways = newStatus.gateways ?: status?.gateways)
         models = usableModels()
         if (wasAnswering && !answering) inFlight.toList().forEach { it.leaveIfRepeatable() }
-        if (newStatus == null) toldMs = null
         if (newStatus != null) {
-            told(newStatus.load)
+            heard()
+            load = newStatus.load
             (before - newStatus.models.map { it.model }.toSet()).forEach { prompts.forget(it) }
         }
     }
 
-    fun update(newLoad: KeeperMessage.Load): Unit = told(newLoad)
-
-    private fun told(newLoad: KeeperMessage.Load) {
+    fun update(newLoad: KeeperMessage.Load) {
         heard()
         load = newLoad
-        toldMs = clock.nowMs()
-    }
-
-    /**
-     * Returns what is known of its memory for prompts.
-     *
-     * @param gateways number of gateways
-     * @param usualTokens tokens of a usual request
-     * @param answerMs time for which a request usually stays
-     */
-    fun promptUse(
-        gateways: Int,
-        usualTokens: Double,
-        answerMs: Double,
-    ): PromptUse {
-        val nowMs = clock.nowMs()
-        val heldMs = toldMs?.minus(REPORT_AGE_MS)
-        return PromptUse(
-            toldTokens = if (heldMs == null) 0 else load.kvUsed,
-            queued = if (heldMs == null) 0 else load.queued,
-            ageMs = nowMs - (heldMs ?: 0),
-            ownTokens = inFlight.filter { heldMs == null || it.beganMs > heldMs }.sumOf { it.memoryTokens },
-            ownTokensPerSecond = sentTokens.perSecond(nowMs),
-            otherGateways = gateways - 1,
-            usualTokens = usualTokens,
-            answerMs = answerMs,
-        )
     }
 
     /** Tokens of the prompt of [request] that it still has to read, as far as known. */
@@ -173,14 +140,12 @@
     fun begin(send: Send) {
         val nowMs = clock.nowMs()
         send.beganMs = nowMs
-        send.alone = if (send.model == null) inFlight.size < entry.slots else load.queued == 0 && inFlight.all { it.answering }
         val limitMs = send.silenceLimitMs
         val examined = health ?: ConnectionHealth(limitMs, limitMs, Long.MAX_VALUE, nowMs).also { health = it }
         examined.check(nowMs, working = inFlight.isNotEmpty())
         inFlight += send
         examined.check(nowMs, working = true)
         val model = send.model ?: return
-        sentTokens.add(send.memoryTokens.toInt(), nowMs)
         uses.merge(model to null, 1, Int::plus)
         send.adapter?.let { uses.merge(model to it, 1, Int::plus) }
     }
@@ -248,12 +213,6 @@
     }
 
     private companion object {
-        /** What was sent here counts for about this long: less than the time between tellings in a large deployment. */
-        const val SENT_MEMORY_MS = 1_000.0
-
-        /** Age of an engine's report when a gateway gets it from the keeper. */
-        const val REPORT_AGE_MS = 300L
-
         /** Sends count for about this long: the length of the shortest troubles that are worth evading. */
         const val MEMORY_MS = 3_000.0
 
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -7,8 +7,6 @@
 import org.almondjunction.decisions.EvictionPlan
 import org.almondjunction.decisions.LoadValue
 import org.almondjunction.decisions.ModelLoad
-import org.almondjunction.decisions.PromptUse
-import org.almondjunction.decisions.ReadingSpeed
 import org.almondjunction.decisions.Rendezvous
 import org.almondjunction.decisions.TargetCandidate
 import org.almondjunction.decisions.TargetChoice
@@ -78,9 +76,9 @@
             }
         }
         val adapter = request.adapter
-        if (adapter == null) return useWhereRoom(holders, request, plan)
+        if (adapter == null) return use(holders, request) ?: Choice.None("no target")
         val equipped = holders.filter { adapter in it.models[model].orEmpty() }
-        if (equipped.isNotEmpty()) return useWhereRoom(equipped, request, plan)
+        if (equipped.isNotEmpty()) return use(equipped, request) ?: Choice.None("no target")
         if (plan == null || modelPlan == null) return Choice.None("adapter not loaded")
         return askForAdapter(holders, plan, model, adapter)
     }
@@ -88,84 +86,38 @@
     private fun use(
         targets: List<Target>,
         request: ForwardedRequest,
-        uses: Map<Target, PromptUse> = emptyMap(),
     ): Choice? {
-        val candidates = targets.associateBy({ candidate(it, request, uses[it]) }, { it })
+        val candidates = targets.associateBy({ candidate(it, request) }, { it })
         return TargetChoice.choose(candidates.keys.toList())?.let { Choice.Use(candidates.getValue(it)) }
     }
 
-    /** Passes over engines whose memory for prompts is likely full; what no engine is known to have room for waits here, not there. */
-    private fun useWhereRoom(
-        targets: List<Target>,
-        request: ForwardedRequest,
-        plan: EnginePlan?,
-    ): Choice {
-        if (plan == null) return use(targets, request) ?: Choice.None("no target")
-        val capacity = plan.promptMemoryTokens
-        val tokens = request.memoryTokens
-        val gateways = fleet.gateways.size
-        val usualTokens = state.reading.usualPromptTokens(request.service)
-        val answerMs = state.work.answerMs(request.model.orEmpty())
-        val uses = targets.associateWith { it.promptUse(gateways, usualTokens, answerMs) }
-        use(targets.filter { uses.getValue(it).fits(tokens, capacity) }, request, uses)?.let { return it }
-        val emptiest = uses.entries.filter { it.value.fits(tokens, capacity, it.value.knownTokens) }.minByOrNull { it.value.likelyTokens }
-        if (emptiest != null) return Choice.Use(emptiest.key)
-        return Choice.Later(uses.values.minOf { it.waitMs(tokens, capacity) })
-    }
-
     private fun hasRoom(target: Target) = target.inFlight.size < target.entry.slots * PLAIN_QUEUE_FACTOR
 
     private fun candidate(
         target: Target,
         request: ForwardedRequest,
-        use: PromptUse?,
     ): TargetCandidate {
         val model = request.model
         val key = if (model == null) request.id else request.weights + request.parts.take(SHARED_PARTS).joinToString { it.id }
-        val service = target.entry.service
-        val id = target.entry.target
-        val nowMs = clock.nowMs()
         val ownReading = target.inFlight.filter { !it.answering }.sumOf { it.promptTokens }
-        val tokensPerMs = state.reading.tokensPerMs(service, id, nowMs)
-        val plainMs = state.plainWork.requestMs(service, id, nowMs)
-        val told = (target.load.active + target.load.queued - target.inFlight.size).coerceAtLeast(0)
-        val unseen = if (use == null) 0.0 else use.unseenTokens / use.usualTokens
+        val others = (target.load.active + target.load.queued - target.inFlight.size).coerceAtLeast(0)
         val wait =
             if (model == null) {
                 val beyond = (target.inFlight.size + 1 - target.entry.slots).coerceAtLeast(0)
-                (target.inFlight.size * PLAIN_SHARE + beyond.toDouble() / target.entry.slots.coerceAtLeast(1)) * plainMs
+                target.inFlight.size * PLAIN_SHARE_MS + beyond * PLAIN_WORK_MS / target.entry.slots.coerceAtLeast(1)
             } else {
-                val prompts = (told + unseen) * SHARE_IN_READING + target.load.queued
-                (ownReading + prompts * state.reading.usualPromptTokens(service)) / tokensPerMs
+                ownReading / TOKENS_READ_PER_MS + others * OTHERS_READING_MS + target.load.queued * QUEUED_MS
             }
         return TargetCandidate(
-            target = id,
+            target = target.entry.target,
             distanceMs = place.distanceMs(target.entry.zone),
             waitMs = wait,
-            workMs = if (model == null) plainMs else target.unreadTokens(request) / tokensPerMs,
+            workMs = if (model == null) 0.0 else target.unreadTokens(request) / TOKENS_READ_PER_MS,
             failureShare = target.failureShare(),
-            failureMs = request.route.latencyObjectiveMs.toDouble(),
-            affinity = Rendezvous.share(key, id.value),
+            affinity = Rendezvous.share(key, target.entry.target.value),
         )
     }
 
-    /** Learns from the first event of the answer to [send], or from the answer of a plain [target]. */
-    fun learn(
-        target: Target,
-        send: Send,
-    ) {
-        val nowMs = clock.nowMs()
-        val service = target.entry.service
-        if (send.model != null) state.reading.prompt(service, send.wholePromptTokens)
-        if (!send.alone) return
-        val tookMs = nowMs - send.beganMs - 2 * place.distanceMs(target.entry.zone)
-        if (send.model == null) {
-            state.plainWork.record(service, target.entry.target, tookMs, nowMs)
-        } else {
-            state.reading.record(service, target.entry.target, send.promptTokens, tookMs, nowMs)
-        }
-    }
-
     private suspend fun askForAdapter(
         holders: List<Target>,
         plan: EnginePlan,
@@ -376,19 +328,27 @@
                 val held = holder.status?.models?.firstOrNull { it.model == model }
                 held?.requestsPerSecond?.toDouble() ?: 0.0
             }
-        val tokensPerMs = holders.firstOrNull()?.let { state.reading.tokensPerMs(it.entry.service, clock.nowMs()) }
-        return state.work.load(model, requestsPerSecond, tokensPerMs ?: ReadingSpeed.PRIOR_TOKENS_PER_MS, plan.batch)
+        return state.work.load(model, requestsPerSecond, TOKENS_READ_PER_MS, plan.batch)
     }
 
     private companion object {
         /** Requests that a plain target may hold for each of its places, counted by this gateway alone. */
         const val PLAIN_QUEUE_FACTOR = 3
 
-        /** Preference for the less busy of two targets with free places, as a part of a request's work. */
-        const val PLAIN_SHARE = 0.1
+        /** Work of a short request, as on the users' sheets. */
+        const val PLAIN_WORK_MS = 40.0
+
+        /** Preference for the less busy of two targets with free places. */
+        const val PLAIN_SHARE_MS = 4.0
+
+        /** Speed at which engines read prompts, from the users' sheets. */
+        const val TOKENS_READ_PER_MS = 38.7
+
+        /** A request of another gateway is still being read for a part of its time only. */
+        const val OTHERS_READING_MS = 12.0
 
-        /** Part of the requests in progress that are still being read; a queued one is still to be read as a whole. */
-        const val SHARE_IN_READING = 0.1
+        /** A request that waits within an engine stands for a prompt that is still to be read. */
+        const val QUEUED_MS = 120.0
 
         /** Leading parts of a prompt that requests share; the last belongs to one session. */
         const val SHARED_PARTS = 2
--- a/keeper/src/main/kotlin/EngineControl.kt
+++ b/keeper/src/main/kotlin/EngineControl.kt
@@ -14,8 +14,6 @@
  *
  * @property busy whether it is loading or unloading a model
  * @property sequence number of orders that it has accepted since its start
- * @property kvUsed tokens that its memory for prompts holds and that cannot yield
- * @property kvTotal tokens that its memory for prompts can hold; 0 where it does not say
  * @property closing whether it closed the connection with this report, as one that is leaving does
  * @property coming adapters on their way, as model and adapter
  */
@@ -26,7 +24,6 @@
     val queued: Int = 0,
     val active: Int = 0,
     val kvUsed: Long = 0,
-    val kvTotal: Long = 0,
     val coming: Set<Pair<String, String>> = emptySet(),
     val inMemory: List<String> = emptyList(),
     val onDisk: List<String> = emptyList(),
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -12,7 +12,6 @@
 import org.almondjunction.common.TargetId
 import org.almondjunction.decisions.EvictionCandidate
 import org.almondjunction.decisions.EvictionPlan
-import org.almondjunction.decisions.LoadTelling
 import org.almondjunction.decisions.LoadValue
 import org.almondjunction.network.TcpConnection
 import org.almondjunction.network.launchAlways
@@ -40,7 +39,6 @@
         var loadDirty = false
         var sentMs = 0L
         var statusSentMs = 0L
-        var toldTokens = 0L
         var gatewaysSent: List<String>? = null
     }
 
@@ -148,9 +146,8 @@
         when {
             now == null -> if (before != null) markDirty()
             now.models != before?.models || now.busy != before.busy -> markDirty()
-            now.queued != before.queued || now.active != before.active -> sessions.forEach { it.loadDirty = true }
+            now.queued != before.queued || now.active != before.active -> markLoad()
         }
-        tellLoad()
         return now
     }
 
@@ -164,18 +161,11 @@
 
     private fun markDirty(): Unit = sessions.forEach { push(it.also { session -> session.dirty = true }) }
 
-    /** Tells what has changed to the gateways whose turn it is; to others with one of the next reports. */
-    private fun tellLoad() {
-        val current = snapshot ?: return
-        val nowMs = clock.nowMs()
+    private fun markLoad(): Unit =
         sessions.forEach { session ->
-            val told = session.toldTokens
-            val changed = session.loadDirty || LoadTelling.isJump(told, current.kvUsed, current.kvTotal)
-            if (!changed || !LoadTelling.isDue(nowMs - session.sentMs, sessions.size, told, current.kvUsed, current.kvTotal)) return@forEach
             session.loadDirty = true
-            push(session)
+            if (clock.nowMs() - session.sentMs >= maxOf(LOAD_INTERVAL_MS, sessions.size * LOAD_SPACING_MS)) push(session)
         }
-    }
 
     private fun push(session: Session) {
         if (session.sending || session.gateway.isEmpty()) return
@@ -199,7 +189,6 @@
             session.dirty = false
             session.loadDirty = false
             session.sentMs = clock.nowMs()
-            session.toldTokens = snapshot?.kvUsed ?: 0
             if (!session.channel.send(message)) return
         }
     }
@@ -505,6 +494,12 @@
         /** Time between reports while an order is being carried out; about a load of an adapter. */
         const val BUSY_POLL_MS = 10L
 
+        /** Least time between two messages about the load alone. */
+        const val LOAD_INTERVAL_MS = 200L
+
+        /** Time between two messages about the load to different gateways, so that their number does not grow with the fleet. */
+        const val LOAD_SPACING_MS = 40L
+
         /** Time in which gateways that start together have all come. */
         const val GATEWAYS_GATHER_MS = 300L
 
