--- a/bench/src/test/kotlin/PlannedStopTest.kt
+++ b/bench/src/test/kotlin/PlannedStopTest.kt
@@ -143,36 +143,31 @@
         }
     }
 
-    /** Guards against streams that end in the middle, without a word, when the longest stop of an entry host is over. */
-    @Test
-    fun `the end of an entry host's longest stop ends what is in progress with explicit errors`() {
+    /** Lets the longest stop of [node] end while a stream and a whole answer are in progress; returns what came of the latter. */
+    private fun outlastStop(node: LocalCluster.() -> LocalCluster.Node): HttpResponse<String> =
         LocalCluster(engines = 1, entries = 1, drainLimitMs = 500).use { cluster ->
             cluster.apply(number = 1, replicas = 1)
             val lines = cluster.lines(cluster.endless())
             repeat(5) { lines.next() }
             val whole = cluster.sendAsync(cluster.endless(stream = false))
             cluster.awaitRuns(2)
-            cluster.entryNodes[0].signal("TERM")
+            cluster.node().signal("TERM")
             assertInterrupted(readToEnd(lines))
-            assertEquals("unknown", whole.join().outcome(), whole.join().body())
-            assertEquals(0, cluster.entryNodes[0].awaitExit())
+            whole.join().also { assertEquals(0, cluster.node().awaitExit()) }
         }
+
+    /** Guards against streams that end in the middle, without a word, when the longest stop of an entry host is over. */
+    @Test
+    fun `the end of an entry host's longest stop ends what is in progress with explicit errors`() {
+        val whole = outlastStop { entryNodes[0] }
+        assertEquals("unknown", whole.outcome(), whole.body())
     }
 
     /** Guards against an agent that goes before entry hosts have heard how its requests ended. */
     @Test
     fun `the end of an agent's longest stop ends what is in progress with explicit errors`() {
-        LocalCluster(engines = 1, entries = 1, drainLimitMs = 500).use { cluster ->
-            cluster.apply(number = 1, replicas = 1)
-            val lines = cluster.lines(cluster.endless())
-            repeat(5) { lines.next() }
-            val whole = cluster.sendAsync(cluster.endless(stream = false))
-            cluster.awaitRuns(2)
-            cluster.agentNodes[0].signal("TERM")
-            assertInterrupted(readToEnd(lines))
-            assertTrue("\"reason\":\"interrupted\"" in whole.join().body(), whole.join().body())
-            assertEquals(0, cluster.agentNodes[0].awaitExit())
-        }
+        val whole = outlastStop { agentNodes[0] }
+        assertTrue("\"reason\":\"interrupted\"" in whole.body(), whole.body())
     }
 
     /** Guards against a request that never began being called unknown, which spends its idempotency key, when an agent's stop is cut short. */
