--- a/agent/src/main/kotlin/RequestServer.kt
+++ b/agent/src/main/kotlin/RequestServer.kt
@@ -95,7 +95,7 @@
         val guard = guards[connection] ?: return connection.close()
         val nowMs = clock.nowMs()
         val fresh = guard.isFresh(message.sentMs, nowMs)
-        val record = synchronized(registry) { if (fresh) registry.arrive(message.id, nowMs) else registry.find(message.id) }
+        val record = synchronized(registry) { if (fresh) registry.register(message.id, nowMs) else registry.find(message.id) }
         when {
             record == RequestRecord.REFUSED -> connection.send(Message.Refused(message.id, RefusalReason.CANCELLED))
             record == RequestRecord.KNOWN -> active[message.id]?.attach(connection, 0) ?: connection.send(lost(message.id))
--- a/bench/src/main/kotlin/Replay.kt
+++ b/bench/src/main/kotlin/Replay.kt
@@ -62,7 +62,7 @@
         arrivals.forEach { (arrivalMs, progress) ->
             val model = progress.model
             pool = progress.history?.pooledAfter(pool, arrivalMs) ?: pool
-            val history = progress.history?.arrive(arrivalMs) ?: ArrivalHistory(arrivalMs)
+            val history = progress.history?.afterArrival(arrivalMs) ?: ArrivalHistory(arrivalMs)
             progress.history = history
             if (arrivalMs > progress.unloadAtMs) {
                 progress.loadedAtMs = arrivalMs + model.loadMs
--- a/decisions/src/main/kotlin/Admission.kt
+++ b/decisions/src/main/kotlin/Admission.kt
@@ -51,7 +51,7 @@
         request: WaitingRequest,
     ) {
         val before = step.state.histories[request.model]
-        val history = before?.arrive(step.nowMs) ?: ArrivalHistory(step.nowMs)
+        val history = before?.afterArrival(step.nowMs) ?: ArrivalHistory(step.nowMs)
         step.state =
             step.state.copy(
                 histories = step.state.histories + (request.model to history),
--- a/decisions/src/main/kotlin/AnswerDurations.kt
+++ b/decisions/src/main/kotlin/AnswerDurations.kt
@@ -14,7 +14,7 @@
     private val routes = RecentlyUsed<String, ArrayDeque<Sample>>(MOST_ROUTES)
 
     /**
-     * Notes an answer on [route] that was complete [wholeMs] after its request came.
+     * Notes an answer on [route] that was complete [totalMs] after its request came.
      *
      * @param firstPartMs time until its first part
      * @param size what its length grows with, such as tokens; values below 1 count as 1
@@ -22,17 +22,17 @@
     public fun record(
         route: String,
         firstPartMs: Long,
-        wholeMs: Long,
+        totalMs: Long,
         size: Long,
     ) {
-        val restMs = (wholeMs - firstPartMs).coerceAtLeast(0).toDouble()
+        val restMs = (totalMs - firstPartMs).coerceAtLeast(0).toDouble()
         val samples = routes.getOrPut(route) { ArrayDeque() }
         samples.addLast(Sample(firstPartMs, restMs / size.coerceAtLeast(1)))
         if (samples.size > MOST_SAMPLES) samples.removeFirst()
     }
 
     /** Returns a time within which an answer of [size] on [route] very likely ends, in milliseconds; null where nothing is known. */
-    public fun likelyMs(
+    public fun estimateMs(
         route: String,
         size: Long,
     ): Long? {
--- a/decisions/src/main/kotlin/ArrivalHistory.kt
+++ b/decisions/src/main/kotlin/ArrivalHistory.kt
@@ -10,7 +10,7 @@
     val gapCounts: List<Double> = List(BUCKETS) { 0.0 },
 ) {
     /** Returns the history after one more arrival. */
-    public fun arrive(nowMs: Long): ArrivalHistory {
+    public fun afterArrival(nowMs: Long): ArrivalHistory {
         val bucket = bucketOf(nowMs - lastArrivalMs)
         return ArrivalHistory(nowMs, gapCounts.mapIndexed { index, count -> count * FORGETTING + if (index == bucket) 1.0 else 0.0 })
     }
--- a/decisions/src/main/kotlin/DemandBook.kt
+++ b/decisions/src/main/kotlin/DemandStatistics.kt
@@ -1,11 +1,11 @@
 package org.almondjunction.decisions
 
 /** Recent arrivals of requests for each model, whether they were served, waited or were refused. */
-public class DemandBook {
+public class DemandStatistics {
     private val rates = mutableMapOf<String, DecayingRate>()
 
     /** Notes a request for [model]. */
-    public fun arrive(
+    public fun record(
         model: String,
         nowMs: Long,
     ) {
--- a/decisions/src/main/kotlin/EvictionPlan.kt
+++ b/decisions/src/main/kotlin/EvictionPlan.kt
@@ -8,7 +8,7 @@
  * @property requestsPerSecond recent demand at this target
  * @property idleMs time since its last request began
  * @property inFlight requests on it that are not answered yet
- * @property otherCopies replicas of it that are loaded on other targets, as far as known
+ * @property otherReplicas replicas of it that are loaded on other targets, as far as known
  * @property reloadMs how long a reload on the same target would take
  * @property answerMs how long its requests usually take at their engine
  * @property surplus whether its other copies serve all of its callers without it
@@ -19,14 +19,14 @@
     val requestsPerSecond: Double,
     val idleMs: Long,
     val inFlight: Int,
-    val otherCopies: Int,
+    val otherReplicas: Int,
     val reloadMs: Long,
-    val answerMs: Long = USUAL_ANSWER_MS,
+    val answerMs: Long = DEFAULT_ANSWER_MS,
     val surplus: Boolean = false,
 ) {
     public companion object {
         /** Assumed of a model whose answers nobody has seen: a typical stream. */
-        public const val USUAL_ANSWER_MS: Long = 1_200
+        public const val DEFAULT_ANSWER_MS: Long = 1_200
     }
 }
 
@@ -78,11 +78,11 @@
         val share =
             when {
                 candidate.surplus -> 0.0
-                candidate.otherCopies > 0 -> SHARE_OF_COPY
+                candidate.otherReplicas > 0 -> SHARE_OF_COPY
                 else -> 1.0
             }
         // Each replica of a model that nobody has asked for yet tells that it is a busy one.
-        val assumed = LoadValue.LEAST_REQUESTS_PER_SECOND * (1 + candidate.otherCopies.coerceAtMost(MOST_TELLING_COPIES))
+        val assumed = LoadValue.LEAST_REQUESTS_PER_SECOND * (1 + candidate.otherReplicas.coerceAtMost(MOST_TELLING_COPIES))
         return (candidate.requestsPerSecond * share + assumed) * candidate.reloadMs * HORIZON_S
     }
 
--- a/decisions/src/main/kotlin/ForwardingDecision.kt
+++ b/decisions/src/main/kotlin/ForwardingDecision.kt
@@ -1,7 +1,7 @@
 package org.almondjunction.decisions
 
 /** What may be done with a request a second time. */
-public enum class RepeatKind {
+public enum class RetrySafety {
     /** It may run any number of times. */
     IDEMPOTENT,
 
@@ -43,7 +43,7 @@
 /** What happens next with a request whose last send did not serve it. */
 public sealed class ForwardingStep {
     /** Send it to another target. */
-    public data object SendAgain : ForwardingStep()
+    public data object Retry : ForwardingStep()
 
     /** Tell the caller that it has not run and never will. */
     public data object AnswerNotRun : ForwardingStep()
@@ -63,7 +63,7 @@
  * @property refusalsLeft sends that may still follow one that is known not to have run
  */
 public data class ForwardingState(
-    val kind: RepeatKind,
+    val kind: RetrySafety,
     val mayHaveRun: Boolean,
     val runsLeft: Int,
     val refusalsLeft: Int,
@@ -82,10 +82,10 @@
         val allowed =
             when (result) {
                 SendResult.NotSent, is SendResult.Refused -> state.refusalsLeft > 0
-                SendResult.Lost, SendResult.Failed -> state.kind != RepeatKind.ONCE && state.runsLeft > 0
+                SendResult.Lost, SendResult.Failed -> state.kind != RetrySafety.ONCE && state.runsLeft > 0
             }
         val costsRepeat = result != SendResult.NotSent
-        if (allowed && state.timeLeftMs >= LEAST_TIME_MS && (!costsRepeat || takeRepeat())) return ForwardingStep.SendAgain
+        if (allowed && state.timeLeftMs >= LEAST_TIME_MS && (!costsRepeat || takeRepeat())) return ForwardingStep.Retry
         return when {
             result == SendResult.Failed -> ForwardingStep.PassFailure
             mayHaveRun -> ForwardingStep.AnswerUnknown
--- a/decisions/src/main/kotlin/LoadValue.kt
+++ b/decisions/src/main/kotlin/LoadValue.kt
@@ -5,9 +5,9 @@
     /**
      * Returns what a load is worth to those who wait for the model and those who will soon ask for it.
      *
-     * @param callers callers that wait, each as [weightOf] says
+     * @param callers callers that wait, each as [callerWeight] says
      */
-    public fun ofMs(
+    public fun valueMs(
         callers: Double,
         requestsPerSecond: Double,
     ): Double = (callers + (requestsPerSecond + LEAST_REQUESTS_PER_SECOND) * HORIZON_S) * UNSERVED_MS
@@ -16,7 +16,7 @@
     public fun callersOf(valueMs: Double): Double = (valueMs / UNSERVED_MS).coerceAtLeast(1.0)
 
     /** Returns how much a waiting caller counts: one that can still be answered within its objective counts as a whole one. */
-    public fun weightOf(inTime: Boolean): Double = if (inTime) 1.0 else LATE_WEIGHT
+    public fun callerWeight(inTime: Boolean): Double = if (inTime) 1.0 else LATE_WEIGHT
 
     /** A caller that is refused or leaves is as bad as this much waiting; several times a usual objective. */
     private const val UNSERVED_MS = 10_000.0
--- a/decisions/src/main/kotlin/Placement.kt
+++ b/decisions/src/main/kotlin/Placement.kt
@@ -8,14 +8,14 @@
  *
  * @property shards every shard of rights, by index
  * @property hostOfLostTarget last known host of targets that the platform no longer lists
- * @property provenGone hosts of which it is proven that nothing is loaded any more
+ * @property provenEmptyHosts hosts of which it is proven that nothing is loaded any more
  */
 public data class PlacementInput(
     val catalogue: Catalogue,
     val fleet: Fleet,
     val shards: Map<Int, RightsShard>,
     val hostOfLostTarget: Map<TargetId, HostId> = emptyMap(),
-    val provenGone: Set<HostId> = emptySet(),
+    val provenEmptyHosts: Set<HostId> = emptySet(),
 )
 
 /**
@@ -42,7 +42,7 @@
     ): Right? {
         val target = input.fleet.targets[right.target]
         val host = target?.host ?: input.hostOfLostTarget[right.target]
-        if (host != null && (host in input.catalogue.retiredHosts || host in input.provenGone)) return null
+        if (host != null && (host in input.catalogue.retiredHosts || host in input.provenEmptyHosts)) return null
         val offer = input.catalogue.offers[right.model]
         val wanted = offer != null && (target == null || offer.permits(target))
         return if (wanted || right.recalled) right else right.copy(recalled = true)
--- a/decisions/src/main/kotlin/CopyPlan.kt
+++ b/decisions/src/main/kotlin/ReplicaPlan.kt
@@ -9,7 +9,7 @@
  * @property answerMs time from sending a request to an engine to the end of its answer, in milliseconds
  * @property batch requests that an engine works on at once
  */
-public data class ModelLoad(
+public data class ModelWorkload(
     val requestsPerSecond: Double,
     val readMs: Double,
     val answerMs: Double,
@@ -17,15 +17,15 @@
 )
 
 /** Decides how many replicas of a model its demand asks for. */
-public object CopyPlan {
+public object ReplicaPlan {
     /** Returns the replicas that serve [load] beside other models without delay; worth having where there is room. */
-    public fun worthHaving(load: ModelLoad): Int = ceil(enginesFilled(load) * EASY).toInt().coerceIn(1, MOST_SPARE_COPIES)
+    public fun desired(load: ModelWorkload): Int = ceil(enginesFilled(load) * EASY).toInt().coerceIn(1, MOST_SPARE_COPIES)
 
     /** Returns the replicas without which callers wait under [load]; rarely used models make way for them. */
-    public fun needed(load: ModelLoad): Int = ceil(enginesFilled(load)).toInt().coerceIn(1, MOST_NEEDED_COPIES)
+    public fun needed(load: ModelWorkload): Int = ceil(enginesFilled(load)).toInt().coerceIn(1, MOST_NEEDED_COPIES)
 
     /** Engines of which [load] takes the share that one model may take. */
-    private fun enginesFilled(load: ModelLoad): Double {
+    private fun enginesFilled(load: ModelWorkload): Double {
         val reading = load.requestsPerSecond * load.readMs / MILLISECONDS_PER_SECOND
         val running = load.requestsPerSecond * load.answerMs / MILLISECONDS_PER_SECOND / load.batch.coerceAtLeast(1)
         return maxOf(reading, running) / SHARE_OF_ENGINE
--- a/decisions/src/main/kotlin/RequestRegistry.kt
+++ b/decisions/src/main/kotlin/RequestRegistry.kt
@@ -30,7 +30,7 @@
     private val entries = LinkedHashMap<RequestId, Entry>()
 
     /** Notes that [id] arrived and returns what was known of it before. */
-    public fun arrive(
+    public fun register(
         id: RequestId,
         nowMs: Long,
     ): RequestRecord {
--- a/decisions/src/main/kotlin/RepeatLimits.kt
+++ b/decisions/src/main/kotlin/RetryLimits.kt
@@ -6,7 +6,7 @@
  * @property ratio repeats for each first send, 0 or more
  * @property extra repeats that all gateways together may make in a window beyond the ratio
  */
-public data class RepeatLimits(
+public data class RetryLimits(
     val ratio: Double = 0.2,
     val extra: Double = 50.0,
     val windowMs: Long = 10_000,
--- a/decisions/src/main/kotlin/RepeatAllowance.kt
+++ b/decisions/src/main/kotlin/SharedRetryBudget.kt
@@ -5,20 +5,20 @@
  *
  * @property limits what is allowed; may change at any time
  */
-public class RepeatAllowance(
-    public var limits: RepeatLimits,
+public class SharedRetryBudget(
+    public var limits: RetryLimits,
 ) {
     private val firsts = ArrayDeque<Long>()
     private val repeats = ArrayDeque<Long>()
 
     /** Counts a request that is sent for the first time. */
-    public fun first(nowMs: Long) {
+    public fun recordFirstSend(nowMs: Long) {
         firsts.addLast(nowMs)
         forget(nowMs)
     }
 
     /** Takes one repeat out of the budget, which [gateways] gateways share; returns false when it is spent. */
-    public fun tryRepeat(
+    public fun tryRetry(
         nowMs: Long,
         gateways: Int,
     ): Boolean {
@@ -27,7 +27,7 @@
         return true
     }
 
-    /** Whether [tryRepeat] would take one repeat now. */
+    /** Whether [tryRetry] would take one repeat now. */
     public fun allows(
         nowMs: Long,
         gateways: Int,
--- a/decisions/src/main/kotlin/WorkBook.kt
+++ b/decisions/src/main/kotlin/WorkloadStatistics.kt
@@ -1,7 +1,7 @@
 package org.almondjunction.decisions
 
 /** Learns from answers how much work the requests for each model are. */
-public class WorkBook {
+public class WorkloadStatistics {
     private class Entry(
         var unreadTokens: Double,
         var answerMs: Double,
@@ -21,18 +21,18 @@
     }
 
     /** Returns how long answers of [model] take at their engine; assumed where nothing is known. */
-    public fun answerMs(model: String): Double = entries[model]?.answerMs ?: EvictionCandidate.USUAL_ANSWER_MS.toDouble()
+    public fun answerMs(model: String): Double = entries[model]?.answerMs ?: EvictionCandidate.DEFAULT_ANSWER_MS.toDouble()
 
     /** Returns the load of [model] under [requestsPerSecond], at engines that read [tokensReadPerMs]; assumed where nothing is known. */
-    public fun load(
+    public fun workload(
         model: String,
         requestsPerSecond: Double,
         tokensReadPerMs: Double,
         batch: Int,
-    ): ModelLoad {
+    ): ModelWorkload {
         val entry = entries[model]
         val readMs = entry?.let { it.unreadTokens / tokensReadPerMs } ?: UNKNOWN_READ_MS
-        return ModelLoad(requestsPerSecond, readMs, answerMs(model), batch)
+        return ModelWorkload(requestsPerSecond, readMs, answerMs(model), batch)
     }
 
     private companion object {
--- a/decisions/src/test/kotlin/AnswerDurationsTest.kt
+++ b/decisions/src/test/kotlin/AnswerDurationsTest.kt
@@ -5,10 +5,10 @@
 import kotlin.test.assertNull
 
 class AnswerDurationsTest {
-    /** An answer of [size] whose first part came after [firstMs], and that was complete after [wholeMs]. */
+    /** An answer of [size] whose first part came after [firstMs], and that was complete after [totalMs]. */
     private data class Answer(
         val firstMs: Long,
-        val wholeMs: Long,
+        val totalMs: Long,
         val size: Long,
     )
 
@@ -34,8 +34,8 @@
             Case("what was seen long ago is forgotten", listOf(Answer(0, 9_000, 1)) + List(64) { Answer(10, 20, 1) }, 1, 20),
         ).forEach { case ->
             val durations = AnswerDurations()
-            case.answers.forEach { durations.record("route", it.firstMs, it.wholeMs, it.size) }
-            assertEquals(case.likelyMs, durations.likelyMs("route", case.size), case.pattern)
+            case.answers.forEach { durations.record("route", it.firstMs, it.totalMs, it.size) }
+            assertEquals(case.likelyMs, durations.estimateMs("route", case.size), case.pattern)
         }
     }
 
@@ -43,7 +43,7 @@
     fun `of very many routes the least recently used are forgotten`() {
         val durations = AnswerDurations()
         repeat(600) { durations.record("route $it", 1, 2, 1) }
-        assertNull(durations.likelyMs("route 0", 1))
-        assertEquals(2, durations.likelyMs("route 599", 1))
+        assertNull(durations.estimateMs("route 0", 1))
+        assertEquals(2, durations.estimateMs("route 599", 1))
     }
 }
--- a/decisions/src/test/kotlin/CopyPlanTest.kt
+++ b/decisions/src/test/kotlin/CopyPlanTest.kt
@@ -30,18 +30,18 @@
             Case("long answers fill the batch before prompts fill the time", 31.0, 19.0, 2_000.0, 2, 3),
             Case("beyond what helps", 500.0, 240.0, 1_000.0, 8, 3),
         ).forEach { case ->
-            val load = ModelLoad(case.requestsPerSecond, case.readMs, case.answerMs, batch = 64)
-            assertEquals(case.needed, CopyPlan.needed(load), case.pattern)
-            assertEquals(case.worthHaving, CopyPlan.worthHaving(load), case.pattern)
+            val load = ModelWorkload(case.requestsPerSecond, case.readMs, case.answerMs, batch = 64)
+            assertEquals(case.needed, ReplicaPlan.needed(load), case.pattern)
+            assertEquals(case.worthHaving, ReplicaPlan.desired(load), case.pattern)
         }
     }
 
     @Test
     fun `the work of requests is learned from answers, whatever it is`() {
         for (factor in listOf(0.25, 1.0, 4.0)) {
-            val work = WorkBook()
+            val work = WorkloadStatistics()
             repeat(200) { work.record("m", (3_000 * factor).toLong(), (1_000 * factor).toLong()) }
-            val load = work.load("m", requestsPerSecond = 9.0, tokensReadPerMs = 40.0, batch = 64)
+            val load = work.workload("m", requestsPerSecond = 9.0, tokensReadPerMs = 40.0, batch = 64)
             assertEquals(75 * factor, load.readMs, 0.1)
             assertEquals(1_000 * factor, load.answerMs, 0.1)
         }
--- a/decisions/src/test/kotlin/EvictionPlanTest.kt
+++ b/decisions/src/test/kotlin/EvictionPlanTest.kt
@@ -13,9 +13,9 @@
         requestsPerSecond: Double = 0.05,
         idleMs: Long = 20_000,
         inFlight: Int = 0,
-        otherCopies: Int = 0,
+        otherReplicas: Int = 0,
         reloadMs: Long = 800,
-    ) = EvictionCandidate(ModelId(name), memoryMb, requestsPerSecond, idleMs, inFlight, otherCopies, reloadMs)
+    ) = EvictionCandidate(ModelId(name), memoryMb, requestsPerSecond, idleMs, inFlight, otherReplicas, reloadMs)
 
     private data class Case(
         val pattern: String,
@@ -47,10 +47,10 @@
                 60_000,
                 listOf("old"),
             ),
-            Case("a copy goes before the last replica", listOf(held("last"), held("copy", otherCopies = 1)), 60_000, listOf("copy")),
+            Case("a copy goes before the last replica", listOf(held("last"), held("copy", otherReplicas = 1)), 60_000, listOf("copy")),
             Case(
                 "before callers come: a model with replicas elsewhere is a busy one and stays",
-                listOf(held("busy", requestsPerSecond = 0.0, otherCopies = 1), held("rare", requestsPerSecond = 0.0)),
+                listOf(held("busy", requestsPerSecond = 0.0, otherReplicas = 1), held("rare", requestsPerSecond = 0.0)),
                 60_000,
                 listOf("rare"),
             ),
@@ -62,7 +62,7 @@
 
     @Test
     fun `a busy model's copy goes before a rare model when its other copies serve its callers`() {
-        val surplus = held("busy", requestsPerSecond = 15.0, idleMs = 800, otherCopies = 1).copy(surplus = true)
+        val surplus = held("busy", requestsPerSecond = 15.0, idleMs = 800, otherReplicas = 1).copy(surplus = true)
         val choice = EvictionPlan.choose(listOf(surplus, held("rare", requestsPerSecond = 0.5, idleMs = 800)), 60_000)
         assertEquals(listOf("busy"), choice?.models?.map { it.value })
     }
--- a/decisions/src/test/kotlin/ForwardingDecisionTest.kt
+++ b/decisions/src/test/kotlin/ForwardingDecisionTest.kt
@@ -5,7 +5,7 @@
 
 class ForwardingDecisionTest {
     private data class Case(
-        val kind: RepeatKind,
+        val kind: RetrySafety,
         val result: SendResult,
         val expected: ForwardingStep,
         val mayHaveRun: Boolean = false,
@@ -19,21 +19,21 @@
 
     private val cases =
         listOf(
-            Case(RepeatKind.ONCE, SendResult.Lost, ForwardingStep.AnswerUnknown),
-            Case(RepeatKind.ONCE, SendResult.Failed, ForwardingStep.PassFailure),
-            Case(RepeatKind.ONCE, refused, ForwardingStep.SendAgain),
-            Case(RepeatKind.ONCE, refused, ForwardingStep.AnswerNotRun, refusalsLeft = 0),
-            Case(RepeatKind.ONCE, refused, ForwardingStep.AnswerNotRun, budget = false),
-            Case(RepeatKind.ONCE, SendResult.NotSent, ForwardingStep.SendAgain, budget = false),
-            Case(RepeatKind.ONCE, SendResult.NotSent, ForwardingStep.AnswerNotRun, timeLeftMs = 0),
-            Case(RepeatKind.IDEMPOTENT, SendResult.Lost, ForwardingStep.SendAgain),
-            Case(RepeatKind.IDEMPOTENT, SendResult.Lost, ForwardingStep.AnswerUnknown, runsLeft = 0),
-            Case(RepeatKind.IDEMPOTENT, SendResult.Lost, ForwardingStep.AnswerUnknown, budget = false),
-            Case(RepeatKind.IDEMPOTENT, SendResult.Failed, ForwardingStep.SendAgain),
-            Case(RepeatKind.IDEMPOTENT, SendResult.Failed, ForwardingStep.PassFailure, runsLeft = 0),
-            Case(RepeatKind.IDEMPOTENT, refused, ForwardingStep.AnswerUnknown, mayHaveRun = true, refusalsLeft = 0),
-            Case(RepeatKind.RESUMABLE, SendResult.Lost, ForwardingStep.SendAgain),
-            Case(RepeatKind.RESUMABLE, SendResult.Lost, ForwardingStep.AnswerUnknown, timeLeftMs = 10),
+            Case(RetrySafety.ONCE, SendResult.Lost, ForwardingStep.AnswerUnknown),
+            Case(RetrySafety.ONCE, SendResult.Failed, ForwardingStep.PassFailure),
+            Case(RetrySafety.ONCE, refused, ForwardingStep.Retry),
+            Case(RetrySafety.ONCE, refused, ForwardingStep.AnswerNotRun, refusalsLeft = 0),
+            Case(RetrySafety.ONCE, refused, ForwardingStep.AnswerNotRun, budget = false),
+            Case(RetrySafety.ONCE, SendResult.NotSent, ForwardingStep.Retry, budget = false),
+            Case(RetrySafety.ONCE, SendResult.NotSent, ForwardingStep.AnswerNotRun, timeLeftMs = 0),
+            Case(RetrySafety.IDEMPOTENT, SendResult.Lost, ForwardingStep.Retry),
+            Case(RetrySafety.IDEMPOTENT, SendResult.Lost, ForwardingStep.AnswerUnknown, runsLeft = 0),
+            Case(RetrySafety.IDEMPOTENT, SendResult.Lost, ForwardingStep.AnswerUnknown, budget = false),
+            Case(RetrySafety.IDEMPOTENT, SendResult.Failed, ForwardingStep.Retry),
+            Case(RetrySafety.IDEMPOTENT, SendResult.Failed, ForwardingStep.PassFailure, runsLeft = 0),
+            Case(RetrySafety.IDEMPOTENT, refused, ForwardingStep.AnswerUnknown, mayHaveRun = true, refusalsLeft = 0),
+            Case(RetrySafety.RESUMABLE, SendResult.Lost, ForwardingStep.Retry),
+            Case(RetrySafety.RESUMABLE, SendResult.Lost, ForwardingStep.AnswerUnknown, timeLeftMs = 10),
         )
 
     @Test
@@ -46,7 +46,7 @@
     @Test
     fun `a request that may have run is never said not to have run`() {
         val results = listOf(SendResult.NotSent, refused, SendResult.Lost, SendResult.Failed)
-        for (kind in RepeatKind.entries) {
+        for (kind in RetrySafety.entries) {
             for (result in results) {
                 for (runsLeft in 0..2) {
                     for (budget in listOf(true, false)) {
--- a/decisions/src/test/kotlin/RepeatAllowanceTest.kt
+++ b/decisions/src/test/kotlin/RepeatAllowanceTest.kt
@@ -17,7 +17,7 @@
             checkAll(PropTestConfig(seed = 771, iterations = 200), Arb.long()) { seed ->
                 val random = Random(seed)
                 val count = random.nextInt(1, 8)
-                val gateways = List(count) { RepeatAllowance(RepeatLimits(ratio = 0.2, extra = 58.0, windowMs = 10_000)) }
+                val gateways = List(count) { SharedRetryBudget(RetryLimits(ratio = 0.2, extra = 58.0, windowMs = 10_000)) }
                 val firsts = mutableListOf<Long>()
                 val repeats = mutableListOf<Long>()
                 var nowMs = 0L
@@ -25,9 +25,9 @@
                     nowMs += random.nextLong(0, 120)
                     val gateway = gateways.random(random)
                     if (random.nextInt(3) == 0) {
-                        gateway.first(nowMs)
+                        gateway.recordFirstSend(nowMs)
                         firsts += nowMs
-                    } else if (gateway.tryRepeat(nowMs, count)) {
+                    } else if (gateway.tryRetry(nowMs, count)) {
                         repeats += nowMs
                     }
                     val sent = firsts.count { it > nowMs - 10_000 }
@@ -39,10 +39,10 @@
 
     @Test
     fun `a spent budget returns with its window`() {
-        val allowance = RepeatAllowance(RepeatLimits(ratio = 0.0, extra = 10.0, windowMs = 1_000))
-        val granted = (0 until 20).count { allowance.tryRepeat(nowMs = 0, gateways = 1) }
+        val allowance = SharedRetryBudget(RetryLimits(ratio = 0.0, extra = 10.0, windowMs = 1_000))
+        val granted = (0 until 20).count { allowance.tryRetry(nowMs = 0, gateways = 1) }
         assertEquals(6, granted)
-        assertEquals(false, allowance.tryRepeat(nowMs = 999, gateways = 1))
-        assertEquals(true, allowance.tryRepeat(nowMs = 1_000, gateways = 1))
+        assertEquals(false, allowance.tryRetry(nowMs = 999, gateways = 1))
+        assertEquals(true, allowance.tryRetry(nowMs = 1_000, gateways = 1))
     }
 }
--- a/decisions/src/test/kotlin/RequestOutcomeTest.kt
+++ b/decisions/src/test/kotlin/RequestOutcomeTest.kt
@@ -141,7 +141,7 @@
             kind: Kind,
         ) {
             when (kind) {
-                Kind.START -> if (agent.registry.arrive(id, nowMs) == RequestRecord.NEW) agent.waiting = true
+                Kind.START -> if (agent.registry.register(id, nowMs) == RequestRecord.NEW) agent.waiting = true
                 Kind.RESUME -> if (!agent.waiting && !agent.running) resumeUnknown(agent)
                 Kind.WITHDRAW ->
                     if (agent.waiting || agent.registry.find(id) != RequestRecord.KNOWN) refuse(agent, RefusalReason.DEADLINE_PASSED)
--- a/decisions/src/test/kotlin/ResidencyPolicyTest.kt
+++ b/decisions/src/test/kotlin/ResidencyPolicyTest.kt
@@ -15,7 +15,7 @@
         var nowMs = 0L
         return gapsMs.fold(ArrivalHistory(lastArrivalMs = 0)) { history, gapMs ->
             nowMs += gapMs
-            history.arrive(nowMs)
+            history.afterArrival(nowMs)
         }
     }
 
--- a/entry/src/main/kotlin/LeaderController.kt
+++ b/entry/src/main/kotlin/LeaderController.kt
@@ -137,7 +137,7 @@
                 fleet = view.fleet,
                 shards = (0 until RightsShard.COUNT).associateWith { view.shards[it]?.shard ?: RightsShard() },
                 hostOfLostTarget = view.hostOfLostTarget,
-                provenGone = provenGone,
+                provenEmptyHosts = provenGone,
             )
         Placement.plan(input).forEach { (index, shard) ->
             val key = StoreKeys.rights(index)
--- a/gateway/src/main/kotlin/Fleet.kt
+++ b/gateway/src/main/kotlin/Fleet.kt
@@ -9,8 +9,8 @@
 import org.almondjunction.common.TargetId
 import org.almondjunction.common.ZoneId
 import org.almondjunction.decisions.AnswerDurations
-import org.almondjunction.decisions.DemandBook
-import org.almondjunction.decisions.WorkBook
+import org.almondjunction.decisions.DemandStatistics
+import org.almondjunction.decisions.WorkloadStatistics
 import org.almondjunction.keeper.Demand
 import org.almondjunction.network.ByteBudget
 import org.almondjunction.network.EventLoop
@@ -191,9 +191,9 @@
     val gathered = ByteBudget(Runtime.getRuntime().maxMemory() / SHARE_OF_MEMORY)
 
     /** What callers ask for, and who waits for it. */
-    val demand = DemandBook()
+    val demand = DemandStatistics()
     val waiting = WaitingCallers()
-    val work = WorkBook()
+    val work = WorkloadStatistics()
 
     /** How long the answers of each route last. */
     val durations = AnswerDurations()
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -9,9 +9,9 @@
 import org.almondjunction.decisions.ForwardingDecision
 import org.almondjunction.decisions.ForwardingState
 import org.almondjunction.decisions.ForwardingStep
-import org.almondjunction.decisions.RepeatAllowance
-import org.almondjunction.decisions.RepeatKind
+import org.almondjunction.decisions.RetrySafety
 import org.almondjunction.decisions.SendResult
+import org.almondjunction.decisions.SharedRetryBudget
 import org.almondjunction.network.BodyPart
 import org.almondjunction.network.HttpHeader
 import org.almondjunction.network.WholeBody
@@ -23,7 +23,7 @@
     private val fleet: Fleet,
     private val state: GatewayState,
     private val names: HeaderNames,
-    private val allowance: RepeatAllowance,
+    private val allowance: SharedRetryBudget,
     private val metrics: Metrics,
 ) {
     private val held = mutableSetOf<Attempt>()
@@ -34,9 +34,9 @@
         answer: CallerAnswer,
     ) {
         val attempt = Attempt(request, answer, state.gathered.reserve(), clock)
-        allowance.first(clock.nowMs())
+        allowance.recordFirstSend(clock.nowMs())
         metrics.count(MetricName.REQUESTS)
-        request.model?.let { state.demand.arrive(it, clock.nowMs()) }
+        request.model?.let { state.demand.record(it, clock.nowMs()) }
         held += attempt
         try {
             val ended = withTimeoutOrNull(attempt.timeLeftMs.coerceAtLeast(0)) { attempt.runUntilDismissed { run(attempt) } }
@@ -72,7 +72,7 @@
             val step = coroutineScope { sendTo(this, target, attempt) }
             when (step) {
                 null -> return
-                ForwardingStep.SendAgain -> metrics.count(MetricName.RETRIES, attempt.detail.take(MOST_REASON_CHARACTERS))
+                ForwardingStep.Retry -> metrics.count(MetricName.RETRIES, attempt.detail.take(MOST_REASON_CHARACTERS))
                 ForwardingStep.AnswerNotRun -> return respondNotRun(attempt, RETRY_AFTER_REFUSAL_MS)
                 ForwardingStep.AnswerUnknown -> return respondUnknown(attempt, BAD_GATEWAY)
                 ForwardingStep.PassFailure -> return passFailure(attempt)
@@ -130,7 +130,7 @@
     /** Whether an answer that begins now would be complete before this process ends. */
     private fun endsInTime(request: ForwardedRequest): Boolean {
         if (!state.leaving) return true
-        val likelyMs = state.durations.likelyMs(request.route.name, request.answerTokens) ?: UNKNOWN_ANSWER_MS
+        val likelyMs = state.durations.estimateMs(request.route.name, request.answerTokens) ?: UNKNOWN_ANSWER_MS
         return clock.nowMs() + minOf(likelyMs, request.route.timeoutMs) < state.endMs
     }
 
@@ -164,7 +164,7 @@
         attempt.sends++
         try {
             target.prompts.add(request.weights, request.parts)
-            val younger = if (request.route.repeat == RepeatKind.ONCE) KEPT_FOR_ONCE_MS else KEPT_MS
+            val younger = if (request.route.repeat == RetrySafety.ONCE) KEPT_FOR_ONCE_MS else KEPT_MS
             val answer = exchange.send(request, headersFor(target, attempt), younger, attempt.timeLeftMs)
             return when (answer) {
                 is SendAnswer.Unserved -> unserved(target, exchange, attempt, answer)
@@ -185,7 +185,7 @@
         model = request.model,
         adapter = request.adapter,
         promptTokens = target.unreadTokens(request),
-        repeatable = request.route.repeat != RepeatKind.ONCE,
+        repeatable = request.route.repeat != RetrySafety.ONCE,
         patienceMs = request.route.callerPatienceMs,
         lastSignMs = attempt.lastSignMs,
     )
@@ -248,7 +248,7 @@
                 timeLeftMs = attempt.timeLeftMs,
             )
         if (!result.knownNotRun) attempt.mayHaveRun = true
-        return ForwardingDecision.after(forwarding, result) { allowance.tryRepeat(clock.nowMs(), fleet.gateways.size) }
+        return ForwardingDecision.after(forwarding, result) { allowance.tryRetry(clock.nowMs(), fleet.gateways.size) }
     }
 
     private suspend fun answered(
@@ -366,7 +366,7 @@
     /** A stream that nobody else can continue is waited for as long as its caller waits, however slow it is. */
     private fun mayContinueElsewhere(attempt: Attempt): Boolean {
         val route = attempt.request.route
-        return route.repeat == RepeatKind.RESUMABLE &&
+        return route.repeat == RetrySafety.RESUMABLE &&
             attempt.runs + 1 < route.maximumTargets &&
             allowance.allows(clock.nowMs(), fleet.gateways.size)
     }
@@ -383,7 +383,7 @@
     }
 
     private fun ForwardingStep.brokenOff(attempt: Attempt): ForwardingStep? {
-        if (this == ForwardingStep.SendAgain || !attempt.answer.begun) return this
+        if (this == ForwardingStep.Retry || !attempt.answer.begun) return this
         attempt.outcome = BROKEN_OFF
         return null
     }
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -8,7 +8,7 @@
 import org.almondjunction.common.EventLog
 import org.almondjunction.common.LogFields
 import org.almondjunction.common.Metrics
-import org.almondjunction.decisions.RepeatAllowance
+import org.almondjunction.decisions.SharedRetryBudget
 import org.almondjunction.network.EventLoop
 import org.almondjunction.network.HeadResult
 import org.almondjunction.network.HttpHeader
@@ -35,7 +35,7 @@
     private val fleet = Fleet(loop, scope, settings.name, settings.keeperPort, state)
     private val selector = TargetSelector(clock, fleet, settings.place, state)
     private val preparation = Preparation(fleet, selector, state, settings.name)
-    private val allowance = RepeatAllowance(settings.repeats)
+    private val allowance = SharedRetryBudget(settings.repeats)
     private val forwarder = Forwarder(clock, selector, fleet, state, names, allowance, metrics)
     private val connections = mutableSetOf<CallerConnection>()
     private var targetsKnown = false
--- a/gateway/src/main/kotlin/GatewayConfiguration.kt
+++ b/gateway/src/main/kotlin/GatewayConfiguration.kt
@@ -3,7 +3,7 @@
 import org.almondjunction.common.ModelId
 import org.almondjunction.common.ServiceId
 import org.almondjunction.decisions.Rendezvous
-import org.almondjunction.decisions.RepeatKind
+import org.almondjunction.decisions.RetrySafety
 
 /** The accepted configuration of the gateways; one whole state under one [version]. */
 public data class GatewayConfiguration(
@@ -39,7 +39,7 @@
     val name: String,
     val host: String,
     val pathPrefix: String,
-    val repeat: RepeatKind,
+    val repeat: RetrySafety,
     val streaming: Boolean,
     val destinations: List<Destination>,
     val timeoutMs: Long,
--- a/gateway/src/main/kotlin/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/GatewaySettings.kt
@@ -1,7 +1,7 @@
 package org.almondjunction.gateway
 
 import org.almondjunction.common.Address
-import org.almondjunction.decisions.RepeatLimits
+import org.almondjunction.decisions.RetryLimits
 
 /**
  * Settings of a gateway.
@@ -23,6 +23,6 @@
     val readinessPath: String,
     val keeperPort: Int,
     val graceMs: Long = 8_000,
-    val repeats: RepeatLimits = RepeatLimits(),
+    val repeats: RetryLimits = RetryLimits(),
     val lapseMs: Long = 2_000,
 )
--- a/gateway/src/main/kotlin/Preparation.kt
+++ b/gateway/src/main/kotlin/Preparation.kt
@@ -1,8 +1,8 @@
 package org.almondjunction.gateway
 
 import kotlinx.coroutines.delay
-import org.almondjunction.decisions.CopyPlan
 import org.almondjunction.decisions.Rendezvous
+import org.almondjunction.decisions.ReplicaPlan
 
 /**
  * Has models loaded that no target holds, before callers ask for them: where there is room, and where no host has the weights at hand
@@ -51,8 +51,8 @@
             return
         }
         val load = selector.loadOf(name, holders, plan)
-        val missed = holders.size < CopyPlan.needed(load)
-        if (!missed && holders.size >= CopyPlan.worthHaving(load)) return
+        val missed = holders.size < ReplicaPlan.needed(load)
+        if (!missed && holders.size >= ReplicaPlan.desired(load)) return
         val near = others.filter { it.hasAtHand(name) }.ifEmpty { others.takeIf { holders.size == 1 }.orEmpty() }
         if (near.isEmpty() || others.any { it.status?.loading == name }) return
         selector.askForModel(near, plan, model, mayEvict = missed)
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -2,12 +2,12 @@
 
 import org.almondjunction.common.Clock
 import org.almondjunction.common.ModelId
-import org.almondjunction.decisions.CopyPlan
 import org.almondjunction.decisions.EvictionCandidate
 import org.almondjunction.decisions.EvictionPlan
 import org.almondjunction.decisions.LoadValue
-import org.almondjunction.decisions.ModelLoad
+import org.almondjunction.decisions.ModelWorkload
 import org.almondjunction.decisions.Rendezvous
+import org.almondjunction.decisions.ReplicaPlan
 import org.almondjunction.decisions.TargetCandidate
 import org.almondjunction.decisions.TargetChoice
 import org.almondjunction.keeper.KeeperMessage
@@ -72,7 +72,7 @@
                 Choice.None("holders tried")
             } else {
                 val waiting = state.waiting.weight(model, nowMs + modelPlan.loadFromDiskMs)
-                askForModel(ready, plan, modelPlan, mayEvict = true, callers = maxOf(waiting, LoadValue.weightOf(inTime = false)))
+                askForModel(ready, plan, modelPlan, mayEvict = true, callers = maxOf(waiting, LoadValue.callerWeight(inTime = false)))
             }
         }
         val adapter = request.adapter
@@ -154,7 +154,7 @@
         val demand = state.demand.perSecond(name, nowMs) * fleet.gateways.size
         val mostLoads = if (demand >= BUSY_REQUESTS_PER_SECOND) MOST_STORE_LOADS_WITH_BUSY_MODELS else MOST_STORE_LOADS
         if (near.isEmpty() && inTouch.count { it.loadsFromStore } >= mostLoads) return Choice.Later(model.loadMs * 2)
-        val valueMs = LoadValue.ofMs(callers, demand)
+        val valueMs = LoadValue.valueMs(callers, demand)
         val possible = near.ifEmpty { inTouch }
         val best =
             possible
@@ -243,7 +243,7 @@
                 requestsPerSecond = held.requestsPerSecond.toDouble(),
                 idleMs = held.idleMs,
                 inFlight = held.inFlight,
-                otherCopies = copies.count,
+                otherReplicas = copies.count,
                 answerMs = state.work.answerMs(held.model).toLong(),
                 surplus = copies.suffice,
                 reloadMs = (if (atHand) heldPlan?.loadFromDiskMs else heldPlan?.loadMs) ?: 0,
@@ -313,7 +313,7 @@
         val holders = others.filter { model in it.models }
         val share = { holder: Target -> Rendezvous.share(model, holder.entry.target.value) }
         if (holders.isEmpty() || holders.any { share(it) < share(target) }) return Copies(0, suffice = false)
-        val suffice = holders.size >= CopyPlan.needed(loadOf(model, holders + target, plan))
+        val suffice = holders.size >= ReplicaPlan.needed(loadOf(model, holders + target, plan))
         return Copies(holders.size.coerceAtMost(MOST_COPIES_TOLD), suffice)
     }
 
@@ -322,13 +322,13 @@
         model: String,
         holders: List<Target>,
         plan: EnginePlan,
-    ): ModelLoad {
+    ): ModelWorkload {
         val requestsPerSecond =
             holders.sumOf { holder ->
                 val held = holder.status?.models?.firstOrNull { it.model == model }
                 held?.requestsPerSecond?.toDouble() ?: 0.0
             }
-        return state.work.load(model, requestsPerSecond, TOKENS_READ_PER_MS, plan.batch)
+        return state.work.workload(model, requestsPerSecond, TOKENS_READ_PER_MS, plan.batch)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/WaitingCallers.kt
+++ b/gateway/src/main/kotlin/WaitingCallers.kt
@@ -27,5 +27,5 @@
     fun weight(
         model: String,
         expectedMs: Long,
-    ): Double = objectivesMs[model].orEmpty().sumOf { LoadValue.weightOf(inTime = expectedMs <= it) }
+    ): Double = objectivesMs[model].orEmpty().sumOf { LoadValue.callerWeight(inTime = expectedMs <= it) }
 }
--- a/gateway/src/test/kotlin/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/GatewayFixture.kt
@@ -8,7 +8,7 @@
 import org.almondjunction.common.ServiceId
 import org.almondjunction.common.TargetId
 import org.almondjunction.common.ZoneId
-import org.almondjunction.decisions.RepeatKind
+import org.almondjunction.decisions.RetrySafety
 import org.almondjunction.network.EventLoop
 import org.almondjunction.network.TcpConnection
 import org.almondjunction.network.TcpListener
@@ -105,7 +105,7 @@
 
         /** A route to everything, which a test changes where it needs to. */
         fun route(
-            repeat: RepeatKind,
+            repeat: RetrySafety,
             streaming: Boolean,
         ) = Route(
             name = "r",
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -5,7 +5,7 @@
 import org.almondjunction.common.Address
 import org.almondjunction.common.ModelId
 import org.almondjunction.common.TargetId
-import org.almondjunction.decisions.RepeatKind
+import org.almondjunction.decisions.RetrySafety
 import org.almondjunction.keeper.HeldModel
 import org.almondjunction.keeper.KeeperMessage
 import org.almondjunction.keeper.MessageChannel
@@ -41,7 +41,7 @@
     private val seen = mutableListOf<RequestHead>()
 
     private fun start(
-        repeat: RepeatKind,
+        repeat: RetrySafety,
         streaming: Boolean,
         engine: EnginePlan? = null,
         hosts: List<String> = List(GatewayFixture.TARGETS) { LOOPBACK },
@@ -86,7 +86,7 @@
     private val another = "HTTP/1.1 421 X\r\nId: 7\r\nAnswering: t9\r\nContent-Length: 0\r\n\r\n"
 
     private data class Case(
-        val kind: RepeatKind,
+        val kind: RetrySafety,
         val answers: List<String>,
         val expectedStatus: Int,
         val expectedBody: String? = null,
@@ -105,28 +105,28 @@
 
     @Test
     fun `a request that may run once is sent again only where it is known not to have run`() {
-        start(RepeatKind.ONCE, streaming = false)
+        start(RetrySafety.ONCE, streaming = false)
         listOf(
-            Case(RepeatKind.ONCE, listOf(served), 200, "ok"),
-            Case(RepeatKind.ONCE, listOf(refused, served), 200, "ok"),
-            Case(RepeatKind.ONCE, listOf(another, served), 200, "ok"),
-            Case(RepeatKind.ONCE, listOf(failed), 500, "bad"),
-            Case(RepeatKind.ONCE, listOf(torn), 502),
-            Case(RepeatKind.ONCE, listOf(unsigned), 502),
-            Case(RepeatKind.ONCE, listOf(""), 502),
-            Case(RepeatKind.ONCE, listOf(alien + served), 200, "ok"),
-            Case(RepeatKind.ONCE, listOf("nonsense\r\n\r\n"), 502),
+            Case(RetrySafety.ONCE, listOf(served), 200, "ok"),
+            Case(RetrySafety.ONCE, listOf(refused, served), 200, "ok"),
+            Case(RetrySafety.ONCE, listOf(another, served), 200, "ok"),
+            Case(RetrySafety.ONCE, listOf(failed), 500, "bad"),
+            Case(RetrySafety.ONCE, listOf(torn), 502),
+            Case(RetrySafety.ONCE, listOf(unsigned), 502),
+            Case(RetrySafety.ONCE, listOf(""), 502),
+            Case(RetrySafety.ONCE, listOf(alien + served), 200, "ok"),
+            Case(RetrySafety.ONCE, listOf("nonsense\r\n\r\n"), 502),
         ).forEach { check(it) }
     }
 
     @Test
     fun `a request that may be repeated is sent to another target within its limit`() {
-        start(RepeatKind.IDEMPOTENT, streaming = false)
+        start(RetrySafety.IDEMPOTENT, streaming = false)
         listOf(
-            Case(RepeatKind.IDEMPOTENT, listOf(failed, served), 200, "ok"),
-            Case(RepeatKind.IDEMPOTENT, listOf(failed, failed), 500, "bad"),
-            Case(RepeatKind.IDEMPOTENT, listOf(torn, served), 200, "ok"),
-            Case(RepeatKind.IDEMPOTENT, listOf("", unsigned), 502),
+            Case(RetrySafety.IDEMPOTENT, listOf(failed, served), 200, "ok"),
+            Case(RetrySafety.IDEMPOTENT, listOf(failed, failed), 500, "bad"),
+            Case(RetrySafety.IDEMPOTENT, listOf(torn, served), 200, "ok"),
+            Case(RetrySafety.IDEMPOTENT, listOf("", unsigned), 502),
         ).forEach { check(it) }
     }
 
@@ -138,7 +138,7 @@
 
     @Test
     fun `a stream that broke off goes on at another target after its last whole event`() {
-        start(RepeatKind.RESUMABLE, streaming = true)
+        start(RetrySafety.RESUMABLE, streaming = true)
         script += thenClose(streamHead + chunk(events(1, 2) + "id: 3\nda"))
         script += raw(streamHead.replace("s1", "s2") + chunk(events(3, 4)) + "0\r\n\r\n")
         val answer = ask()
@@ -149,7 +149,7 @@
 
     @Test
     fun `a stream that may run once is cut where its target cut it, and never looks complete`() {
-        start(RepeatKind.ONCE, streaming = true)
+        start(RetrySafety.ONCE, streaming = true)
         script += thenClose(streamHead + chunk(events(1) + "id: 2\nda"))
         assertEquals(events(1) + "|cut", unchunk(ask()))
         assertEquals(1, seen.size)
@@ -157,7 +157,7 @@
 
     @Test
     fun `a caller's close resets the connection to the target, so that bytes held up on the way never arrive`() {
-        start(RepeatKind.ONCE, streaming = false)
+        start(RetrySafety.ONCE, streaming = false)
         val working = CountDownLatch(1)
         val left = CountDownLatch(1)
         var end: ReadResult? = null
@@ -176,7 +176,7 @@
 
     @Test
     fun `a request that may be repeated leaves a silent target for another one`() {
-        start(RepeatKind.RESUMABLE, streaming = true)
+        start(RetrySafety.RESUMABLE, streaming = true)
         script += { _, _ -> }
         script += raw(streamHead + chunk(events(1)) + "0\r\n\r\n")
         assertEquals(events(1) + "|end", unchunk(ask()))
@@ -185,7 +185,7 @@
 
     @Test
     fun `the caller of a silent target is told before it leaves`() {
-        start(RepeatKind.ONCE, streaming = true, callerPatienceMs = 100)
+        start(RetrySafety.ONCE, streaming = true, callerPatienceMs = 100)
         script += { _, _ -> }
         assertEquals("HTTP/1.1 502", ask().take("HTTP/1.1 502".length))
         assertEquals(1, seen.size)
@@ -193,7 +193,7 @@
 
     @Test
     fun `what only the system sets is not taken from callers, and the deadline shrinks`() {
-        start(RepeatKind.ONCE, streaming = false)
+        start(RetrySafety.ONCE, streaming = false)
         script += raw(served)
         ask(extra = "Target: forged\r\nX-Other: kept\r\n")
         val head = seen.single()
@@ -231,7 +231,7 @@
         val wished = CountDownLatch(1)
         TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { idleKeeper(it, CountDownLatch(0), wished) } }
         val engine = EnginePlan(1, 1, weightsMb = 1, adapterSlots = 0, mapOf(plan.model to plan))
-        start(RepeatKind.ONCE, streaming = true, engine, listOf(LOOPBACK, HOST_WITHOUT_KEEPER))
+        start(RetrySafety.ONCE, streaming = true, engine, listOf(LOOPBACK, HOST_WITHOUT_KEEPER))
         assertTrue(wished.await(NEVER_S, TimeUnit.SECONDS))
     }
 
@@ -242,7 +242,7 @@
         val touch = CountDownLatch(GatewayFixture.TARGETS)
         val wished = CountDownLatch(1)
         TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { idleKeeper(it, touch, wished) } }
-        start(RepeatKind.ONCE, streaming = true, EnginePlan(1, 1, weightsMb = 1, adapterSlots = 0, mapOf(plan.model to plan)))
+        start(RetrySafety.ONCE, streaming = true, EnginePlan(1, 1, weightsMb = 1, adapterSlots = 0, mapOf(plan.model to plan)))
         touch.await()
         fixture.connect().use { socket ->
             val head = "POST /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\nModel: m\r\nContent-Length: 0\r\n\r\n"
@@ -258,18 +258,18 @@
     /** A request that a target has not answered when the gateway goes; [beginning] is what came of its answer. */
     private data class HeldCase(
         val pattern: String,
-        val repeat: RepeatKind,
+        val repeat: RetrySafety,
         val streaming: Boolean,
         val beginning: String = "",
     )
 
     private val heldCases =
         listOf(
-            HeldCase("a stream that may run once waits in the queue of its engine", RepeatKind.ONCE, streaming = true),
-            HeldCase("a resumable stream waits in the queue of its engine", RepeatKind.RESUMABLE, streaming = true),
-            HeldCase("a charge is worked on", RepeatKind.ONCE, streaming = false),
-            HeldCase("the head of a stream came, and no event", RepeatKind.RESUMABLE, streaming = true, streamHead),
-            HeldCase("an answer came in part", RepeatKind.ONCE, streaming = false, torn),
+            HeldCase("a stream that may run once waits in the queue of its engine", RetrySafety.ONCE, streaming = true),
+            HeldCase("a resumable stream waits in the queue of its engine", RetrySafety.RESUMABLE, streaming = true),
+            HeldCase("a charge is worked on", RetrySafety.ONCE, streaming = false),
+            HeldCase("the head of a stream came, and no event", RetrySafety.RESUMABLE, streaming = true, streamHead),
+            HeldCase("an answer came in part", RetrySafety.ONCE, streaming = false, torn),
         )
 
     /** A keeper whose engine holds the model "m" and that answers each telling of uses, so that its target never counts as silent. */
@@ -331,7 +331,7 @@
     fun `a request that was left at its target in the last moment is not called not run`() {
         GatewayFixture(graceMs = 0).use { gateways ->
             val reached = CountDownLatch(1)
-            gateways.start(GatewayFixture.route(RepeatKind.IDEMPOTENT, streaming = false)) { connection ->
+            gateways.start(GatewayFixture.route(RetrySafety.IDEMPOTENT, streaming = false)) { connection ->
                 HttpReader(connection).requestHead(9_999)
                 reached.countDown()
             }
@@ -351,7 +351,7 @@
     // Guards against an unexpected error that closes its caller's connection without an answer.
     @Test
     fun `an unexpected error about a request is answered`() {
-        val routeWithoutService = GatewayFixture.route(RepeatKind.ONCE, streaming = false).copy(destinations = emptyList())
+        val routeWithoutService = GatewayFixture.route(RetrySafety.ONCE, streaming = false).copy(destinations = emptyList())
         fixture.start(routeWithoutService) { target(it) }
         val answer = ask()
         assertEquals("HTTP/1.1 502", answer.take("HTTP/1.1 502".length))
@@ -360,7 +360,7 @@
     // Guards against a stream to a caller of HTTP/1.0, whose end is that of its connection, that looks whole though it broke off.
     @Test
     fun `a stream to a caller of an old version that broke off ends with a failure of its connection`() {
-        start(RepeatKind.ONCE, streaming = true)
+        start(RetrySafety.ONCE, streaming = true)
         script += thenClose(streamHead + chunk(events(1) + "id: 2\nda"))
         fixture.connect().use { socket ->
             socket.getOutputStream().write("GET /x HTTP/1.0\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\n\r\n".toByteArray())
@@ -371,7 +371,7 @@
     // Guards against a begun answer that the end of a stop leaves open.
     @Test
     fun `a stream that has begun is broken off when the gateway goes`() {
-        start(RepeatKind.ONCE, streaming = true)
+        start(RetrySafety.ONCE, streaming = true)
         script += raw(streamHead + chunk(events(1)))
         fixture.connect().use { socket ->
             socket.soTimeout = TimeUnit.SECONDS.toMillis(NEVER_S).toInt()
@@ -386,7 +386,7 @@
     // Guards against callers that keep using a connection to a gateway that goes, since nothing in its answers tells them.
     @Test
     fun `an answer that begins while the gateway goes tells its caller to use another connection`() {
-        start(RepeatKind.ONCE, streaming = false)
+        start(RetrySafety.ONCE, streaming = false)
         script += { connection, _ ->
             scope.launch { gateway.leave() }
             repeat(ROUNDS_OF_THE_LOOP) { yield() }
@@ -403,7 +403,7 @@
     // Guards against a second SIGTERM that ends the process while the first still waits for accepted requests.
     @Test
     fun `a second call to leave does not return before accepted requests are answered`() {
-        start(RepeatKind.ONCE, streaming = false)
+        start(RetrySafety.ONCE, streaming = false)
         val secondReturned = AtomicBoolean()
         val returnedBeforeAnswer = CompletableFuture<Boolean>()
         script += { connection, _ ->
@@ -432,10 +432,10 @@
 
     @Test
     fun `a gateway that goes begins no answer that it could not finish, and still gives short ones`() {
-        start(RepeatKind.ONCE, streaming = true)
+        start(RetrySafety.ONCE, streaming = true)
         val left = CountDownLatch(1)
         scope.launch {
-            gateway.state.durations.record("r", firstPartMs = 0, wholeMs = 15_000, size = 1_000)
+            gateway.state.durations.record("r", firstPartMs = 0, totalMs = 15_000, size = 1_000)
             launch { gateway.leave() }
             left.countDown()
         }
--- a/gateway/src/test/kotlin/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/TargetSelectorTest.kt
@@ -11,7 +11,7 @@
 import org.almondjunction.common.ServiceId
 import org.almondjunction.common.TargetId
 import org.almondjunction.common.ZoneId
-import org.almondjunction.decisions.RepeatKind
+import org.almondjunction.decisions.RetrySafety
 import org.almondjunction.keeper.HeldModel
 import org.almondjunction.keeper.KeeperMessage
 import org.almondjunction.network.EventLoop
@@ -36,7 +36,7 @@
             models = listOf("m", "a", "b", "c").associate { ModelId(it) to small.copy(model = ModelId(it)) },
         )
     private val route =
-        Route("r", "h", "/", RepeatKind.RESUMABLE, true, listOf(Destination(service, 1.0)), 20_000, 2_000, 0, maximumTargets = 2)
+        Route("r", "h", "/", RetrySafety.RESUMABLE, true, listOf(Destination(service, 1.0)), 20_000, 2_000, 0, maximumTargets = 2)
 
     private fun held(
         model: String,
--- a/gateway/src/test/kotlin/TroubledTargetTest.kt
+++ b/gateway/src/test/kotlin/TroubledTargetTest.kt
@@ -1,7 +1,7 @@
 package org.almondjunction.gateway
 
 import kotlinx.coroutines.delay
-import org.almondjunction.decisions.RepeatKind
+import org.almondjunction.decisions.RetrySafety
 import org.almondjunction.network.HeadResult
 import org.almondjunction.network.HttpReader
 import org.almondjunction.network.TcpConnection
@@ -21,7 +21,7 @@
     fun stop(): Unit = fixture.close()
 
     private fun start(
-        repeat: RepeatKind,
+        repeat: RetrySafety,
         streaming: Boolean,
         maximumTargets: Int = 2,
         callerPatienceMs: Long = 60_000,
@@ -59,7 +59,7 @@
 
     @Test
     fun `bytes without end that are no answer end the request, and nothing of them is kept`() {
-        start(RepeatKind.ONCE, streaming = false)
+        start(RetrySafety.ONCE, streaming = false)
         val whole = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\n"
         mapOf(
             "a status line" to endless("HTTP/1.1 200 ", "x"),
@@ -84,7 +84,7 @@
 
     @Test
     fun `an event without end cuts the stream`() {
-        start(RepeatKind.ONCE, streaming = true)
+        start(RetrySafety.ONCE, streaming = true)
         script += endless(streamHead + chunk(events(1) + "data: "), chunk("x".repeat(999)))
         assertEquals(events(1) + "|cut", unchunk(ask()))
         assertEquals(0, gateway.state.gathered.takenBytes)
@@ -92,7 +92,7 @@
 
     @Test
     fun `answers that together are too much for this process are given up, not gathered`() {
-        start(RepeatKind.IDEMPOTENT, streaming = false)
+        start(RetrySafety.IDEMPOTENT, streaming = false)
         val others = gateway.state.gathered.reserve()
         val room = (Runtime.getRuntime().maxMemory() / 4).toInt()
         assertTrue(others.take(room - 10))
@@ -119,14 +119,14 @@
 
     @Test
     fun `a stalled stream that drips ends when its caller's patience does`() {
-        start(RepeatKind.ONCE, streaming = true, callerPatienceMs = 300)
+        start(RetrySafety.ONCE, streaming = true, callerPatienceMs = 300)
         script += drips
         assertEquals(events(1) + "|cut", unchunk(ask()))
     }
 
     @Test
     fun `a stalled stream that drips goes on elsewhere where that is allowed`() {
-        start(RepeatKind.RESUMABLE, streaming = true)
+        start(RetrySafety.RESUMABLE, streaming = true)
         script += drips
         script += { connection -> connection.write((streamHead + chunk(events(2)) + end).toByteArray()) }
         assertEquals(events(1, 2) + "|end", unchunk(ask()))
@@ -134,14 +134,14 @@
 
     @Test
     fun `a slow but sound stream that may run once is whole`() {
-        start(RepeatKind.ONCE, streaming = true)
+        start(RetrySafety.ONCE, streaming = true)
         script += slow
         assertEquals(events(1, 2) + "|end", unchunk(ask()))
     }
 
     @Test
     fun `a slow but sound stream that no other target may continue is whole`() {
-        start(RepeatKind.RESUMABLE, streaming = true, maximumTargets = 1)
+        start(RetrySafety.RESUMABLE, streaming = true, maximumTargets = 1)
         script += slow
         assertEquals(events(1, 2) + "|end", unchunk(ask()))
         assertEquals(1, sends)
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -384,8 +384,8 @@
                 requestsPerSecond = requestsPerSecond(model, nowMs),
                 idleMs = usage.idleMs(model, null, nowMs),
                 inFlight = usage.inFlight(model, null),
-                otherCopies = wish.copiesElsewhere.count { it == model },
-                answerMs = demand.answerMs(model, nowMs) ?: EvictionCandidate.USUAL_ANSWER_MS,
+                otherReplicas = wish.copiesElsewhere.count { it == model },
+                answerMs = demand.answerMs(model, nowMs) ?: EvictionCandidate.DEFAULT_ANSWER_MS,
                 surplus = model in wish.surplus,
                 reloadMs = if (model in report.inMemory || model in report.onDisk) RELOAD_AT_HAND_MS else RELOAD_FROM_STORE_MS,
             )
--- a/keeper/src/main/kotlin/WishQueue.kt
+++ b/keeper/src/main/kotlin/WishQueue.kt
@@ -17,7 +17,7 @@
 
         fun valueMs(): Double =
             byGateway.values.let { all ->
-                LoadValue.ofMs(all.sumOf { it.wish.callers.toDouble() }, all.sumOf { it.wish.requestsPerSecond.toDouble() })
+                LoadValue.valueMs(all.sumOf { it.wish.callers.toDouble() }, all.sumOf { it.wish.requestsPerSecond.toDouble() })
             }
     }
 
