--- a/decisions/src/main/kotlin/CatalogueChange.kt
+++ b/decisions/src/main/kotlin/CatalogueChange.kt
@@ -8,8 +8,8 @@
 /**
  * What changed in a catalogue between two sequences, with the final state of everything that changed.
  *
- * It fits a catalogue at exactly [fromSequence], since it lacks what was both added and removed in between. From sequence 0 it is the whole catalogue
- * and fits every older one.
+ * It fits a catalogue at exactly [fromSequence], since it lacks what was both added and removed in between. From sequence 0 it is the
+ * complete catalogue and fits every older one.
  */
 @Serializable
 public data class CatalogueChange(
--- a/decisions/src/main/kotlin/Placement.kt
+++ b/decisions/src/main/kotlin/Placement.kt
@@ -44,8 +44,8 @@
         val host = target?.host ?: input.hostOfLostTarget[right.target]
         if (host != null && (host in input.catalogue.retiredHosts || host in input.provenEmptyHosts)) return null
         val offer = input.catalogue.offers[right.model]
-        val wanted = offer != null && (target == null || offer.permits(target))
-        return if (wanted || right.recalled) right else right.copy(recalled = true)
+        val required = offer != null && (target == null || offer.permits(target))
+        return if (required || right.recalled) right else right.copy(recalled = true)
     }
 
     private fun fill(
--- a/decisions/src/main/kotlin/TargetEvent.kt
+++ b/decisions/src/main/kotlin/TargetEvent.kt
@@ -9,7 +9,7 @@
      * An entry host sent the part of the accepted state that concerns this target.
      *
      * @property revision revision of the platform's service; older revisions are ignored
-     * @property confirmed whether the state was read from the platform's service after this process asked for it
+     * @property confirmed whether the state was read from the platform's service after this process requested it
      */
     public data class StateReceived(
         val revision: Long,
@@ -57,7 +57,7 @@
     /** Time passed. */
     public data object Tick : TargetEvent()
 
-    /** The process was told to stop, or its host is leaving. */
+    /** The process was asked to stop, or its host is leaving. */
     public data object DrainRequested : TargetEvent()
 
     /** The drain time is over: waiting requests are refused and running requests are interrupted. */
--- a/decisions/src/main/kotlin/TargetMachine.kt
+++ b/decisions/src/main/kotlin/TargetMachine.kt
@@ -211,6 +211,6 @@
 internal fun TargetState.residentFor(request: WaitingRequest): ResidentKey? {
     if (kind == TargetKind.PLAIN) return PLAIN_SERVICE
     val offer = entitlement(request.model) ?: return null
-    val adapter = request.adapter?.let { wanted -> offer.adapters.firstOrNull { it.adapter == wanted } ?: return null }
+    val adapter = request.adapter?.let { requested -> offer.adapters.firstOrNull { it.adapter == requested } ?: return null }
     return ResidentKey(offer.model, offer.version, adapter?.adapter, adapter?.version)
 }
--- a/decisions/src/test/kotlin/ClusterViewTest.kt
+++ b/decisions/src/test/kotlin/ClusterViewTest.kt
@@ -20,14 +20,14 @@
     private val text = Json.encodeToString(Members.serializer(), members)
 
     @Test
-    fun `the first write after an empty listing is not passed over`() {
+    fun `the first write after an empty listing is not skipped`() {
         val empty = ClusterView().apply(StateChange(revision = 0))
         assertEquals(true to 0L, empty.ready to empty.revision)
         assertEquals(false, ClusterView().apply(StateChange(revision = NO_REVISION, fleet = Fleet(), fleetVersion = 1)).ready)
     }
 
     @Test
-    fun `a view never goes back and a relayed change carries what is lacking`() {
+    fun `a view never returns to an older state and a relayed change contains everything that the receiver lacks`() {
         val new = ClusterView().apply(StateChange(revision = 5, objects = listOf(StoredObject(StoreKeys.MEMBERS, 5, text))))
         val old = StateChange(revision = 3, objects = listOf(StoredObject(StoreKeys.MEMBERS, 3, """{"hosts":{}}""")))
         assertEquals(new, new.apply(old))
@@ -38,7 +38,7 @@
     }
 
     @Test
-    fun `a relayed catalogue change is applied whole or not at all`() =
+    fun `a relayed catalogue change is applied completely or not at all`() =
         runBlocking<Unit> {
             checkAll(PropTestConfig(seed = 4_401, iterations = 500), Arb.int()) { seed ->
                 val random = Random(seed)
--- a/decisions/src/test/kotlin/ForwardingDecisionTest.kt
+++ b/decisions/src/test/kotlin/ForwardingDecisionTest.kt
@@ -37,14 +37,14 @@
         )
 
     @Test
-    fun `each result of a send leads to the step that its kind allows`() =
+    fun `each result of a send leads to the step that the kind of request allows`() =
         cases.forEach { case ->
             val state = ForwardingState(case.kind, case.mayHaveRun, case.runsLeft, case.refusalsLeft, case.timeLeftMs)
             assertEquals(case.expected, ForwardingDecision.after(state, case.result) { case.budget }, "$case")
         }
 
     @Test
-    fun `a request that may have run is never said not to have run`() {
+    fun `a request that may have run is never reported as not run`() {
         val results = listOf(SendResult.NotSent, refused, SendResult.Lost, SendResult.Failed)
         for (kind in RetrySafety.entries) {
             for (result in results) {
--- a/decisions/src/test/kotlin/PlacementTest.kt
+++ b/decisions/src/test/kotlin/PlacementTest.kt
@@ -44,13 +44,13 @@
         fleet: Fleet,
         before: Map<Int, RightsShard> = emptyMap(),
         lost: Map<TargetId, HostId> = emptyMap(),
-        gone: Set<HostId> = emptySet(),
-    ): Map<Int, RightsShard> = before + Placement.plan(PlacementInput(catalogue, fleet, before, lost, gone))
+        provenEmpty: Set<HostId> = emptySet(),
+    ): Map<Int, RightsShard> = before + Placement.plan(PlacementInput(catalogue, fleet, before, lost, provenEmpty))
 
     private fun Map<Int, RightsShard>.rights() = values.flatMap { it.rights }
 
     @Test
-    fun `a right leaves its target only by proof`() {
+    fun `a right is taken from its target only with proof that the host holds nothing`() {
         val zones = listOf("a", "b")
         val first = plan(catalogue(replicas = 1), fleet(zones))
         val holder = first.rights().single().target
@@ -60,9 +60,9 @@
         val cases =
             listOf(
                 Triple("leaving", plan(catalogue(1), fleet(zones, leaving = setOf(index)), first), listOf(holder)),
-                Triple("vanished", plan(catalogue(1), fleet(zones, missing = setOf(index)), first, lost), listOf(holder)),
+                Triple("no longer listed", plan(catalogue(1), fleet(zones, missing = setOf(index)), first, lost), listOf(holder)),
                 Triple(
-                    "proven gone",
+                    "proven empty",
                     plan(catalogue(1), fleet(zones, missing = setOf(index)), first, lost, setOf(host)),
                     listOf(TargetId("t${1 - index}")),
                 ),
--- a/decisions/src/test/kotlin/RepeatAllowanceTest.kt
+++ b/decisions/src/test/kotlin/RepeatAllowanceTest.kt
@@ -12,33 +12,33 @@
 
 class RepeatAllowanceTest {
     @Test
-    fun `repeats of all gateways stay within the ratio and the common extra in every window`() =
+    fun `retries of all gateways together stay within the ratio and the common extra in every window`() =
         runBlocking<Unit> {
             checkAll(PropTestConfig(seed = 771, iterations = 200), Arb.long()) { seed ->
                 val random = Random(seed)
                 val count = random.nextInt(1, 8)
                 val gateways = List(count) { SharedRetryBudget(RetryLimits(ratio = 0.2, extra = 58.0, windowMs = 10_000)) }
-                val firsts = mutableListOf<Long>()
-                val repeats = mutableListOf<Long>()
+                val firstSendsMs = mutableListOf<Long>()
+                val retriesMs = mutableListOf<Long>()
                 var nowMs = 0L
                 repeat(600) {
                     nowMs += random.nextLong(0, 120)
                     val gateway = gateways.random(random)
                     if (random.nextInt(3) == 0) {
                         gateway.recordFirstSend(nowMs)
-                        firsts += nowMs
+                        firstSendsMs += nowMs
                     } else if (gateway.tryRetry(nowMs, count)) {
-                        repeats += nowMs
+                        retriesMs += nowMs
                     }
-                    val sent = firsts.count { it > nowMs - 10_000 }
-                    val again = repeats.count { it > nowMs - 10_000 }
-                    assertTrue(again <= 0.2 * sent + 58, "seed $seed: $again repeats for $sent requests")
+                    val sent = firstSendsMs.count { it > nowMs - 10_000 }
+                    val retried = retriesMs.count { it > nowMs - 10_000 }
+                    assertTrue(retried <= 0.2 * sent + 58, "seed $seed: $retried retries for $sent requests")
                 }
             }
         }
 
     @Test
-    fun `a spent budget returns with its window`() {
+    fun `a spent budget is available again after its window`() {
         val allowance = SharedRetryBudget(RetryLimits(ratio = 0.0, extra = 10.0, windowMs = 1_000))
         val granted = (0 until 20).count { allowance.tryRetry(nowMs = 0, gateways = 1) }
         assertEquals(6, granted)
--- a/decisions/src/test/kotlin/RequestOutcomeTest.kt
+++ b/decisions/src/test/kotlin/RequestOutcomeTest.kt
@@ -15,7 +15,10 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** Drives entry, agents and a network that loses, delays, repeats and cuts, and compares every outcome with what the targets ran. */
+/**
+ * Simulates an entry host, agents and a network that loses, delays, duplicates and disconnects, and compares every outcome with what the
+ * targets ran.
+ */
 class RequestOutcomeTest {
     private enum class Kind { START, RESUME, WITHDRAW }
 
@@ -25,7 +28,7 @@
         val arriveMs: Long,
     )
 
-    /** One agent with its registry; a kill empties the registry and what it ran stays on the target's record. */
+    /** One agent with its registry; a kill clears the registry, but not the number of runs at its target. */
     private class Agent {
         var incarnation = 0
         var registry = RequestRegistry()
@@ -64,13 +67,13 @@
         val answered = mutableSetOf<Int>()
 
         fun run() {
-            follow(machine.start())
+            perform(machine.start())
             while (outcome == null) tick()
             endedMs = nowMs
             repeat(400) { tickAgents() }
         }
 
-        private fun follow(step: RequestStep) {
+        private fun perform(step: RequestStep) {
             when (step) {
                 is RequestStep.Send -> send(step.target.value.toInt())
                 RequestStep.Withdraw -> post(Kind.WITHDRAW)
@@ -80,15 +83,15 @@
         }
 
         private fun send(target: Int) {
-            if (ending()) return follow(machine.next(RequestEvent.GivenUp))
+            if (ending()) return perform(machine.next(RequestEvent.GivenUp))
             current = target
             sentTo = agents[target].incarnation
-            if (random.nextInt(8) == 0) return follow(machine.next(RequestEvent.NotSent))
+            if (random.nextInt(8) == 0) return perform(machine.next(RequestEvent.NotSent))
             post(Kind.START)
             if (random.nextInt(6) == 0) post(Kind.START)
         }
 
-        /** A connection may be silent for long; what was written to it can still arrive later, unless the process is killed. */
+        /** A connection may be silent for long; data written to it can still arrive later, unless the process is killed. */
         private fun post(kind: Kind) {
             val delayMs = if (random.nextInt(6) == 0) random.nextLong(1_000, 20_000) else random.nextLong(50)
             agents[current].inbox += Packet(kind, sentTo, nowMs + delayMs)
@@ -100,13 +103,13 @@
             if (random.nextInt(200) == 0) agents.random(random).kill()
             val agent = agents[current]
             when {
-                nowMs >= deadlineMs -> follow(machine.next(RequestEvent.DeadlinePassed))
-                nowMs >= processEndsMs + MARGIN_MS -> follow(machine.next(RequestEvent.Interrupted))
+                nowMs >= deadlineMs -> perform(machine.next(RequestEvent.DeadlinePassed))
+                nowMs >= processEndsMs + MARGIN_MS -> perform(machine.next(RequestEvent.Interrupted))
                 (ending() || nowMs >= deadlineMs - MARGIN_MS) && !withdrawn -> {
                     withdrawn = true
-                    follow(machine.next(RequestEvent.DeadlineNear))
+                    perform(machine.next(RequestEvent.DeadlineNear))
                 }
-                agent.incarnation != sentTo -> follow(machine.next(RequestEvent.Lost))
+                agent.incarnation != sentTo -> perform(machine.next(RequestEvent.Lost))
                 silentUntilMs in 1..nowMs -> {
                     silentUntilMs = 0
                     post(Kind.RESUME)
@@ -120,7 +123,7 @@
             agent.answers.remove(answer)
             if (answer.second == RequestEvent.Completed) answered += current
             val givenUp = ending() && answer.second is RequestEvent.Refused
-            follow(machine.next(if (givenUp) RequestEvent.GivenUp else answer.second))
+            perform(machine.next(if (givenUp) RequestEvent.GivenUp else answer.second))
         }
 
         private fun ending() = nowMs >= processEndsMs
@@ -130,13 +133,13 @@
             agents.forEach { agent ->
                 agent.inbox.filter { it.arriveMs <= nowMs }.forEach { packet ->
                     agent.inbox.remove(packet)
-                    if (packet.incarnation == agent.incarnation) take(agent, packet.kind)
+                    if (packet.incarnation == agent.incarnation) handle(agent, packet.kind)
                 }
-                work(agent)
+                advance(agent)
             }
         }
 
-        private fun take(
+        private fun handle(
             agent: Agent,
             kind: Kind,
         ) {
@@ -162,7 +165,7 @@
             answer(agent, RequestEvent.Refused(reason))
         }
 
-        private fun work(agent: Agent) {
+        private fun advance(agent: Agent) {
             when {
                 agent.waiting &&
                     random.nextInt(
@@ -203,7 +206,7 @@
     }
 
     @Test
-    fun `every request has one true outcome in time and none runs twice`() =
+    fun `every request has one correct outcome in time and runs at most once unless it is repeatable`() =
         runBlocking<Unit> {
             val seen = mutableMapOf<String, Int>()
             checkAll(PropTestConfig(seed = 5_101, iterations = 20_000), Arb.long()) { seed ->
@@ -216,9 +219,9 @@
             assertTrue(seen.keys.size == 3 && seen.values.all { it > 500 }, "The schedules reach too few outcomes: $seen")
         }
 
-    /** Guards against "not run" for a request that runs, when the process that has it ends before its deadline. */
+    /** Guards against the outcome "not run" for a request that runs, when its process ends before its deadline. */
     @Test
-    fun `a request has one true outcome also when its process ends`() =
+    fun `a request has one correct outcome even if its process ends`() =
         runBlocking<Unit> {
             val seen = mutableMapOf<String, Int>()
             checkAll(PropTestConfig(seed = 5_102, iterations = 20_000), Arb.long()) { seed ->
--- a/decisions/src/test/kotlin/ResidencyPolicyTest.kt
+++ b/decisions/src/test/kotlin/ResidencyPolicyTest.kt
@@ -35,12 +35,12 @@
         }
 
     @Test
-    fun `the gaps seen decide how long a model stays`() {
+    fun `the observed gaps determine how long a model stays loaded`() {
         val policy = ResidencyPolicy.LearnedGaps(idleMsPerColdMs = 60.0)
         val breakEvenMs = 600_000L
         val cases =
             listOf(
-                Triple("nothing seen", emptyList(), breakEvenMs..breakEvenMs),
+                Triple("no gaps observed", emptyList(), breakEvenMs..breakEvenMs),
                 Triple("short gaps", List(10) { 20_000L }, 20_000L..70_000L),
                 Triple("long gaps", List(10) { 50_000_000L }, 0L..0L),
                 Triple("visits between long gaps", List(30) { if (it % 6 == 5) 50_000_000L else 30_000L }, 30_000L..140_000L),
@@ -52,7 +52,7 @@
     }
 
     @Test
-    fun `a model without gaps of its own takes those of all models`() {
+    fun `a model without gaps of its own uses those of all models`() {
         val pool = history(List(20) { 20_000L })
         val own = ArrivalHistory(lastArrivalMs = 0)
         assertEquals(600_000L, ResidencyPolicy.LearnedGaps(60.0).keepMs(own, loadMs = 10_000))
--- a/decisions/src/test/kotlin/RightsPropertyTest.kt
+++ b/decisions/src/test/kotlin/RightsPropertyTest.kt
@@ -12,7 +12,7 @@
 
 class RightsPropertyTest {
     @Test
-    fun `no replica without a right and no memory beyond capacity under kills, pauses, lost replies and racing tickets`() =
+    fun `replicas never exist without a right or beyond capacity under kills, pauses, lost replies and concurrent tickets`() =
         runBlocking<Unit> {
             var loads = 0
             checkAll(PropTestConfig(seed = 4_201, iterations = 400), Arb.long()) { seed ->
@@ -21,6 +21,6 @@
                 assertEquals(0, world.settleAndCountSurplus(), "seed $seed")
                 loads += world.loadsSeen
             }
-            assertTrue(loads > 1_000, "Only $loads loads were ordered, so the schedules prove little.")
+            assertTrue(loads > 1_000, "Only $loads loads were ordered; the schedules cover too little.")
         }
 }
--- a/decisions/src/test/kotlin/RightsWorld.kt
+++ b/decisions/src/test/kotlin/RightsWorld.kt
@@ -14,14 +14,14 @@
 import kotlin.random.Random
 import kotlin.test.assertTrue
 
-/** Engine in memory that judges every order. Orders may reach it late, but within the settle time of [TargetLimits]. */
+/** Engine in memory that accepts or refuses each order. Orders may be delayed, but within the settle time of [TargetLimits]. */
 class FakeEngine(
     val capacityMb: Long,
     val honoursFence: Boolean,
 ) {
     val residents = mutableMapOf<ResidentKey, ReportedResident>()
     private val loadedAtMs = mutableMapOf<ResidentKey, Long>()
-    private val goneAtMs = mutableMapOf<ResidentKey, Long>()
+    private val unloadedAtMs = mutableMapOf<ResidentKey, Long>()
     var fence = 0L
 
     fun order(
@@ -39,7 +39,7 @@
                 }
             is Order.Unload -> {
                 if (residents[order.key]?.loading == true) return false
-                if (order.key in residents) goneAtMs.putIfAbsent(order.key, readyMs)
+                if (order.key in residents) unloadedAtMs.putIfAbsent(order.key, readyMs)
             }
         }
         return true
@@ -48,16 +48,16 @@
     fun advance(nowMs: Long) {
         val loaded = residents.values.filter { it.loading && loadedAtMs.getValue(it.key) <= nowMs }
         loaded.forEach { residents[it.key] = it.copy(loading = false) }
-        val gone = goneAtMs.filterValues { it <= nowMs }.keys.toList()
-        gone.forEach {
-            goneAtMs.remove(it)
+        val unloaded = unloadedAtMs.filterValues { it <= nowMs }.keys.toList()
+        unloaded.forEach {
+            unloadedAtMs.remove(it)
             residents.remove(it)
         }
     }
 
     fun crash() {
         residents.clear()
-        goneAtMs.clear()
+        unloadedAtMs.clear()
     }
 }
 
@@ -68,7 +68,7 @@
     val limits: TargetLimits,
     startMs: Long,
 ) {
-    class Flight(
+    class SentOrder(
         val order: Order,
         val fence: Long,
         val incarnation: Int,
@@ -88,12 +88,12 @@
     var incarnation = 0
     var fence = 0L
     var pausedUntilMs = 0L
-    val flights = mutableListOf<Flight>()
+    val inTransit = mutableListOf<SentOrder>()
     val replies = mutableListOf<Reply>()
     val givenBack = mutableListOf<RightKey>()
 }
 
-/** Targets, an object store with rights and tickets, entry hosts with views of different age, and a controller; driven by a seed. */
+/** Targets, an object store with rights and tickets, entry hosts with views of different age, and a controller, simulated from a seed. */
 class RightsWorld(
     private val random: Random,
 ) {
@@ -102,7 +102,7 @@
     private val targets = List(4) { newTarget(it) }
     private var catalogue = Catalogue()
 
-    /** Only shards that were ever written, by index; the others hold nothing. */
+    /** Only shards that were ever written, by index; the others are empty. */
     private var shards = emptyMap<Int, RightsShard>()
     private var revision = 1L
     private val leaving = mutableSetOf<TargetId>()
@@ -140,7 +140,7 @@
             in 0..2 -> accept()
             in 3..14 -> plan()
             in 15..34 -> deliverState(targets.random(random))
-            in 35..54 -> arrive(targets.random(random))
+            in 35..54 -> sendRequest(targets.random(random))
             in 55..56 -> restart(targets.random(random))
             in 57..58 -> targets.random(random).let { it.pausedUntilMs = nowMs + random.nextLong(20_000) }
             59 -> targets.random(random).engine.crash()
@@ -176,7 +176,7 @@
         views += View(revision, catalogue, shards)
     }
 
-    /** A controller that wakes late plans on an old view; its conditional writes then fail. */
+    /** A delayed controller plans on a stale view; its conditional writes then fail. */
     private fun plan() {
         val basis = if (random.nextInt(4) == 0) views.random(random) else views.last()
         val changes = Placement.plan(PlacementInput(basis.catalogue, fleet(), basis.shards))
@@ -196,7 +196,7 @@
         )
     }
 
-    /** A state arrives from an entry host that may be behind; only the newest can be confirmed. */
+    /** Delivers the state of an entry host, which may be stale; only the newest can be confirmed. */
     private fun deliverState(target: FakeTarget) {
         val view = if (random.nextInt(3) == 0) views.random(random) else views.last()
         val rights =
@@ -208,7 +208,7 @@
         handle(target, TargetEvent.StateReceived(view.revision, view.catalogue.sequence, offers, rights, confirmed))
     }
 
-    private fun arrive(target: FakeTarget) {
+    private fun sendRequest(target: FakeTarget) {
         val model =
             target.state.rights
                 .map { it.model }
@@ -223,7 +223,7 @@
         handle(target, TargetEvent.Arrived(request))
     }
 
-    /** The process is killed and started again; its orders may still be on their way. */
+    /** Kills and restarts the process; its orders may still be in transit. */
     private fun restart(target: FakeTarget) {
         target.state = TargetState(target.engine.capacityMb, startedMs = nowMs)
         target.incarnation++
@@ -237,25 +237,25 @@
         targets.forEach { target ->
             target.engine.advance(nowMs)
             deliverOrders(target)
-            if (nowMs >= target.pausedUntilMs) serve(target)
+            if (nowMs >= target.pausedUntilMs) runAgent(target)
         }
     }
 
     private fun deliverOrders(target: FakeTarget) {
-        target.flights.filter { it.arriveMs <= nowMs }.forEach { flight ->
-            target.flights.remove(flight)
-            val taken = target.engine.order(flight.order, flight.fence, readyMs = nowMs + random.nextLong(50, 3_000))
+        target.inTransit.filter { it.arriveMs <= nowMs }.forEach { sent ->
+            target.inTransit.remove(sent)
+            val accepted = target.engine.order(sent.order, sent.fence, readyMs = nowMs + random.nextLong(50, 3_000))
             val reply =
                 when {
-                    flight.lost -> OrderReply.LOST
-                    taken -> OrderReply.ACCEPTED
+                    sent.lost -> OrderReply.LOST
+                    accepted -> OrderReply.ACCEPTED
                     else -> OrderReply.REFUSED
                 }
-            target.replies += FakeTarget.Reply(flight.order, flight.incarnation, reply, nowMs + random.nextLong(100))
+            target.replies += FakeTarget.Reply(sent.order, sent.incarnation, reply, nowMs + random.nextLong(100))
         }
     }
 
-    private fun serve(target: FakeTarget) {
+    private fun runAgent(target: FakeTarget) {
         target.replies.filter { it.arriveMs <= nowMs }.forEach { reply ->
             target.replies.remove(reply)
             if (reply.incarnation == target.incarnation) handle(target, TargetEvent.OrderReplied(reply.order, reply.reply))
@@ -282,7 +282,7 @@
         )
     }
 
-    /** The entry host's conditional update; it may fail and is then repeated by the agent. */
+    /** Conditional update by the entry host; it may fail and is then retried by the agent. */
     private fun release(target: FakeTarget) {
         if (target.givenBack.isEmpty() || random.nextInt(3) == 0) return
         val keys = target.givenBack.toSet()
@@ -317,7 +317,7 @@
     ) {
         if (order is Order.Load) loadsSeen++
         val delayMs = random.nextLong(target.limits.orderSettleMs - 100)
-        target.flights += FakeTarget.Flight(order, target.fence, target.incarnation, nowMs + delayMs, lost = random.nextInt(5) == 0)
+        target.inTransit += FakeTarget.SentOrder(order, target.fence, target.incarnation, nowMs + delayMs, lost = random.nextInt(5) == 0)
     }
 
     private fun assertServable(
@@ -358,7 +358,7 @@
         }
     }
 
-    /** Lets everything settle without further faults and returns the number of engines that hold each model more often than allowed. */
+    /** Runs without further faults until all is settled, and returns the number of replicas above the limits of the models. */
     fun settleAndCountSurplus(): Int {
         targets.forEach { it.pausedUntilMs = 0 }
         repeat(200) {
@@ -368,7 +368,7 @@
                 target.engine.advance(nowMs)
                 deliverState(target)
                 deliverOrders(target)
-                serve(target)
+                runAgent(target)
                 verify()
             }
         }
--- a/decisions/src/test/kotlin/RoutingTest.kt
+++ b/decisions/src/test/kotlin/RoutingTest.kt
@@ -28,11 +28,11 @@
     ) = Candidate(TargetId(name), Location(RegionId(region), ZoneId(zone)), rank, warm, outstanding, suspect)
 
     @Test
-    fun `the order of targets`() {
+    fun `targets are ordered by state, distance and rank`() {
         val far = candidate("far", region = "slavonija", zone = "osijek-a")
         val cases =
             listOf(
-                Triple("cold ones by rank", listOf(candidate("b", rank = 1), candidate("a", rank = 0)), listOf("a", "b")),
+                Triple("cold targets by rank", listOf(candidate("b", rank = 1), candidate("a", rank = 0)), listOf("a", "b")),
                 Triple("warm before cold", listOf(candidate("cold"), candidate("warm", rank = 1, warm = true)), listOf("warm", "cold")),
                 Triple("near cold before far warm", listOf(far.copy(warm = true), candidate("near")), listOf("near", "far")),
                 Triple(
@@ -40,7 +40,7 @@
                     listOf(candidate("region", zone = "split-b", warm = true), candidate("zone", warm = true)),
                     listOf("zone", "region"),
                 ),
-                Triple("suspects last", listOf(candidate("a", suspect = true), far), listOf("far", "a")),
+                Triple("suspect targets last", listOf(candidate("a", suspect = true), far), listOf("far", "a")),
             )
         cases.forEach { (name, candidates, expected) ->
             assertEquals(expected, Router.order(candidates, origin, "prefix", crossRegionAllowed = true).map { it.target.value }, name)
@@ -61,19 +61,19 @@
         }
 
     @Test
-    fun `affinity never passes the load bound while a target below it is warm`() =
+    fun `affinity never exceeds the load bound while a warm target is below it`() =
         runBlocking<Unit> {
             checkAll(PropTestConfig(seed = 5_202, iterations = 500), Arb.int()) { seed ->
                 val random = Random(seed)
                 val candidates = List(random.nextInt(2, 8)) { candidate("t$it", warm = true, outstanding = random.nextInt(20)) }
                 val first = Router.order(candidates, origin, "prefix-${random.nextInt()}", crossRegionAllowed = true).first()
                 val bound = 1.25 * (candidates.sumOf { it.outstanding } + 1) / candidates.size
-                assertTrue(first.outstanding <= bound, "${first.outstanding} outstanding requests pass the bound $bound.")
+                assertTrue(first.outstanding <= bound, "${first.outstanding} outstanding requests exceed the bound $bound.")
             }
         }
 
     @Test
-    fun `added retries stay below the share when every target fails`() =
+    fun `retries stay within their share of the requests when every target fails`() =
         runBlocking<Unit> {
             checkAll(PropTestConfig(seed = 5_203, iterations = 200), Arb.int(1, 2_000)) { requests ->
                 val budget = RetryBudget(share = 0.1, burst = 10.0)
@@ -83,7 +83,7 @@
         }
 
     @Test
-    fun `a silent connection is found only while work is outstanding`() {
+    fun `a silent connection is detected only while work is outstanding`() {
         val cases =
             listOf(
                 Triple(
@@ -113,26 +113,26 @@
     }
 
     @Test
-    fun `a message held up for long is not taken`() {
+    fun `a message that was delayed for too long is not fresh`() {
         val guard = TransitGuard(maximumTransitMs = 1_000)
         val cases = listOf(Triple(0L, 500L, true), Triple(100L, 600L, true), Triple(200L, 1_700L, true), Triple(300L, 1_801L, false))
         cases.forEach { (sentMs, receivedMs, fresh) -> assertEquals(fresh, guard.isFresh(sentMs, receivedMs), "sent at $sentMs ms") }
     }
 
     @Test
-    fun `a lease changes hands only when its object stands still by the observer's clock`() {
+    fun `the holder of a lease changes only when the object is unchanged for the duration by the observer's clock`() {
         val held = Lease(holder = "a", term = 3, renewal = 7)
         val cases =
             listOf(
                 "free" to listOf(Triple(null, 0L, LeaseAction.Write(Lease("b", term = 1)))),
-                "given up" to listOf(Triple(held.copy(holder = ""), 0L, LeaseAction.Write(Lease("b", term = 4)))),
+                "released" to listOf(Triple(held.copy(holder = ""), 0L, LeaseAction.Write(Lease("b", term = 4)))),
                 "held" to listOf(Triple(held, 0L, LeaseAction.Wait), Triple(held.copy(renewal = 8), 5_000L, LeaseAction.Wait)),
-                "lapsed" to listOf(Triple(held, 0L, LeaseAction.Wait), Triple(held, 6_000L, LeaseAction.Write(Lease("b", term = 4)))),
+                "expired" to listOf(Triple(held, 0L, LeaseAction.Wait), Triple(held, 6_000L, LeaseAction.Write(Lease("b", term = 4)))),
                 "own" to listOf(Triple(held.copy(holder = "b"), 0L, LeaseAction.Write(Lease("b", term = 3, renewal = 8)))),
             )
-        cases.forEach { (name, looks) ->
+        cases.forEach { (name, checks) ->
             val observer = LeaseObserver(self = "b", durationMs = 6_000)
-            looks.forEach { (lease, nowMs, expected) -> assertEquals(expected, observer.observe(lease, nowMs), "$name at $nowMs ms") }
+            checks.forEach { (lease, nowMs, expected) -> assertEquals(expected, observer.observe(lease, nowMs), "$name at $nowMs ms") }
         }
     }
 }
--- a/decisions/src/test/kotlin/TargetChoiceTest.kt
+++ b/decisions/src/test/kotlin/TargetChoiceTest.kt
@@ -22,18 +22,18 @@
 
     private val cases =
         listOf(
-            Case("nobody", emptyList(), null),
-            Case("near ties go by affinity", listOf(target("a"), target("b", affinity = 0.9)), "b"),
-            Case("prompt at hand in another region", listOf(target("far", 12.0, workMs = 75.0), target("near", workMs = 237.0)), "far"),
+            Case("no candidates", emptyList(), null),
+            Case("affinity decides between near ties", listOf(target("a"), target("b", affinity = 0.9)), "b"),
+            Case("prompt cached in another region", listOf(target("far", 12.0, workMs = 75.0), target("near", workMs = 237.0)), "far"),
             Case("own zone when all else is equal", listOf(target("far", 12.0, affinity = 0.9), target("near")), "near"),
             Case(
-                "burst: the queue is left for a cold engine",
-                listOf(target("kept", waitMs = 400.0), target("cold", workMs = 237.0)),
+                "burst: a cold engine is faster than the queue",
+                listOf(target("cached", waitMs = 400.0), target("cold", workMs = 237.0)),
                 "cold",
             ),
             Case(
-                "grey engine: failures count as time",
-                listOf(target("grey", failureShare = 0.45), target("slow", workMs = 200.0)),
+                "partly failing engine: failures count as time",
+                listOf(target("failing", failureShare = 0.45), target("slow", workMs = 200.0)),
                 "slow",
             ),
         )
--- a/decisions/src/test/kotlin/TargetMachineTest.kt
+++ b/decisions/src/test/kotlin/TargetMachineTest.kt
@@ -12,8 +12,8 @@
 class TargetMachineTest {
     private val limits = TargetLimits(maximumRunning = 2, maximumWaiting = 5, minimumResidencyMs = 2_000)
 
-    /** A target with an engine that loads in [loadMs]; records what happened. */
-    private inner class Bench(
+    /** Simulates a target with an engine that loads in [loadMs], and records the effects. */
+    private inner class Simulation(
         names: List<String> = listOf("a", "b"),
         private val memoryEachMb: Long = 60,
         private val loadMs: Long = 500,
@@ -37,10 +37,10 @@
         fun handle(event: TargetEvent) {
             val transition = machine.handle(state, event, nowMs)
             state = transition.state
-            transition.effects.forEach { take(it) }
+            transition.effects.forEach { perform(it) }
         }
 
-        private fun take(effect: TargetEffect) {
+        private fun perform(effect: TargetEffect) {
             when (effect) {
                 is TargetEffect.Send -> order(effect.order)
                 is TargetEffect.Dispatch -> dispatched += effect.id.value
@@ -95,9 +95,9 @@
     }
 
     @Test
-    fun `requests are refused before they run for a named reason`() {
+    fun `requests are refused with the reason before they run`() {
         val cases =
-            listOf<Triple<String, Bench.() -> Unit, RefusalReason>>(
+            listOf<Triple<String, Simulation.() -> Unit, RefusalReason>>(
                 Triple("no right", { request("x", model = "c") }, RefusalReason.NO_RIGHT),
                 Triple("too short", { request("x", timeoutMs = 200) }, RefusalReason.DEADLINE_TOO_SHORT),
                 Triple("draining", { handle(TargetEvent.DrainRequested).also { request("x") } }, RefusalReason.LEAVING),
@@ -105,97 +105,97 @@
                 Triple("withdrawn", { request("x").also { handle(TargetEvent.Withdrawn(RequestId("x"))) } }, RefusalReason.CANCELLED),
                 Triple("full", { repeat(5) { request("r$it", priority = 6) }.also { request("x") } }, RefusalReason.QUEUE_FULL),
             )
-        cases.forEach { (name, act, expected) -> assertEquals(expected, Bench().apply(act).refused["x"], name) }
-        assertEquals(RefusalReason.NO_MEMORY, Bench(memoryEachMb = 200).apply { request("x") }.refused["x"])
+        cases.forEach { (name, act, expected) -> assertEquals(expected, Simulation().apply(act).refused["x"], name) }
+        assertEquals(RefusalReason.NO_MEMORY, Simulation(memoryEachMb = 200).apply { request("x") }.refused["x"])
     }
 
     @Test
     fun `a waiting request is refused when its deadline passes`() {
-        val bench = Bench()
-        bench.request("busy-1")
-        bench.request("busy-2")
-        bench.runFor(1_000)
-        bench.request("late", timeoutMs = 3_000)
-        bench.runFor(3_100)
-        assertEquals(RefusalReason.DEADLINE_PASSED, bench.refused["late"])
+        val simulation = Simulation()
+        simulation.request("busy-1")
+        simulation.request("busy-2")
+        simulation.runFor(1_000)
+        simulation.request("late", timeoutMs = 3_000)
+        simulation.runFor(3_100)
+        assertEquals(RefusalReason.DEADLINE_PASSED, simulation.refused["late"])
     }
 
     @Test
     fun `an idle model is unloaded and a busy one never is`() {
-        val bench = Bench()
-        bench.request("x")
-        bench.runFor(20_000)
-        assertEquals(listOf("x"), bench.dispatched)
-        assertEquals(60, bench.state.reservedMb)
-        bench.request("other", model = "b")
-        bench.runFor(2_000)
-        assertEquals(listOf("a"), bench.loads)
-        bench.finish("x")
-        bench.runFor(2_000)
-        assertEquals(listOf("a", "b"), bench.loads)
-        bench.finish("other")
-        bench.runFor(6_000)
-        assertEquals(0, bench.state.reservedMb)
+        val simulation = Simulation()
+        simulation.request("x")
+        simulation.runFor(20_000)
+        assertEquals(listOf("x"), simulation.dispatched)
+        assertEquals(60, simulation.state.reservedMb)
+        simulation.request("other", model = "b")
+        simulation.runFor(2_000)
+        assertEquals(listOf("a"), simulation.loads)
+        simulation.finish("x")
+        simulation.runFor(2_000)
+        assertEquals(listOf("a", "b"), simulation.loads)
+        simulation.finish("other")
+        simulation.runFor(6_000)
+        assertEquals(0, simulation.state.reservedMb)
     }
 
     @Test
     fun `two models that alternate in one slot are loaded once per minimum residency at most`() {
-        val bench = Bench()
+        val simulation = Simulation()
         var count = 0
-        while (bench.nowMs < 60_000) {
-            bench.request("r$count", model = if (count % 2 == 0) "a" else "b")
+        while (simulation.nowMs < 60_000) {
+            simulation.request("r$count", model = if (count % 2 == 0) "a" else "b")
             count++
-            bench.runFor(100)
-            bench.state.running.keys
+            simulation.runFor(100)
+            simulation.state.running.keys
                 .toList()
-                .forEach { bench.finish(it.value) }
+                .forEach { simulation.finish(it.value) }
         }
         val bound = 60_000 / limits.minimumResidencyMs + 1
-        assertTrue(bench.loads.size <= bound, "${bench.loads.size} loads in 60 s; the bound is $bound.")
-        assertTrue(bench.refused.values.none { it != RefusalReason.QUEUE_FULL }, bench.refused.toString())
+        assertTrue(simulation.loads.size <= bound, "${simulation.loads.size} loads in 60 s; the bound is $bound.")
+        assertTrue(simulation.refused.values.none { it != RefusalReason.QUEUE_FULL }, simulation.refused.toString())
     }
 
     @Test
     fun `the lowest priority is served within the aging bound`() {
-        val bench = Bench(names = listOf("a"))
-        bench.request("low", priority = 0, timeoutMs = 300_000)
+        val simulation = Simulation(names = listOf("a"))
+        simulation.request("low", priority = 0, timeoutMs = 300_000)
         var count = 0
         val boundMs = (9 - 0 + 1) * limits.agingMs + 1_000
-        while ("low" !in bench.dispatched && bench.nowMs < 300_000) {
-            while (bench.state.waiting.size < 4) bench.request("high${count++}", priority = 9, timeoutMs = 300_000)
-            bench.state.running.keys
+        while ("low" !in simulation.dispatched && simulation.nowMs < 300_000) {
+            while (simulation.state.waiting.size < 4) simulation.request("high${count++}", priority = 9, timeoutMs = 300_000)
+            simulation.state.running.keys
                 .firstOrNull()
-                ?.let { bench.finish(it.value) }
-            bench.runFor(100)
+                ?.let { simulation.finish(it.value) }
+            simulation.runFor(100)
         }
-        assertTrue(bench.nowMs <= boundMs, "It was served after ${bench.nowMs} ms; the bound is $boundMs ms.")
+        assertTrue(simulation.nowMs <= boundMs, "It was served after ${simulation.nowMs} ms; the bound is $boundMs ms.")
     }
 
     @Test
-    fun `an agent that no entry host reaches unloads everything and loads nothing`() {
-        val bench = Bench()
-        bench.request("x")
-        bench.runFor(1_000)
-        bench.finish("x")
-        bench.nowMs += limits.fencingMs
-        bench.handle(TargetEvent.Tick)
-        bench.handle(
+    fun `an agent without contact to any entry host unloads everything and loads nothing`() {
+        val simulation = Simulation()
+        simulation.request("x")
+        simulation.runFor(1_000)
+        simulation.finish("x")
+        simulation.nowMs += limits.fencingMs
+        simulation.handle(TargetEvent.Tick)
+        simulation.handle(
             TargetEvent.Arrived(
                 WaitingRequest(
                     RequestId("y"),
                     ModelId("a"),
-                    arrivedMs = bench.nowMs,
+                    arrivedMs = simulation.nowMs,
                     deadlineMs =
-                        bench.nowMs + 60_000,
+                        simulation.nowMs + 60_000,
                 ),
             ),
         )
-        assertEquals(RefusalReason.NOT_READY, bench.refused["y"])
-        assertEquals(listOf("a"), bench.loads)
+        assertEquals(RefusalReason.NOT_READY, simulation.refused["y"])
+        assertEquals(listOf("a"), simulation.loads)
         assertTrue(
-            bench.state.residents.values
+            simulation.state.residents.values
                 .all { it.phase is ResidentPhase.Unloading },
-            bench.state.residents.toString(),
+            simulation.state.residents.toString(),
         )
     }
 }
--- a/decisions/src/test/kotlin/TicketAcceptanceTest.kt
+++ b/decisions/src/test/kotlin/TicketAcceptanceTest.kt
@@ -54,7 +54,7 @@
     }
 
     @Test
-    fun `a faulty ticket is refused whole`() {
+    fun `a faulty ticket is refused as a whole`() {
         val offer = ticket(1, 1).models.single()
         val cases =
             listOf(
@@ -74,7 +74,7 @@
     }
 
     @Test
-    fun `an accepted ticket is recognized after its number left the head`() {
+    fun `an accepted ticket is recognized after its number was trimmed from the head`() {
         val store = FakeStore()
         val numbers = (1L..200L).map { it * 2 }
         numbers.forEach { assertIs<TicketOutcome.Accepted>(run(ticket(it, 1), store)) }
@@ -99,13 +99,13 @@
         store.call(StoreCall.Replace(StoreKeys.HEAD, Json.encodeToString(TicketHead.serializer(), trimmed), found.version))
     }
 
-    /** One operator's submission in progress; a crash makes it start anew. */
+    /** The submission of one operator in progress; a crash restarts it. */
     private class Operator(
         val ticket: Ticket,
     ) {
         var acceptance = TicketAcceptance(ticket)
         var step = acceptance.start()
-        val heard = mutableListOf<TicketOutcome>()
+        val outcomes = mutableListOf<TicketOutcome>()
 
         fun restart() {
             acceptance = TicketAcceptance(ticket)
@@ -114,7 +114,7 @@
     }
 
     @Test
-    fun `racing operators, lost replies and crashes give one order and true outcomes`() =
+    fun `concurrent operators, lost replies and crashes result in one order and correct outcomes`() =
         runBlocking<Unit> {
             checkAll(PropTestConfig(seed = 4_101, iterations = 1_500), Arb.long()) { seed ->
                 val random = Random(seed)
@@ -122,7 +122,7 @@
                 val operators =
                     List(random.nextInt(2, 11)) { Operator(ticket(random.nextLong(1, 8), random.nextInt(1, 4), "m${random.nextInt(3)}")) }
                 var lastSequence = 0L
-                while (operators.any { it.step is AcceptanceStep.Call || it.heard.isEmpty() }) {
+                while (operators.any { it.step is AcceptanceStep.Call || it.outcomes.isEmpty() }) {
                     advance(operators.random(random), store, random)
                     val sequence =
                         (
@@ -148,7 +148,7 @@
             is AcceptanceStep.Call ->
                 if (random.nextInt(100) < 5) operator.restart() else operator.step = operator.acceptance.next(store.call(step.call))
             is AcceptanceStep.Done -> {
-                operator.heard += step.outcome
+                operator.outcomes += step.outcome
                 if (!step.outcome.isFinal()) operator.restart()
             }
         }
@@ -164,7 +164,7 @@
         val accepted = head.recent.map { Json.decodeFromString<Ticket>(store.objects.getValue(StoreKeys.ticket(it)).value) }
         assertEquals(head.recent.sorted().distinct(), head.recent)
         operators.forEach { operator ->
-            val finals = operator.heard.filter { it.isFinal() }.distinct()
+            val finals = operator.outcomes.filter { it.isFinal() }.distinct()
             when (val outcome = finals.first()) {
                 is TicketOutcome.Accepted -> assertEquals(operator.ticket, accepted[(outcome.sequence - 1).toInt()])
                 is TicketOutcome.Superseded -> assertTrue(operator.ticket !in accepted)
