--- a/decisions/src/main/kotlin/EvictionPlan.kt
+++ b/decisions/src/main/kotlin/EvictionPlan.kt
@@ -45,7 +45,7 @@
 /** Decides which loaded models are evicted for another one. */
 public object EvictionPlan {
     /**
-     * Returns the models that free [neededMb] together at the lowest cost and wait; null when all of [candidates] are too small.
+     * Returns the models that together free [neededMb] at the lowest cost and wait; null if all [candidates] together are too small.
      *
      * @param waitingCallers callers that wait for the memory, including those expected until it is free
      */
--- a/decisions/src/test/kotlin/EvictionPlanTest.kt
+++ b/decisions/src/test/kotlin/EvictionPlanTest.kt
@@ -47,7 +47,7 @@
                 60_000,
                 listOf("old"),
             ),
-            Case("one of several replicas before a last one", listOf(held("last"), held("copy", otherReplicas = 1)), 60_000, listOf("copy")),
+            Case("a further replica before a last one", listOf(held("last"), held("copy", otherReplicas = 1)), 60_000, listOf("copy")),
             Case(
                 "before the first requests: a model with other replicas counts as busy and stays",
                 listOf(held("busy", requestsPerSecond = 0.0, otherReplicas = 1), held("rare", requestsPerSecond = 0.0)),
