--- a/entry/src/main/kotlin/AdminServer.kt
+++ b/entry/src/main/kotlin/AdminServer.kt
@@ -42,7 +42,7 @@
             get("/metrics") { call.respondText(metrics.export()) }
             get("/healthz") { call.respondText("ok\n") }
             get("/readyz") {
-                val ready = holder.view.ready && !drain.leaving
+                val ready = holder.view.ready && !drain.stopRequested
                 call.respondText(
                     if (ready) "ready\n" else "not ready\n",
                     status = if (ready) HttpStatusCode.OK else HttpStatusCode.ServiceUnavailable,
@@ -60,12 +60,12 @@
         call: ApplicationCall,
         block: suspend () -> Unit,
     ) {
-        val given =
+        val presented =
             call.request
                 .header(HttpHeaders.Authorization)
                 ?.removePrefix("Bearer ")
                 .orEmpty()
-        if (token.isNotEmpty() && MessageDigest.isEqual(given.encodeToByteArray(), token.encodeToByteArray())) return block()
+        if (token.isNotEmpty() && MessageDigest.isEqual(presented.encodeToByteArray(), token.encodeToByteArray())) return block()
         call.respondText("A valid token is needed.\n", status = HttpStatusCode.Unauthorized)
     }
 
--- a/entry/src/main/kotlin/CallerServer.kt
+++ b/entry/src/main/kotlin/CallerServer.kt
@@ -123,7 +123,7 @@
     private suspend fun serve(
         call: ApplicationCall,
         parse: (ByteArray) -> Parsed,
-    ) = drain.during { coroutineScope { answer(call, this, parse) } }
+    ) = drain.track { coroutineScope { answer(call, this, parse) } }
 
     private suspend fun answer(
         call: ApplicationCall,
@@ -140,7 +140,7 @@
             )
         val answer = CallerAnswer(call, id, scope, clock, metrics)
         val outcome = outcome(call, id, answer, parse)
-        note(id, outcome)
+        recordOutcome(id, outcome)
         answer.conclude(outcome)
     }
 
@@ -157,7 +157,7 @@
             return malformed("Idempotency-Key must have ${IDEMPOTENCY_KEY_LENGTH.first} to ${IDEMPOTENCY_KEY_LENGTH.last} characters.")
         }
         val body =
-            drain.beforeRefusing { call.receiveChannel().readRemaining(settings.bodyLimitBytes + 1L).readByteArray() }
+            drain.runUntilRefusing { call.receiveChannel().readRemaining(settings.bodyLimitBytes + 1L).readByteArray() }
                 ?: return Outcome.NotRun(RefusalReason.LEAVING)
         if (body.size >
             settings.bodyLimitBytes
@@ -190,7 +190,7 @@
         return text.toLongOrNull()?.takeIf { it in 1..settings.maximumTimeoutMs }
     }
 
-    private fun note(
+    private fun recordOutcome(
         id: RequestId,
         outcome: Outcome,
     ) {
--- a/entry/src/main/kotlin/Dispatcher.kt
+++ b/entry/src/main/kotlin/Dispatcher.kt
@@ -31,7 +31,7 @@
 import org.almondjunction.protocol.Work
 import kotlin.random.Random
 
-/** Last step of a request: finds its targets, hands it over and passes the answer on. */
+/** Final handler of a request: selects its targets, sends the request and forwards the answer. */
 internal class Dispatcher(
     private val settings: EntrySettings,
     private val holder: StateHolder,
@@ -53,21 +53,21 @@
         answer: AnswerWriter,
     ): Outcome {
         val backoff = Backoff(initialMs = 100, maximumMs = 1_000, random = Random.Default)
-        val endMs = minOf(clock.nowMs() + ROUNDS_LIMIT_MS, exchange.deadlineMs - WITHDRAW_MARGIN_MS)
+        val endMs = minOf(clock.nowMs() + RETRY_TIMEOUT_MS, exchange.deadlineMs - WITHDRAW_MARGIN_MS)
         var round = 1
         while (true) {
-            // Each round has an identity of its own, since a target never runs an identity that it has refused.
-            val outcome = tryOnce(if (round == 1) exchange else exchange.copy(id = RequestId("${exchange.id}.$round")), answer)
+            // Each round uses its own request id, since a target never runs an id that it has refused.
+            val outcome = runRound(if (round == 1) exchange else exchange.copy(id = RequestId("${exchange.id}.$round")), answer)
             if (outcome !is Outcome.NotRun || !outcome.reason.passing) return outcome
-            val delayMs = MINIMUM_ROUND_DELAY_MS + backoff.nextDelayMs()
+            val delayMs = MINIMUM_RETRY_DELAY_MS + backoff.nextDelayMs()
             if (clock.nowMs() + delayMs >= endMs) return outcome
             metrics.count(MetricName.RETRIES, "round-${outcome.reason.code}")
-            drain.beforeEnd { delay(delayMs) } ?: return outcome
+            drain.runUntilEnd { delay(delayMs) } ?: return outcome
             round++
         }
     }
 
-    private suspend fun tryOnce(
+    private suspend fun runRound(
         exchange: Exchange,
         answer: AnswerWriter,
     ): Outcome {
@@ -165,16 +165,16 @@
             step =
                 when (val current = step) {
                     is RequestStep.Send -> {
-                        note(exchange, current)
+                        recordSend(exchange, current)
                         machine.next(attempt(exchange, plan, byTarget.getValue(current.target), machine, answer))
                     }
                     is RequestStep.Conclude -> return current.outcome
-                    RequestStep.Wait, RequestStep.Withdraw -> error("The machine asked for $current although no attempt is in progress.")
+                    RequestStep.Wait, RequestStep.Withdraw -> error("The machine returned $current although no attempt is in progress.")
                 }
         }
     }
 
-    private fun note(
+    private fun recordSend(
         exchange: Exchange,
         step: RequestStep.Send,
     ) {
@@ -195,12 +195,12 @@
         machine: RequestMachine,
         answer: AnswerWriter,
     ): RequestEvent {
-        if (drain.ended.isCompleted) return RequestEvent.GivenUp
+        if (drain.endRequested.isCompleted) return RequestEvent.GivenUp
         val link = links.link(target)
         val startedMs = clock.nowMs()
         val call = link.start(exchange.id, plan.work, exchange.deadlineMs - startedMs, plan.priority)
         if (call == null) {
-            links.noteUnreachable(target.record.target)
+            links.markUnreachable(target.record.target)
             return RequestEvent.NotSent
         }
         var concluded = false
@@ -227,39 +227,39 @@
         if (crossRegion) metrics.count(MetricName.CROSS_REGION_BYTES, "request", exchange.body.size.toDouble())
         var withdrawing = false
         var endMs = exchange.deadlineMs - WITHDRAW_MARGIN_MS
-        var passedOn = 0L
-        var acknowledged = 0L
+        var forwardedBytes = 0L
+        var acknowledgedBytes = 0L
         while (true) {
             val limitMs = (endMs - clock.nowMs()).coerceAtLeast(1)
             val event =
                 select<CallEvent?> {
                     call.events.onReceive { it }
-                    if (!withdrawing) drain.ended.onAwait { null }
+                    if (!withdrawing) drain.endRequested.onAwait { null }
                     onTimeout(limitMs) { null }
                 }
             when (event) {
                 is CallEvent.Head -> {
-                    links.noteWarm(target.record.target, plan.model, event.status < FIRST_ERROR_STATUS)
-                    links.noteReachable(target.record.target)
+                    links.markWarm(target.record.target, plan.model, event.status < FIRST_ERROR_STATUS)
+                    links.markReachable(target.record.target)
                     machine.next(RequestEvent.Progress)
                     answer.head(event.status, event.contentType)
                 }
                 is CallEvent.Bytes -> {
                     if (crossRegion) metrics.count(MetricName.CROSS_REGION_BYTES, "answer", event.bytes.size.toDouble())
                     answer.write(event.bytes)
-                    passedOn += event.bytes.size
-                    if (passedOn - acknowledged >= ACKNOWLEDGE_BYTES) {
-                        link.acknowledge(call, passedOn)
-                        acknowledged = passedOn
+                    forwardedBytes += event.bytes.size
+                    if (forwardedBytes - acknowledgedBytes >= ACKNOWLEDGEMENT_INTERVAL_BYTES) {
+                        link.acknowledge(call, forwardedBytes)
+                        acknowledgedBytes = forwardedBytes
                     }
                 }
                 CallEvent.Completed -> return RequestEvent.Completed
                 is CallEvent.Refused -> return refusal(event, withdrawing, target.record.target, plan.model)
                 is CallEvent.Failed -> return RequestEvent.Failed(event.reason)
-                CallEvent.Lost -> return RequestEvent.Lost.also { links.noteUnreachable(target.record.target) }
+                CallEvent.Lost -> return RequestEvent.Lost.also { links.markUnreachable(target.record.target) }
                 CallEvent.Running -> Unit
                 null -> {
-                    if (withdrawing) return if (drain.ended.isCompleted) RequestEvent.Interrupted else RequestEvent.DeadlinePassed
+                    if (withdrawing) return if (drain.endRequested.isCompleted) RequestEvent.Interrupted else RequestEvent.DeadlinePassed
                     withdrawing = true
                     endMs = minOf(exchange.deadlineMs, clock.nowMs() + WITHDRAW_MARGIN_MS)
                     if (machine.next(RequestEvent.DeadlineNear) == RequestStep.Withdraw) link.withdraw(call)
@@ -274,20 +274,20 @@
         target: TargetId,
         model: ModelId,
     ): RequestEvent {
-        links.noteWarm(target, model, false)
-        if (event.reason == RefusalReason.LEAVING) links.noteUnreachable(target)
-        if (drain.ended.isCompleted) return RequestEvent.GivenUp
+        links.markWarm(target, model, false)
+        if (event.reason == RefusalReason.LEAVING) links.markUnreachable(target)
+        if (drain.endRequested.isCompleted) return RequestEvent.GivenUp
         return RequestEvent.Refused(if (withdrawing) RefusalReason.DEADLINE_PASSED else event.reason)
     }
 
     private companion object {
-        /** Time before its end, by its deadline or with this process, at which a request that has not begun is taken back. */
+        /** Margin before the end of a request, at its deadline or at a stop of this process, for withdrawing it if it has not started. */
         const val WITHDRAW_MARGIN_MS = 300L
 
-        /** Time for which a request is tried again while no target can take it for a passing reason. */
-        const val ROUNDS_LIMIT_MS = 15_000L
-        const val MINIMUM_ROUND_DELAY_MS = 50L
-        const val ACKNOWLEDGE_BYTES = 64 * 1024
+        /** Time limit for retries while every target refuses the request for a transient reason. */
+        const val RETRY_TIMEOUT_MS = 15_000L
+        const val MINIMUM_RETRY_DELAY_MS = 50L
+        const val ACKNOWLEDGEMENT_INTERVAL_BYTES = 64 * 1024
         const val DEFAULT_PRIORITY = 5
         const val PREFIX_BYTES = 256
         const val FIRST_ERROR_STATUS = 400
--- a/entry/src/main/kotlin/DrainState.kt
+++ b/entry/src/main/kotlin/DrainState.kt
@@ -7,43 +7,43 @@
 import kotlinx.coroutines.selects.select
 import java.util.concurrent.atomic.AtomicInteger
 
-/** How far a graceful stop is, and how much this process still owes. */
+/** Progress of a graceful stop, and the number of operations that it waits for. */
 internal class DrainState {
-    private val works = AtomicInteger()
+    private val inProgress = AtomicInteger()
 
-    /** Whether a stop was requested, so that this process reports itself as not ready. */
+    /** Whether a stop was requested; from then on this process reports itself as not ready. */
     @Volatile
-    var leaving: Boolean = false
+    var stopRequested: Boolean = false
 
-    private val refusal = CompletableDeferred<Unit>()
-    private val end = CompletableDeferred<Unit>()
+    private val refusalSignal = CompletableDeferred<Unit>()
+    private val endSignal = CompletableDeferred<Unit>()
 
     /** Whether new requests are refused. */
-    val refusing: Boolean get() = refusal.isCompleted
+    val refusing: Boolean get() = refusalSignal.isCompleted
 
     /** Completes when requests in progress must end. */
-    val ended: Deferred<Unit> get() = end
+    val endRequested: Deferred<Unit> get() = endSignal
 
-    /** Whether anything is in progress for which a stop must wait. */
-    val busy: Boolean get() = works.get() > 0
+    /** Whether any operation is in progress that a graceful stop waits for. */
+    val busy: Boolean get() = inProgress.get() > 0
 
-    /** Begins to refuse requests. */
+    /** Refuses new requests from now on. */
     fun refuse() {
-        refusal.complete(Unit)
+        refusalSignal.complete(Unit)
     }
 
-    /** Ends the requests in progress: each is told at once what is known of it. */
+    /** Ends the requests in progress: each is answered at once with its outcome as far as it is known. */
     fun end() {
-        end.complete(Unit)
+        endSignal.complete(Unit)
     }
 
-    /** Runs [work]; returns null when requests in progress must end before it has ended. */
-    suspend fun <T : Any> beforeEnd(work: suspend () -> T): T? = before(end, work)
+    /** Runs [work]; returns null when requests in progress must end before it completes. */
+    suspend fun <T : Any> runUntilEnd(work: suspend () -> T): T? = runUntil(endSignal, work)
 
-    /** Runs [work]; returns null when requests begin to be refused before it has ended. */
-    suspend fun <T : Any> beforeRefusing(work: suspend () -> T): T? = before(refusal, work)
+    /** Runs [work]; returns null when requests begin to be refused before it completes. */
+    suspend fun <T : Any> runUntilRefusing(work: suspend () -> T): T? = runUntil(refusalSignal, work)
 
-    private suspend fun <T : Any> before(
+    private suspend fun <T : Any> runUntil(
         signal: Deferred<Unit>,
         work: suspend () -> T,
     ): T? =
@@ -55,13 +55,13 @@
             }
         }
 
-    /** Runs [work], for which a graceful stop waits. */
-    suspend fun <T> during(work: suspend () -> T): T {
-        works.incrementAndGet()
+    /** Runs [work] as an operation that a graceful stop waits for. */
+    suspend fun <T> track(work: suspend () -> T): T {
+        inProgress.incrementAndGet()
         return try {
             work()
         } finally {
-            works.decrementAndGet()
+            inProgress.decrementAndGet()
         }
     }
 }
--- a/entry/src/main/kotlin/EntryProcess.kt
+++ b/entry/src/main/kotlin/EntryProcess.kt
@@ -22,7 +22,7 @@
 import org.almondjunction.protocol.Listener
 import java.util.concurrent.atomic.AtomicBoolean
 
-/** One entry host's process: serves callers and operators, and runs the controllers while it holds their lease. */
+/** Process of one entry host: serves callers and operators, and runs the controllers while it holds the controller lease. */
 public class EntryProcess(
     private val settings: EntrySettings,
     token: String,
@@ -76,64 +76,64 @@
         state.start()
         internal.start()
         leader.start()
-        scope.launch { members.join() }
+        scope.launch { members.register() }
         metrics.gauge(MetricName.STATE_SEQUENCE) { holder.view.catalogue.sequence }
         admin.start(wait = false)
         callers.start(wait = false)
         EventLog.info("entry host started", LogFields(outcome = settings.host.value))
     }
 
-    /** Begins a graceful stop; the second call ends requests in progress with explicit errors. */
+    /** Begins a graceful stop; a second call ends requests in progress with explicit errors. */
     public fun requestStop() {
         if (!stopping.compareAndSet(false, true)) return drain.end()
         scope.launch {
-            drain.leaving = true
-            drain.beforeEnd { delay(settings.drainNoticeMs) }
+            drain.stopRequested = true
+            drain.runUntilEnd { delay(settings.drainNoticeMs) }
             drain.refuse()
-            giveUp("controllers' lease") { leader.resign() }
-            withTimeoutOrNull(settings.drainLimitMs) { drain.beforeEnd { awaitIdle() } }
+            releaseStored("controllers' lease") { leader.resign() }
+            withTimeoutOrNull(settings.drainLimitMs) { drain.runUntilEnd { awaitIdle() } }
             drain.end()
-            withTimeoutOrNull(END_LIMIT_MS) { awaitIdle() }
-            delay(LAST_BYTES_MS)
+            withTimeoutOrNull(END_TIMEOUT_MS) { awaitIdle() }
+            delay(FLUSH_DELAY_MS)
             listener.cancel()
             internal.closeAll()
-            giveUp("membership") { members.leave() }
+            releaseStored("membership") { members.unregister() }
             stopped.complete(Unit)
         }
     }
 
-    /** Others get what is kept in the platform's service later if it cannot be given up, for example because it is unreadable. */
-    private suspend fun giveUp(
+    /** Runs [step], which releases an object in the object store. An object that cannot be decoded is left to the other processes. */
+    private suspend fun releaseStored(
         what: String,
         step: suspend () -> Unit,
     ) = try {
         step()
     } catch (failure: SerializationException) {
-        EventLog.warn("not given up", LogFields(reason = failure.message, extra = mapOf("what" to what)))
+        EventLog.warn("stored object not released on shutdown", LogFields(reason = failure.message, extra = mapOf("what" to what)))
     }
 
     private suspend fun awaitIdle() {
-        while (drain.busy) delay(DRAIN_CHECK_MS)
+        while (drain.busy) delay(DRAIN_CHECK_INTERVAL_MS)
     }
 
     /** Suspends until a requested stop is complete. */
     public suspend fun awaitStop() {
         stopped.await()
         EventLog.info("entry host stopped", LogFields(outcome = settings.host.value))
-        listOf<EmbeddedServer<*, *>>(callers, admin).forEach { it.stop(0, SERVER_STOP_MS) }
+        listOf<EmbeddedServer<*, *>>(callers, admin).forEach { it.stop(0, SERVER_STOP_TIMEOUT_MS) }
         scope.cancel()
         store.close()
         selector.close()
     }
 
     private companion object {
-        const val DRAIN_CHECK_MS = 50L
-        const val SERVER_STOP_MS = 300L
+        const val DRAIN_CHECK_INTERVAL_MS = 50L
+        const val SERVER_STOP_TIMEOUT_MS = 300L
 
-        /** Time for requests that must end to be told so; above the time of a dial and of a call to the platform's service. */
-        const val END_LIMIT_MS = 5_000L
+        /** Time for requests that were ended to be answered; longer than the timeouts of a dial and of a call to the object store. */
+        const val END_TIMEOUT_MS = 5_000L
 
-        /** Time for the HTTP server to pass the end of the last answers on; it does not tell when it has. */
-        const val LAST_BYTES_MS = 500L
+        /** Time for the HTTP server to send the end of the last answers; it does not report when it has. */
+        const val FLUSH_DELAY_MS = 500L
     }
 }
--- a/entry/src/main/kotlin/IdempotencyFilter.kt
+++ b/entry/src/main/kotlin/IdempotencyFilter.kt
@@ -18,9 +18,9 @@
 import java.security.MessageDigest
 
 /**
- * Lets a request with an idempotency key run at most once over all entry hosts.
+ * Runs a request with an idempotency key at most once across all entry hosts.
  *
- * The key is recorded in the platform's service before the first attempt. While that is not possible the request is refused.
+ * The key is recorded in the object store before the first attempt. The request is refused while the key cannot be recorded.
  */
 internal class IdempotencyFilter(
     private val store: ObjectStore,
@@ -40,18 +40,18 @@
                 exchange.id,
             )
         return when (val claim = claim(key, record)) {
-            is Claim.Won -> runOnce(key, claim, record, exchange, answer, next)
-            is Claim.Earlier -> replay(claim.record, record, answer)
+            is Claim.Acquired -> runOnce(key, claim, record, exchange, answer, next)
+            is Claim.Existing -> replay(claim.record, record, answer)
             Claim.Unavailable -> Outcome.NotRun(RefusalReason.IDEMPOTENCY_STORE_UNAVAILABLE)
         }
     }
 
     private sealed class Claim {
-        data class Won(
+        data class Acquired(
             val version: Long,
         ) : Claim()
 
-        data class Earlier(
+        data class Existing(
             val record: IdempotencyRecord,
         ) : Claim()
 
@@ -63,13 +63,13 @@
         record: IdempotencyRecord,
     ): Claim {
         val created = store.call(StoreCall.Create(key, encode(record)))
-        if (created is StoreReply.Written) return Claim.Won(created.version)
+        if (created is StoreReply.Written) return Claim.Acquired(created.version)
         val found = store.call(StoreCall.Read(key)) as? StoreReply.Found ?: return Claim.Unavailable
         val existing = Json.decodeFromString<IdempotencyRecord>(found.value)
         return when {
-            existing.requestId == record.requestId && existing.answer == null && !existing.notRun -> Claim.Won(found.version)
+            existing.requestId == record.requestId && existing.answer == null && !existing.notRun -> Claim.Acquired(found.version)
             existing.notRun && existing.requestDigest == record.requestDigest -> takeOver(key, record, found.version)
-            else -> Claim.Earlier(existing)
+            else -> Claim.Existing(existing)
         }
     }
 
@@ -79,12 +79,12 @@
         version: Long,
     ): Claim {
         val reply = store.call(StoreCall.Replace(key, encode(record), version))
-        return if (reply is StoreReply.Written) Claim.Won(reply.version) else Claim.Unavailable
+        return if (reply is StoreReply.Written) Claim.Acquired(reply.version) else Claim.Unavailable
     }
 
     private suspend fun runOnce(
         key: String,
-        claim: Claim.Won,
+        claim: Claim.Acquired,
         record: IdempotencyRecord,
         exchange: Exchange,
         answer: AnswerWriter,
@@ -92,31 +92,31 @@
     ): Outcome {
         val recorder = RecordingWriter(answer)
         val outcome = next(exchange, recorder)
-        val ended =
+        val concluded =
             when (outcome) {
                 Outcome.Served -> record.copy(answer = recorder.recorded())
                 is Outcome.NotRun -> record.copy(notRun = true)
                 is Outcome.Unknown -> return outcome
             }
-        if (ended.answer != null || ended.notRun) keepMeanwhile(key, ended, claim.version)
+        if (concluded.answer != null || concluded.notRun) recordInBackground(key, concluded, claim.version)
         return outcome
     }
 
-    /** Puts [record] in place without holding up the caller; a stop waits for it from now on. */
-    private fun keepMeanwhile(
+    /** Writes [record] without delaying the answer; a graceful stop waits for the write. */
+    private fun recordInBackground(
         key: String,
         record: IdempotencyRecord,
         version: Long,
-    ) = scope.launch(start = CoroutineStart.UNDISPATCHED) { drain.during { keep(key, record, version) } }
+    ) = scope.launch(start = CoroutineStart.UNDISPATCHED) { drain.track { recordOutcome(key, record, version) } }
 
-    private suspend fun keep(
+    private suspend fun recordOutcome(
         key: String,
         record: IdempotencyRecord,
         version: Long,
     ) {
-        repeat(KEEP_TRIES) {
+        repeat(RECORD_ATTEMPTS) {
             if (store.call(StoreCall.Replace(key, encode(record), version)) != StoreReply.Lost) return
-            delay(KEEP_DELAY_MS)
+            delay(RECORD_RETRY_DELAY_MS)
         }
     }
 
@@ -137,7 +137,7 @@
     private fun digest(bytes: ByteArray): String =
         MessageDigest.getInstance("SHA-256").digest(bytes).joinToString("") { byte -> "%02x".format(byte) }
 
-    /** Passes an answer on and keeps a copy of it, unless it is too large. */
+    /** Forwards an answer and records a copy of it, unless it exceeds [MAXIMUM_RECORDED_BYTES]. */
     private class RecordingWriter(
         private val answer: AnswerWriter,
     ) : AnswerWriter {
@@ -165,7 +165,7 @@
 
     private companion object {
         const val MAXIMUM_RECORDED_BYTES = 512 * 1024
-        const val KEEP_TRIES = 20
-        const val KEEP_DELAY_MS = 500L
+        const val RECORD_ATTEMPTS = 20
+        const val RECORD_RETRY_DELAY_MS = 500L
     }
 }
--- a/entry/src/main/kotlin/InternalServer.kt
+++ b/entry/src/main/kotlin/InternalServer.kt
@@ -15,7 +15,7 @@
 import org.almondjunction.protocol.Message
 import java.util.concurrent.ConcurrentHashMap
 
-/** Serves agents and other entry hosts: passes the accepted state on and collects their word. */
+/** Serves agents and other entry hosts: distributes the accepted state and collects their reports. */
 internal class InternalServer(
     private val settings: EntrySettings,
     private val holder: StateHolder,
@@ -33,7 +33,7 @@
     private val sessionHeardMs = ConcurrentHashMap<Connection, Long>()
     private val statuses = ConcurrentHashMap<TargetId, Message.AgentStatus>()
 
-    /** Last status of each agent that has a session here. */
+    /** Latest status of each agent with a session at this process. */
     val agentStatuses: List<Message.AgentStatus> get() = agents.values.mapNotNull { statuses[it.target] }
 
     fun start() {
@@ -53,7 +53,7 @@
         agents[connection]?.let { lastHeardMs[it.host] = clock.nowMs() }
         sessionHeardMs[connection] = clock.nowMs()
         when (message) {
-            is Message.Hello -> greet(connection, message)
+            is Message.Hello -> checkVersion(connection, message)
             is Message.Ping -> connection.send(Message.Pong(message.sentMs))
             is Message.SubscribeTarget -> subscribe(connection, message)
             is Message.AgentStatus -> statuses[message.target] = message
@@ -68,11 +68,11 @@
         }
     }
 
-    /** A session that went silent would, once its queue is full, hold up the state of all others. */
+    /** Closes silent sessions: once the queue of such a session is full, it would block updates to all others. */
     private suspend fun closeSilentSessions() {
         while (true) {
-            delay(SESSION_CHECK_MS)
-            val silentSinceMs = clock.nowMs() - SESSION_SILENCE_MS
+            delay(SESSION_CHECK_INTERVAL_MS)
+            val silentSinceMs = clock.nowMs() - SESSION_TIMEOUT_MS
             sessionHeardMs.filterValues { it < silentSinceMs }.keys.forEach { connection ->
                 metrics.count(MetricName.RECONNECTIONS, "session-silent")
                 connection.close()
@@ -87,10 +87,10 @@
         followers.remove(connection)
     }
 
-    /** Ends every session, so that agents turn to another entry host. */
+    /** Closes every session, so that agents connect to another entry host. */
     fun closeAll() = (agents.keys + followers.keys).forEach { it.close() }
 
-    private fun greet(
+    private fun checkVersion(
         connection: Connection,
         hello: Message.Hello,
     ) {
@@ -103,7 +103,7 @@
         connection: Connection,
         message: Message.SubscribeTarget,
     ) {
-        if (!members.joined) return connection.close()
+        if (!members.registered) return connection.close()
         val session = AgentSession(message.target, message.host)
         agents[connection] = session
         lastHeardMs[message.host] = clock.nowMs()
@@ -113,7 +113,7 @@
             if (!state.confirm()) return@launch
             agents[connection]?.let { current ->
                 current.confirmed = true
-                current.sent = null
+                current.sentSlice = null
                 update(connection, current, holder.view)
             }
         }
@@ -126,8 +126,8 @@
     ) {
         if (!view.ready) return
         val slice = TargetSlice.of(session.target, view)
-        if (slice != session.sent) {
-            session.sent = slice
+        if (slice != session.sentSlice) {
+            session.sentSlice = slice
             connection.send(
                 Message.TargetStateUpdate(view.revision, view.catalogue.sequence, slice.offers, slice.rights, session.confirmed),
             )
@@ -168,8 +168,8 @@
     }
 
     private companion object {
-        const val SESSION_CHECK_MS = 1_000L
-        const val SESSION_SILENCE_MS = 8_000L
+        const val SESSION_CHECK_INTERVAL_MS = 1_000L
+        const val SESSION_TIMEOUT_MS = 8_000L
     }
 }
 
@@ -179,7 +179,7 @@
     val host: HostId,
 ) {
     @Volatile
-    var sent: TargetSlice? = null
+    var sentSlice: TargetSlice? = null
 
     @Volatile
     var sentSequence = -1L
--- a/entry/src/main/kotlin/MembershipController.kt
+++ b/entry/src/main/kotlin/MembershipController.kt
@@ -9,25 +9,25 @@
 import org.almondjunction.objectstore.ObjectStore
 import kotlin.random.Random
 
-/** Enters this process among the [Members] before it serves agents, and removes it when it no longer does. */
+/** Registers this process in [Members] before it serves agents, and removes it when it no longer serves them. */
 internal class MembershipController(
     private val settings: EntrySettings,
     private val holder: StateHolder,
     private val store: ObjectStore,
 ) {
-    /** Whether this process is on record, so that its contact with an agent is accounted for. */
-    val joined: Boolean get() = holder.view.members.hosts[settings.host] == settings.internal
+    /** Whether this process is registered; only then do queries to all members include what it has heard from agents. */
+    val registered: Boolean get() = holder.view.members.hosts[settings.host] == settings.internal
 
-    /** Tries until this process is on record. */
-    suspend fun join() {
-        while (!joined) {
+    /** Retries until this process is registered. */
+    suspend fun register() {
+        while (!registered) {
             change { it.copy(hosts = it.hosts + (settings.host to settings.internal)) }
             delay(RETRY_MS / 2 + Random.nextLong(RETRY_MS))
         }
     }
 
-    /** Takes this process off the record; called when no agent can reach it any more. */
-    suspend fun leave() = change { it.copy(hosts = it.hosts - settings.host) }
+    /** Removes this process from [Members]; called once no agent can reach it. */
+    suspend fun unregister() = change { it.copy(hosts = it.hosts - settings.host) }
 
     private suspend fun change(edit: (Members) -> Members) {
         val call =
--- a/entry/src/main/kotlin/ReadinessFilter.kt
+++ b/entry/src/main/kotlin/ReadinessFilter.kt
@@ -3,7 +3,7 @@
 import org.almondjunction.common.Outcome
 import org.almondjunction.common.RefusalReason
 
-/** Refuses requests while this process has no accepted state, or when it is past the notice of its stop. */
+/** Refuses requests while this process has no accepted state, and after the notice period of a graceful stop. */
 internal class ReadinessFilter(
     private val holder: StateHolder,
     private val drain: DrainState,
--- a/entry/src/main/kotlin/TargetCall.kt
+++ b/entry/src/main/kotlin/TargetCall.kt
@@ -6,7 +6,7 @@
 import org.almondjunction.common.UnknownReason
 import org.almondjunction.protocol.Message
 
-/** What arrives for one request from its target. */
+/** Event that a target reports for one request. */
 internal sealed class CallEvent {
     data class Head(
         val status: Int,
@@ -19,7 +19,7 @@
 
     data object Completed : CallEvent()
 
-    /** The request has begun, so it could not be withdrawn. */
+    /** The request has started, so it cannot be withdrawn. */
     data object Running : CallEvent()
 
     data class Refused(
@@ -30,16 +30,16 @@
         val reason: UnknownReason,
     ) : CallEvent()
 
-    /** The process that had the request is gone. */
+    /** The process run that held the request has ended, or cannot be reached. */
     data object Lost : CallEvent()
 }
 
-/** One request at one target. Puts the parts of its answer in order and drops what arrives twice. */
+/** One request at one target. Delivers the parts of its answer in order and drops duplicates. */
 internal class TargetCall(
     val id: RequestId,
     val incarnation: String,
 ) {
-    /** What arrived, in order. The agent sends a limited number of bytes beyond what was acknowledged. */
+    /** Received events in order. The channel stays bounded because the agent limits the bytes that it sends without acknowledgement. */
     val events = Channel<CallEvent>(Channel.UNLIMITED)
 
     /** Offset of the next byte of the answer. */
@@ -49,10 +49,10 @@
 
     private var headSeen = false
 
-    fun take(message: Message.AboutRequest) {
+    fun onMessage(message: Message.AboutRequest) {
         when (message) {
             is Message.Head -> if (!headSeen) deliver(CallEvent.Head(message.status, message.contentType)).also { headSeen = true }
-            is Message.Chunk -> takeChunk(message)
+            is Message.Chunk -> onChunk(message)
             is Message.End ->
                 deliver(
                     if (message.length ==
@@ -70,14 +70,14 @@
         }
     }
 
-    private fun takeChunk(chunk: Message.Chunk) {
-        val known = (offset - chunk.offset).toInt()
-        if (known < 0 || known >= chunk.bytes.size) return
-        offset += chunk.bytes.size - known
-        deliver(CallEvent.Bytes(if (known == 0) chunk.bytes else chunk.bytes.copyOfRange(known, chunk.bytes.size)))
+    private fun onChunk(chunk: Message.Chunk) {
+        val knownBytes = (offset - chunk.offset).toInt()
+        if (knownBytes < 0 || knownBytes >= chunk.bytes.size) return
+        offset += chunk.bytes.size - knownBytes
+        deliver(CallEvent.Bytes(if (knownBytes == 0) chunk.bytes else chunk.bytes.copyOfRange(knownBytes, chunk.bytes.size)))
     }
 
-    fun lost() = deliver(CallEvent.Lost)
+    fun reportLost() = deliver(CallEvent.Lost)
 
     private fun deliver(event: CallEvent) {
         events.trySend(event)
--- a/entry/src/main/kotlin/TargetLink.kt
+++ b/entry/src/main/kotlin/TargetLink.kt
@@ -22,9 +22,9 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /**
- * Requests of this entry host at one agent, over a connection that is dialled on demand.
+ * Requests of this entry host to one agent, over a connection that is dialled on demand.
  *
- * A connection that goes silent while work is outstanding is replaced by a new one, on which every answer is resumed at its offset.
+ * A connection that is silent while requests are outstanding is replaced by a new one, on which every answer resumes at its offset.
  */
 internal class TargetLink(
     private val host: String,
@@ -38,7 +38,7 @@
         val connection: Connection,
         val incarnation: String,
         val health: ConnectionHealth,
-        @Volatile var leaving: Boolean,
+        @Volatile var draining: Boolean,
     )
 
     private val mutex = Mutex()
@@ -51,14 +51,14 @@
     /** Requests in progress. */
     val outstanding: Int get() = calls.size
 
-    /** Hands a request over; returns null when the agent cannot be reached, so that the request did not run. */
+    /** Sends a request; returns null, with the request not run, when the agent is unreachable or shutting down. */
     suspend fun start(
         id: RequestId,
         work: Work,
         timeLeftMs: Long,
         priority: Int,
     ): TargetCall? {
-        val current = mutex.withLock { liveSession() ?: dial()?.also { session = it } }?.takeUnless { it.leaving } ?: return null
+        val current = mutex.withLock { liveSession() ?: dial()?.also { session = it } }?.takeUnless { it.draining } ?: return null
         val call = TargetCall(id, current.incarnation)
         calls[id] = call
         val sent = current.connection.send(Message.Start(id, work, timeLeftMs, priority, clock.nowMs()))
@@ -67,12 +67,12 @@
         return call
     }
 
-    /** Asks the agent to give [call] up if it has not begun. */
+    /** Asks the agent to drop [call] if it has not started. */
     suspend fun withdraw(call: TargetCall) {
         session?.connection?.send(Message.Withdraw(call.id))
     }
 
-    /** Tells the agent that the answer was passed on up to [offset]. */
+    /** Acknowledges to the agent that the answer was forwarded up to [offset]. */
     suspend fun acknowledge(
         call: TargetCall,
         offset: Long,
@@ -80,7 +80,7 @@
         session?.connection?.send(Message.Acknowledge(call.id, offset))
     }
 
-    /** Ends [call]; unless it is [concluded], the agent is told that nobody waits for it. */
+    /** Removes [call]; cancels it at the agent unless it is [concluded]. */
     suspend fun finish(
         call: TargetCall,
         concluded: Boolean,
@@ -89,18 +89,18 @@
         call.events.cancel()
         session?.let { current ->
             if (!concluded) current.connection.send(Message.Cancel(call.id))
-            closeIfLeaving(current)
+            closeIfDrained(current)
         }
     }
 
-    private fun closeIfLeaving(current: Session) {
-        if (current.leaving && calls.isEmpty()) closeIdle(current)
+    private fun closeIfDrained(current: Session) {
+        if (current.draining && calls.isEmpty()) closeIdle(current)
     }
 
     private fun liveSession() = session?.takeIf { !it.connection.closed }
 
     private suspend fun dial(): Session? {
-        val greeting = CompletableDeferred<Message.Hello>()
+        val helloReceived = CompletableDeferred<Message.Hello>()
         val health = ConnectionHealth(startMs = clock.nowMs())
         val connection =
             Connection.dial(
@@ -111,16 +111,16 @@
                 onMessage = { _, message ->
                     synchronized(health) { health.heard(clock.nowMs()) }
                     when (message) {
-                        is Message.Hello -> greeting.complete(message)
-                        is Message.AboutRequest -> calls[message.id]?.take(message)
-                        is Message.Leaving -> session?.let { noteLeaving(it) }
+                        is Message.Hello -> helloReceived.complete(message)
+                        is Message.AboutRequest -> calls[message.id]?.onMessage(message)
+                        is Message.Leaving -> session?.let { markDraining(it) }
                         else -> Unit
                     }
                 },
                 onClosed = { closed -> session?.takeIf { it.connection === closed }?.let { recover(it) } },
             ) ?: return null
         connection.send(Message.Hello(host, incarnation = ""))
-        val hello = withTimeoutOrNull(GREETING_TIMEOUT_MS) { greeting.await() }
+        val hello = withTimeoutOrNull(HELLO_TIMEOUT_MS) { helloReceived.await() }
         if (hello == null) {
             connection.close()
             return null
@@ -146,9 +146,9 @@
             }
     }
 
-    private fun noteLeaving(current: Session) {
-        current.leaving = true
-        closeIfLeaving(current)
+    private fun markDraining(current: Session) {
+        current.draining = true
+        closeIfDrained(current)
     }
 
     private fun closeIdle(current: Session) {
@@ -156,25 +156,25 @@
         current.connection.close()
     }
 
-    /** Recovers [call], whose message could not be sent, also where the connection was replaced meanwhile. */
+    /** Recovers [call], whose message could not be sent, even if the connection has been replaced since. */
     private suspend fun recover(
         failed: Session,
         call: TargetCall,
     ) {
         recover(failed)
-        session?.let { resume(call, it) } ?: call.lost()
+        session?.let { resume(call, it) } ?: call.reportLost()
     }
 
     private suspend fun recover(failed: Session) {
         mutex.withLock {
             if (session !== failed) return
             metrics.count(MetricName.RECONNECTIONS, if (failed.connection.closed) "closed" else "silent")
-            val replacement = if (calls.isEmpty()) null else dialRepeatedly()
+            val replacement = if (calls.isEmpty()) null else dialWithRetries()
             session = replacement
             if (replacement ==
                 null
             ) {
-                calls.values.forEach { it.lost() }
+                calls.values.forEach { it.reportLost() }
             } else {
                 calls.values.forEach { resume(it, replacement) }
             }
@@ -182,8 +182,8 @@
         }
     }
 
-    private suspend fun dialRepeatedly(): Session? {
-        repeat(RECOVERY_TRIES) {
+    private suspend fun dialWithRetries(): Session? {
+        repeat(RECOVERY_ATTEMPTS) {
             dial()?.let { return it }
             delay(RECOVERY_DELAY_MS)
         }
@@ -195,16 +195,16 @@
         replacement: Session,
     ) {
         if (call.incarnation != replacement.incarnation) {
-            call.lost()
+            call.reportLost()
             return
         }
         replacement.connection.send(Message.Resume(call.id, call.offset))
     }
 
     private companion object {
-        const val GREETING_TIMEOUT_MS = 1_000L
+        const val HELLO_TIMEOUT_MS = 1_000L
         const val CHECK_INTERVAL_MS = 100L
-        const val RECOVERY_TRIES = 3
+        const val RECOVERY_ATTEMPTS = 3
         const val RECOVERY_DELAY_MS = 150L
     }
 }
--- a/entry/src/main/kotlin/TargetLinks.kt
+++ b/entry/src/main/kotlin/TargetLinks.kt
@@ -10,7 +10,7 @@
 import org.almondjunction.decisions.RetryBudget
 import java.util.concurrent.ConcurrentHashMap
 
-/** The links of this entry host, and what it learned about the targets behind them. */
+/** The links of this entry host, with the observed warmth and reachability of each target. */
 internal class TargetLinks(
     private val settings: EntrySettings,
     private val selector: SelectorManager,
@@ -37,7 +37,7 @@
         model: ModelId,
     ): Boolean? = warm[target to model]
 
-    fun noteWarm(
+    fun markWarm(
         target: TargetId,
         model: ModelId,
         value: Boolean,
@@ -47,15 +47,15 @@
 
     fun isSuspect(target: TargetId): Boolean = (suspectUntilMs[target] ?: 0) > clock.nowMs()
 
-    fun noteUnreachable(target: TargetId) {
-        suspectUntilMs[target] = clock.nowMs() + SUSPECT_MS
+    fun markUnreachable(target: TargetId) {
+        suspectUntilMs[target] = clock.nowMs() + SUSPECT_PERIOD_MS
     }
 
-    fun noteReachable(target: TargetId) {
+    fun markReachable(target: TargetId) {
         suspectUntilMs.remove(target)
     }
 
     private companion object {
-        const val SUSPECT_MS = 2_000L
+        const val SUSPECT_PERIOD_MS = 2_000L
     }
 }
