--- a/entry/src/main/kotlin/CatalogueReader.kt
+++ b/entry/src/main/kotlin/CatalogueReader.kt
@@ -11,11 +11,11 @@
 import org.almondjunction.decisions.TicketHead
 import org.almondjunction.objectstore.ObjectStore
 
-/** Brings a catalogue up to a head by reading the tickets, or a snapshot and the tickets after it. */
+/** Updates a catalogue to a ticket head by reading the missing tickets, or a snapshot and the tickets after it. */
 internal class CatalogueReader(
     private val store: ObjectStore,
 ) {
-    /** Returns the catalogue at [head], starting from [known]; null when the service did not answer. */
+    /** Returns the catalogue at [head], starting from [known]; null when the object store did not answer. */
     suspend fun catchUp(
         known: Catalogue,
         head: TicketHead,
--- a/entry/src/main/kotlin/DepartureController.kt
+++ b/entry/src/main/kotlin/DepartureController.kt
@@ -6,12 +6,12 @@
 import org.almondjunction.protocol.Message
 
 /**
- * Finds hosts of which it is proven that they hold nothing any more.
+ * Determines which removed hosts provably no longer use any of their rights.
  *
- * A host counts as gone only if the platform no longer lists it, and every entry host answers that it has not heard from it for the
- * settling time. One entry host that cannot be asked is enough to withhold the proof.
+ * A host is proven gone only if the platform no longer lists it and every entry host replies that it has not heard from it for the
+ * settling time. The proof fails if any entry host does not reply.
  *
- * @param lastHeard asks every member; null when any of them did not answer
+ * @param lastHeard queries every member; returns null when any of them did not answer
  */
 internal class DepartureController(
     private val settlingMs: Long,
@@ -19,7 +19,7 @@
     private val lastHeard: suspend (List<HostId>) -> List<Message.LastHeardReply>?,
 ) {
     private val missingSinceMs = mutableMapOf<HostId, Long>()
-    private var lastAskedMs: Long? = null
+    private var lastQueryMs: Long? = null
     private var proven = emptySet<HostId>()
 
     suspend fun provenGone(view: ClusterView): Set<HostId> {
@@ -29,8 +29,8 @@
         missing.forEach { missingSinceMs.putIfAbsent(it, nowMs) }
         val due = missingSinceMs.filterValues { nowMs - it >= settlingMs }.keys.toSet()
         proven = proven.intersect(due)
-        if (due.isEmpty() || lastAskedMs?.let { nowMs - it < ASK_INTERVAL_MS } == true) return proven
-        lastAskedMs = nowMs
+        if (due.isEmpty() || lastQueryMs?.let { nowMs - it < QUERY_INTERVAL_MS } == true) return proven
+        lastQueryMs = nowMs
         val replies = lastHeard(due.toList()) ?: return proven
         proven =
             due
@@ -49,6 +49,6 @@
     }
 
     private companion object {
-        const val ASK_INTERVAL_MS = 5_000L
+        const val QUERY_INTERVAL_MS = 5_000L
     }
 }
--- a/entry/src/main/kotlin/LeaderController.kt
+++ b/entry/src/main/kotlin/LeaderController.kt
@@ -21,7 +21,7 @@
 import org.almondjunction.decisions.StoreReply
 import org.almondjunction.objectstore.ObjectStore
 
-/** Runs the controllers while this process holds the lease. Every write is conditional on the version that it was decided from. */
+/** Runs the controllers while this process holds the lease. Every write is conditional on the version that the decision was based on. */
 internal class LeaderController(
     private val settings: EntrySettings,
     private val holder: StateHolder,
@@ -33,9 +33,9 @@
 ) {
     private val observer = LeaseObserver(settings.host.value, settings.leaseMs)
     private var version = 0L
-    private var held: Lease? = null
+    private var heldLease: Lease? = null
 
-    /** Whether this process held the lease when it last looked. */
+    /** Whether this process held the lease at the last check. */
     @Volatile
     var leading: Boolean = false
         private set
@@ -43,14 +43,14 @@
     fun start() {
         scope.launch {
             while (true) {
-                look()
+                checkLease()
                 delay(if (leading) settings.leaseMs / RENEWALS_PER_LEASE else standbyIntervalMs())
             }
         }
-        scope.launch { act() }
+        scope.launch { runControllers() }
     }
 
-    /** Gives the lease up so that another process takes it at once. */
+    /** Releases the lease so that another process can acquire it at once. */
     suspend fun resign() {
         if (!leading) return
         leading = false
@@ -60,8 +60,8 @@
         if (lease.holder == settings.host.value) write(lease.copy(holder = ""))
     }
 
-    /** Candidates look less often the later they come, so that a large fleet costs few reads. */
-    private fun standbyIntervalMs(): Long = minOf(settings.leaseMs / LOOKS_PER_LEASE * (1 + candidateIndex()), MAXIMUM_STANDBY_MS)
+    /** Candidates later in the order check less often, which limits the number of reads in a large fleet. */
+    private fun standbyIntervalMs(): Long = minOf(settings.leaseMs / CHECKS_PER_LEASE * (1 + candidateIndex()), MAXIMUM_STANDBY_MS)
 
     private fun candidateIndex(): Int {
         val hosts =
@@ -71,7 +71,7 @@
         return Rendezvous.order("controller", hosts) { it.value }.indexOf(settings.host).coerceAtLeast(0)
     }
 
-    private suspend fun look() {
+    private suspend fun checkLease() {
         if (leading && renew()) return
         val current =
             when (val reply = store.call(StoreCall.Read(StoreKeys.CONTROLLER_LEASE))) {
@@ -79,22 +79,22 @@
                 StoreReply.Absent -> null.also { version = 0 }
                 is StoreReply.Written, StoreReply.Conflict, StoreReply.Lost -> return
             }
-        val won =
+        val acquired =
             when (val action = observer.observe(current, clock.nowMs())) {
                 LeaseAction.Wait -> false
                 is LeaseAction.Write -> write(action.lease)
             }
-        if (won !=
+        if (acquired !=
             leading
         ) {
-            EventLog.info(if (won) "controller lease taken" else "controller lease lost", LogFields(outcome = settings.host.value))
+            EventLog.info(if (acquired) "controller lease acquired" else "controller lease lost", LogFields(outcome = settings.host.value))
         }
-        leading = won
+        leading = acquired
     }
 
-    /** Renews the lease without reading it first; returns false when it must be read. */
+    /** Renews the lease without reading it first; returns false when the lease must be read. */
     private suspend fun renew(): Boolean {
-        val current = held ?: return false
+        val current = heldLease ?: return false
         return write(current.copy(renewal = current.renewal + 1))
     }
 
@@ -107,22 +107,22 @@
                 StoreCall.Replace(StoreKeys.CONTROLLER_LEASE, value, version)
             }
         val reply = store.call(call)
-        held = lease.takeIf { reply is StoreReply.Written }
+        heldLease = lease.takeIf { reply is StoreReply.Written }
         if (reply is StoreReply.Written) version = reply.version
         return reply is StoreReply.Written
     }
 
-    private suspend fun act() {
-        var planned: ClusterView? = null
+    private suspend fun runControllers() {
+        var plannedView: ClusterView? = null
         var plannedMs = 0L
         while (true) {
-            delay(ACT_INTERVAL_MS)
+            delay(CONTROL_INTERVAL_MS)
             val view = holder.view
-            val due = view !== planned || clock.nowMs() - plannedMs >= REVIEW_INTERVAL_MS
+            val due = view !== plannedView || clock.nowMs() - plannedMs >= REPLAN_INTERVAL_MS
             if (!leading || !due || !view.ready || view.fleetVersion == 0L) continue
             place(view, departures.provenGone(view))
             snapshots.writeIfDue(view)
-            planned = view
+            plannedView = view
             plannedMs = clock.nowMs()
         }
     }
@@ -149,11 +149,11 @@
 
     private companion object {
         const val RENEWALS_PER_LEASE = 3
-        const val LOOKS_PER_LEASE = 4
+        const val CHECKS_PER_LEASE = 4
         const val MAXIMUM_STANDBY_MS = 30_000L
-        const val ACT_INTERVAL_MS = 200L
+        const val CONTROL_INTERVAL_MS = 200L
 
         /** Time after which the same state is planned again, since a write may have been lost. */
-        const val REVIEW_INTERVAL_MS = 3_000L
+        const val REPLAN_INTERVAL_MS = 3_000L
     }
 }
--- a/entry/src/main/kotlin/RightsReleaser.kt
+++ b/entry/src/main/kotlin/RightsReleaser.kt
@@ -10,14 +10,14 @@
 import org.almondjunction.decisions.StoreReply
 import org.almondjunction.objectstore.ObjectStore
 
-/** Removes rights that an agent gave back. Needs no leader: the agent's word is proof, and the update is conditional. */
+/** Removes rights that an agent returned. Needs no leader: the agent's message is sufficient proof, and the update is conditional. */
 internal class RightsReleaser(
     private val store: ObjectStore,
     private val holder: StateHolder,
 ) {
     private val mutex = Mutex()
 
-    /** Removes [rights] from their shards; what fails is left to the agent's next repetition. */
+    /** Removes [rights] from their shards; a failed removal is left to the agent's next retry. */
     suspend fun release(rights: List<RightKey>) {
         mutex.withLock {
             rights.groupBy { RightsShard.of(it.model) }.forEach { (index, keys) ->
@@ -35,7 +35,7 @@
         index: Int,
         keys: List<RightKey>,
     ) {
-        repeat(MAXIMUM_TRIES) {
+        repeat(MAXIMUM_ATTEMPTS) {
             val found = store.call(StoreCall.Read(StoreKeys.rights(index))) as? StoreReply.Found ?: return
             val shard = Json.decodeFromString<RightsShard>(found.value)
             val released = shard.release(keys)
@@ -49,6 +49,6 @@
     }
 
     private companion object {
-        const val MAXIMUM_TRIES = 5
+        const val MAXIMUM_ATTEMPTS = 5
     }
 }
--- a/entry/src/main/kotlin/SnapshotWriter.kt
+++ b/entry/src/main/kotlin/SnapshotWriter.kt
@@ -10,7 +10,7 @@
 import org.almondjunction.decisions.TicketHead
 import org.almondjunction.objectstore.ObjectStore
 
-/** Keeps the head short: writes log pages and a catalogue snapshot, then trims the tickets that they hold. */
+/** Bounds the size of the ticket head: writes log pages and a catalogue snapshot, then trims the tickets that they contain. */
 internal class SnapshotWriter(
     private val store: ObjectStore,
 ) {
--- a/entry/src/main/kotlin/StateController.kt
+++ b/entry/src/main/kotlin/StateController.kt
@@ -27,8 +27,8 @@
 /**
  * Keeps the accepted state up to date.
  *
- * A few entry hosts of each zone watch the platform's service; the others follow one of those. While the service does not answer,
- * every entry host follows a peer if it can.
+ * A few entry hosts of each zone watch the object store; the others follow one of these. While the object store does not answer,
+ * every entry host follows a peer if one is reachable.
  */
 internal class StateController(
     private val settings: EntrySettings,
@@ -44,7 +44,7 @@
     private val confirmations = Channel<CompletableDeferred<Boolean>>(Channel.UNLIMITED)
     private var nextPeer = 0
 
-    /** When the platform's service last answered; null before it ever did. */
+    /** Time of the last answer of the object store; null before the first one. */
     @Volatile
     var lastAnswerMs: Long? = null
         private set
@@ -55,16 +55,16 @@
         scope.launch { serveConfirmations() }
     }
 
-    /** Returns true once a read of the platform's service that began after this call has been applied. */
+    /** Waits for a read of the object store that began after this call; returns whether it succeeded and was applied. */
     suspend fun confirm(): Boolean = CompletableDeferred<Boolean>().also { confirmations.send(it) }.await()
 
     private suspend fun serveConfirmations() {
         for (first in confirmations) {
-            val waiting = mutableListOf(first)
-            while (true) waiting += confirmations.tryReceive().getOrNull() ?: break
+            val pending = mutableListOf(first)
+            while (true) pending += confirmations.tryReceive().getOrNull() ?: break
             val confirmed = refresh()
-            waiting.forEach { it.complete(confirmed) }
-            delay(CONFIRM_INTERVAL_MS / 2 + Random.nextLong(CONFIRM_INTERVAL_MS))
+            pending.forEach { it.complete(confirmed) }
+            delay(CONFIRMATION_INTERVAL_MS / 2 + Random.nextLong(CONFIRMATION_INTERVAL_MS))
         }
     }
 
@@ -72,16 +72,16 @@
         while (true) {
             if (isWatcher()) {
                 if (watch()) continue
-                backoffOrFollow()
-            } else if (!follow(FOLLOW_UNTIL_SILENT_MS)) {
+                followAfterBackoff()
+            } else if (!follow(FOLLOW_LIMIT_MS)) {
                 watch()
             }
         }
     }
 
-    private suspend fun backoffOrFollow() {
+    private suspend fun followAfterBackoff() {
         delay(backoff.nextDelayMs())
-        follow(FOLLOW_DURING_OUTAGE_MS)
+        follow(OUTAGE_FOLLOW_LIMIT_MS)
     }
 
     private fun isWatcher(): Boolean {
@@ -92,17 +92,17 @@
         return settings.host !in order || order.indexOf(settings.host) < WATCHERS_PER_ZONE
     }
 
-    /** Waits for one change; returns false when the service did not answer. */
+    /** Waits for one change; returns false when the object store did not answer. */
     private suspend fun watch(): Boolean {
         val view = holder.view
         val listing =
-            if (view.ready) store.watch(StoreKeys.WATCHED_PREFIX, view.revision, WATCH_MS) else store.list(StoreKeys.WATCHED_PREFIX)
-        return listing != null && take(listing)
+            if (view.ready) store.watch(StoreKeys.WATCHED_PREFIX, view.revision, WATCH_TIMEOUT_MS) else store.list(StoreKeys.WATCHED_PREFIX)
+        return listing != null && applyListing(listing)
     }
 
-    private suspend fun refresh(): Boolean = store.list(StoreKeys.WATCHED_PREFIX)?.let { take(it) } ?: false
+    private suspend fun refresh(): Boolean = store.list(StoreKeys.WATCHED_PREFIX)?.let { applyListing(it) } ?: false
 
-    private suspend fun take(listing: ObjectListing): Boolean {
+    private suspend fun applyListing(listing: ObjectListing): Boolean {
         val head = listing.objects.firstOrNull { it.key == StoreKeys.HEAD }?.let { Json.decodeFromString<TicketHead>(it.value) }
         val known = holder.view.catalogue
         val catalogue = if (head == null) null else CatalogueChange.between(known, catalogues.catchUp(known, head) ?: return false)
@@ -115,16 +115,16 @@
     private suspend fun followFleet() {
         while (true) {
             val version = holder.view.fleetVersion
-            val listing = if (isWatcher()) store.hosts(version, if (version == 0L) 0 else WATCH_MS) else null
+            val listing = if (isWatcher()) store.hosts(version, if (version == 0L) 0 else WATCH_TIMEOUT_MS) else null
             if (listing == null) {
-                delay(FLEET_RETRY_MS + Random.nextLong(FLEET_RETRY_MS))
+                delay(FLEET_RETRY_DELAY_MS + Random.nextLong(FLEET_RETRY_DELAY_MS))
             } else if (listing.version > version) {
                 holder.apply(StateChange(revision = NO_REVISION, fleet = listing.fleet, fleetVersion = listing.version))
             }
         }
     }
 
-    /** Follows one peer until it is silent, at most for [durationMs]; returns false when no peer could be reached. */
+    /** Follows one peer until it stops responding, for at most [durationMs]; returns false when no peer could be reached. */
     private suspend fun follow(durationMs: Long): Boolean {
         val peers = peers()
         if (peers.isEmpty()) return false
@@ -138,23 +138,23 @@
                 metrics,
                 onMessage = { peerConnection, message ->
                     lastHeardMs = clock.nowMs()
-                    if (message is Message.RelayedChange) takeRelayed(peerConnection, message.change)
+                    if (message is Message.RelayedChange) applyRelayed(peerConnection, message.change)
                 },
                 onClosed = {},
             ) ?: return false
         val endMs = clock.nowMs() + durationMs
         connection.send(Message.Hello(settings.host.value, incarnation = ""))
         connection.send(Message.SubscribeAll(holder.view.revision))
-        while (!connection.closed && clock.nowMs() - lastHeardMs < PEER_SILENCE_MS && clock.nowMs() < endMs) {
+        while (!connection.closed && clock.nowMs() - lastHeardMs < PEER_TIMEOUT_MS && clock.nowMs() < endMs) {
             connection.send(Message.Ping(clock.nowMs()))
-            delay(PEER_PING_MS)
+            delay(PEER_PING_INTERVAL_MS)
         }
         connection.close()
         metrics.count(MetricName.RECONNECTIONS, "peer")
         return true
     }
 
-    private suspend fun takeRelayed(
+    private suspend fun applyRelayed(
         connection: Connection,
         change: StateChange,
     ) {
@@ -175,12 +175,12 @@
 
     private companion object {
         const val WATCHERS_PER_ZONE = 2
-        const val WATCH_MS = 25_000L
-        const val CONFIRM_INTERVAL_MS = 1_000L
-        const val FLEET_RETRY_MS = 500L
-        const val FOLLOW_UNTIL_SILENT_MS = 3_600_000L
-        const val FOLLOW_DURING_OUTAGE_MS = 4_000L
-        const val PEER_PING_MS = 500L
-        const val PEER_SILENCE_MS = 2_000L
+        const val WATCH_TIMEOUT_MS = 25_000L
+        const val CONFIRMATION_INTERVAL_MS = 1_000L
+        const val FLEET_RETRY_DELAY_MS = 500L
+        const val FOLLOW_LIMIT_MS = 3_600_000L
+        const val OUTAGE_FOLLOW_LIMIT_MS = 4_000L
+        const val PEER_PING_INTERVAL_MS = 500L
+        const val PEER_TIMEOUT_MS = 2_000L
     }
 }
--- a/entry/src/main/kotlin/StateHolder.kt
+++ b/entry/src/main/kotlin/StateHolder.kt
@@ -7,7 +7,7 @@
 import org.almondjunction.decisions.ClusterView
 import org.almondjunction.decisions.StateChange
 
-/** Holds the accepted state as this process knows it; it only moves forward. */
+/** Holds the accepted state as known to this process; an older state never replaces a newer one. */
 internal class StateHolder {
     private val mutableViews = MutableStateFlow(ClusterView())
 
