--- a/entry/src/main/kotlin/CallerAnswer.kt
+++ b/entry/src/main/kotlin/CallerAnswer.kt
@@ -22,8 +22,8 @@
 import java.io.ByteArrayOutputStream
 
 /**
- * Answer to one caller. An event stream is passed on as it arrives and always ends in its own terminator or in an error event; every
- * other answer is held until it is whole.
+ * Answer to one caller. An event stream is forwarded as it arrives and always ends with its own terminator or with an error event; any
+ * other answer is buffered until it is complete.
  */
 internal class CallerAnswer(
     private val call: ApplicationCall,
@@ -33,7 +33,7 @@
     private val metrics: Metrics,
 ) : AnswerWriter {
     private val startedMs = clock.nowMs()
-    private val held = ByteArrayOutputStream()
+    private val buffered = ByteArrayOutputStream()
     private var status = HttpStatusCode.OK
     private var contentType: ContentType? = null
     private var stream: ByteWriteChannel? = null
@@ -51,7 +51,7 @@
     }
 
     private suspend fun openStream(): ByteWriteChannel {
-        mark(Outcome.Served)
+        addHeaders(Outcome.Served)
         val opened = CompletableDeferred<ByteWriteChannel>()
         response =
             scope.launch {
@@ -73,14 +73,14 @@
         lastWriteMs = nowMs
         val channel = stream
         if (channel == null) {
-            held.write(bytes)
+            buffered.write(bytes)
         } else {
             channel.writeByteArray(bytes)
             channel.flush()
         }
     }
 
-    /** Ends the answer in line with [outcome]. */
+    /** Ends the answer according to [outcome]. */
     suspend fun conclude(outcome: Outcome) {
         val problem = Problem.of(outcome, id)
         val channel = stream
@@ -92,35 +92,35 @@
                 response?.join()
             }
             problem != null -> {
-                mark(outcome)
+                addHeaders(outcome)
                 call.respondText(problem.encode(), PROBLEM_JSON, HttpStatusCode.fromValue(problem.status))
             }
             else -> {
-                mark(outcome)
-                respondHeld()
+                addHeaders(outcome)
+                respondBuffered()
             }
         }
     }
 
-    /** Writes in pieces, each when the caller has taken those before, so that an answer that was written has nearly reached its caller. */
-    private suspend fun respondHeld() {
-        val bytes = held.toByteArray()
+    /** Writes in chunks and flushes each one, to limit how much of a written answer is not yet sent to the caller. */
+    private suspend fun respondBuffered() {
+        val bytes = buffered.toByteArray()
         call.respondBytesWriter(contentType ?: ContentType.Application.OctetStream, status, contentLength = bytes.size.toLong()) {
-            for (from in bytes.indices step PIECE_BYTES) {
-                writeFully(bytes, from, minOf(bytes.size, from + PIECE_BYTES))
+            for (from in bytes.indices step CHUNK_BYTES) {
+                writeFully(bytes, from, minOf(bytes.size, from + CHUNK_BYTES))
                 flush()
             }
         }
     }
 
-    private fun mark(outcome: Outcome) {
+    private fun addHeaders(outcome: Outcome) {
         call.response.header("X-Request-Id", id.value)
         call.response.header("X-Outcome", outcome.headerValue)
         call.response.header(HttpHeaders.CacheControl, "no-store")
     }
 
     private companion object {
-        const val PIECE_BYTES = 64 * 1024
+        const val CHUNK_BYTES = 64 * 1024
         val PROBLEM_JSON = ContentType("application", "problem+json")
     }
 }
--- a/entry/src/main/kotlin/EntrySettings.kt
+++ b/entry/src/main/kotlin/EntrySettings.kt
@@ -12,19 +12,19 @@
 /**
  * Settings of an entry host.
  *
- * @property listen where callers connect
- * @property admin where operators connect, and where metrics and health are served
- * @property internal where other processes of the system connect
- * @property platform where the platform's object service listens
- * @property peers other entry hosts, asked for the accepted state while the platform's service does not answer
+ * @property listen address for callers
+ * @property admin address for operators, metrics and health checks
+ * @property internal address for other processes of the system
+ * @property platform address of the platform's object store
+ * @property peers other entry hosts, followed for the accepted state while the object store does not answer
  * @property adminTokenFile file with the operators' token; empty to read it from the environment
- * @property bodyLimitBytes largest request body
- * @property defaultTimeoutMs deadline of a request that names none
- * @property maximumTimeoutMs longest deadline that a request may name
- * @property crossRegionMinimumMs time left that a request needs before it may go to another region
- * @property leaseMs time without renewal after which another entry host takes the controllers over
- * @property settlingMs time after which a vanished host's rights may become free if every entry host denies having heard of it
- * @property drainNoticeMs time between "not ready" and the end of accepting requests in a graceful stop
+ * @property bodyLimitBytes maximum size of a request body
+ * @property defaultTimeoutMs time limit of a request that specifies none
+ * @property maximumTimeoutMs longest time limit that a request may specify
+ * @property crossRegionMinimumMs remaining time below which a request is not sent to another region
+ * @property leaseMs time without renewal after which another entry host may acquire the controller lease
+ * @property settlingMs time after which the rights of a removed host may be freed, if no entry host has heard from it for that long
+ * @property drainNoticeMs time in a graceful stop between reporting "not ready" and refusing new requests
  * @property drainLimitMs longest time that a graceful stop waits for requests in progress
  */
 public data class EntrySettings(
--- a/entry/src/main/kotlin/Exchange.kt
+++ b/entry/src/main/kotlin/Exchange.kt
@@ -5,10 +5,10 @@
 import org.almondjunction.protocol.Work
 
 /**
- * A caller's request on its way through the filters.
+ * A caller's request as it passes through the filters.
  *
  * @property target what the request asks for
- * @property deadlineMs time by which it must have ended, by this process's clock
+ * @property deadlineMs deadline of the request, on the clock of this process
  */
 internal data class Exchange(
     val id: RequestId,
@@ -24,7 +24,7 @@
 
 /** What a request asks for. */
 internal sealed class RequestTarget {
-    /** A model or adapter, by the name that the caller gave. */
+    /** A model or adapter, by its name in the request. */
     data class Model(
         val name: String,
     ) : RequestTarget()
@@ -35,7 +35,7 @@
     ) : RequestTarget()
 }
 
-/** Takes the answer to an [Exchange]. */
+/** Receives the answer to an [Exchange]. */
 internal interface AnswerWriter {
     /** Begins the answer. */
     suspend fun head(
@@ -47,7 +47,7 @@
     suspend fun write(bytes: ByteArray)
 }
 
-/** One step of the way of a request; calls [next] to go on. */
+/** One step in the handling of a request; calls [next] to continue. */
 internal fun interface RequestFilter {
     suspend fun handle(
         exchange: Exchange,
@@ -56,13 +56,13 @@
     ): Outcome
 }
 
-/** Returns the composition of [filters], first filter outermost, ending in [last]. */
+/** Returns the composition of [filters], with the first filter outermost and [last] as the final handler. */
 internal fun chain(
     filters: List<RequestFilter>,
     last: suspend (Exchange, AnswerWriter) -> Outcome,
 ): suspend (Exchange, AnswerWriter) -> Outcome =
     filters.foldRight(last) { filter, next -> { exchange, answer -> filter.handle(exchange, answer, next) } }
 
-/** Returns the work that an agent is asked to do for this exchange. */
+/** Returns this exchange as a call of a plain service, to be sent to an agent. */
 internal fun Exchange.plainCall(): Work =
     Work.PlainCall(method = method, path = path, contentType = contentType, idempotencyKey = idempotencyKey, body = body)
--- a/entry/src/main/kotlin/Main.kt
+++ b/entry/src/main/kotlin/Main.kt
@@ -94,7 +94,7 @@
         throw ProgramResult(ExitCode.INVALID_INPUT.value)
     }
 
-/** Environment variable with the operators' token. */
+/** Environment variable that holds the operators' token. */
 internal const val TOKEN_VARIABLE = "ALMONDJUNCTION_TOKEN"
 
 /** Exit codes of the command line. */
--- a/entry/src/main/kotlin/OperatorCommands.kt
+++ b/entry/src/main/kotlin/OperatorCommands.kt
@@ -27,7 +27,7 @@
 import org.almondjunction.decisions.TicketAcceptance
 import org.almondjunction.decisions.TicketOutcome
 
-/** A command that talks to the operators' interface of an entry host. */
+/** Command that calls the operators' interface of an entry host. */
 internal abstract class OperatorCommand(
     name: String,
 ) : CliktCommand(name) {
@@ -42,7 +42,7 @@
     /** Whether the answer is printed as JSON. */
     protected val json: Boolean by option("--json", help = "Print the answer as JSON").flag()
 
-    protected fun ask(
+    protected fun send(
         method: HttpMethod,
         path: String,
         body: String = "",
@@ -95,7 +95,7 @@
             TicketDocument.read(file.path, file.readText()).getOrElse { faults ->
                 quit(ExitCode.INVALID_INPUT, faults.joinToString("\n"))
             }
-        val (_, text) = ask(HttpMethod.Put, "/admin/v1/tickets/${ticket.number}", TicketAcceptance.encode(ticket))
+        val (_, text) = send(HttpMethod.Put, "/admin/v1/tickets/${ticket.number}", TicketAcceptance.encode(ticket))
         if (json) echo(text, trailingNewline = false)
         when (val outcome = Json.decodeFromString<TicketOutcome>(text)) {
             is TicketOutcome.Accepted -> if (!json) echo("Ticket ${ticket.number} is accepted at sequence ${outcome.sequence}.")
@@ -123,7 +123,7 @@
     override fun help(context: Context) = "Show whether a ticket is accepted and where it is in force."
 
     override fun run() {
-        val (status, text) = ask(HttpMethod.Get, "/admin/v1/tickets/$number")
+        val (status, text) = send(HttpMethod.Get, "/admin/v1/tickets/$number")
         if (status != HttpStatusCode.OK) quit(ExitCode.REFUSED, text)
         if (json) return echo(text, trailingNewline = false)
         val ticket = Json.decodeFromString<TicketStatus>(text)
@@ -145,7 +145,7 @@
     override fun help(context: Context) = "Show what is offered, what is loaded and which processes answer."
 
     override fun run() {
-        val (status, text) = ask(HttpMethod.Get, "/admin/v1/status")
+        val (status, text) = send(HttpMethod.Get, "/admin/v1/status")
         if (status != HttpStatusCode.OK) quit(ExitCode.REFUSED, text)
         if (json) return echo(text, trailingNewline = false)
         val cluster = Json.decodeFromString<ClusterStatus>(text)
--- a/entry/src/main/kotlin/PeerQueries.kt
+++ b/entry/src/main/kotlin/PeerQueries.kt
@@ -13,7 +13,7 @@
 import org.almondjunction.protocol.Connection
 import org.almondjunction.protocol.Message
 
-/** Asks every entry host, this one too, one question over a connection of its own. */
+/** Sends a query to every entry host, including this one, each over its own connection. */
 internal class PeerQueries(
     private val settings: EntrySettings,
     private val holder: StateHolder,
@@ -21,18 +21,18 @@
     private val metrics: Metrics,
     private val scope: CoroutineScope,
 ) {
-    /** Returns what every member heard of [hosts]; null when any of them did not answer. */
+    /** Returns every member's reply on when it last heard from [hosts]; null when any member did not answer. */
     suspend fun lastHeard(hosts: List<HostId>): List<Message.LastHeardReply>? {
         val view = holder.view
         val members = view.members.hosts.filterKeys { it !in view.catalogue.retiredHosts }
         if (settings.host !in members) return null
-        val replies = askAll(members.values, Message.LastHeardQuery(hosts)) { it as? Message.LastHeardReply }
+        val replies = queryAll(members.values, Message.LastHeardQuery(hosts)) { it as? Message.LastHeardReply }
         return replies.filterNotNull().takeIf { it.size == members.size }
     }
 
     /** Returns the status of every entry host that answers, by address; null for one that does not. */
     suspend fun statuses(): Map<Address, Message.StatusReply?> =
-        addresses().let { addresses -> addresses.zip(askAll(addresses, Message.StatusQuery) { it as? Message.StatusReply }).toMap() }
+        addresses().let { addresses -> addresses.zip(queryAll(addresses, Message.StatusQuery) { it as? Message.StatusReply }).toMap() }
 
     private fun addresses(): List<Address> =
         (
@@ -40,15 +40,15 @@
                 .mapNotNull { it.entry } + settings.peers + settings.internal
         ).distinct().sortedBy { it.toString() }
 
-    private suspend fun <T> askAll(
+    private suspend fun <T> queryAll(
         addresses: Collection<Address>,
-        question: Message,
+        message: Message,
         read: (Message) -> T?,
-    ): List<T?> = coroutineScope { addresses.map { address -> async { ask(address, question, read) } }.awaitAll() }
+    ): List<T?> = coroutineScope { addresses.map { address -> async { query(address, message, read) } }.awaitAll() }
 
-    private suspend fun <T> ask(
+    private suspend fun <T> query(
         address: Address,
-        question: Message,
+        message: Message,
         read: (Message) -> T?,
     ): T? {
         val answer = CompletableDeferred<T>()
@@ -58,12 +58,12 @@
                 address,
                 scope,
                 metrics,
-                onMessage = { _, message -> read(message)?.let { answer.complete(it) } },
+                onMessage = { _, reply -> read(reply)?.let { answer.complete(it) } },
                 onClosed = {},
                 timeoutMs = ANSWER_TIMEOUT_MS,
             ) ?: return null
         connection.send(Message.Hello(settings.host.value, incarnation = ""))
-        connection.send(question)
+        connection.send(message)
         return withTimeoutOrNull(ANSWER_TIMEOUT_MS) { answer.await() }.also { connection.close() }
     }
 
--- a/entry/src/main/kotlin/Problem.kt
+++ b/entry/src/main/kotlin/Problem.kt
@@ -5,7 +5,7 @@
 import org.almondjunction.common.Outcome
 import org.almondjunction.common.RequestId
 
-/** Problem document as in RFC 9457. */
+/** Problem document of RFC 9457. */
 @Serializable
 internal data class Problem(
     val type: String,
@@ -19,7 +19,7 @@
     fun encode(): String = Json.encodeToString(serializer(), this)
 
     companion object {
-        /** Returns the document for an outcome other than served. */
+        /** Returns the document for [outcome]; null when the request was served. */
         fun of(
             outcome: Outcome,
             id: RequestId,
--- a/entry/src/main/kotlin/StatusService.kt
+++ b/entry/src/main/kotlin/StatusService.kt
@@ -8,7 +8,7 @@
 import org.almondjunction.common.TicketNumber
 import org.almondjunction.decisions.Right
 
-/** Collects what operators read back. */
+/** Collects the status that operators query. */
 internal class StatusService(
     private val settings: EntrySettings,
     private val holder: StateHolder,
@@ -81,7 +81,7 @@
     val crossRegionBytes: Long?,
 )
 
-/** One target as its agent told it. */
+/** One target as reported by its agent. */
 @Serializable
 internal data class TargetStatus(
     val target: TargetId,
@@ -94,7 +94,7 @@
     val residents: List<String>,
 )
 
-/** One offered model and where the rights to it are. */
+/** One offered model and the rights granted for it. */
 @Serializable
 internal data class ModelStatus(
     val model: ModelId,
--- a/entry/src/main/kotlin/TicketService.kt
+++ b/entry/src/main/kotlin/TicketService.kt
@@ -17,7 +17,7 @@
 import org.almondjunction.objectstore.ObjectStore
 import kotlin.random.Random
 
-/** Accepts tickets and tells where they are in force. */
+/** Accepts tickets and reports where they are in force. */
 internal class TicketService(
     private val store: ObjectStore,
     private val peers: PeerQueries,
@@ -39,7 +39,7 @@
         }
     }
 
-    /** Returns what is known of the ticket with [number]. */
+    /** Returns the status of the ticket with [number]. */
     suspend fun show(number: TicketNumber): TicketStatus {
         val found =
             when (val reply = store.call(StoreCall.Read(StoreKeys.ticket(number)))) {
@@ -70,7 +70,7 @@
         return TicketStatus(number, outcome, hosts = hosts, targets = targets)
     }
 
-    /** Looks a ticket up without submitting it: a ticket that was never accepted is not accepted by this. */
+    /** Looks up the outcome of a ticket without submitting it: a ticket that was never accepted stays so. */
     private suspend fun lookUp(ticket: Ticket): TicketOutcome {
         val acceptance = TicketAcceptance(ticket, MAXIMUM_CALLS)
         var step = acceptance.start()
@@ -95,7 +95,7 @@
     }
 }
 
-/** A ticket as operators read it back. */
+/** Status of a ticket as shown to operators. */
 @Serializable
 internal data class TicketStatus(
     val number: TicketNumber,
