--- a/entry/src/test/kotlin/DepartureControllerTest.kt
+++ b/entry/src/test/kotlin/DepartureControllerTest.kt
@@ -16,7 +16,7 @@
 class DepartureControllerTest {
     private val host = HostId("host-1")
     private val right = Right(ModelId("m"), rank = 0, TargetId("t"), epoch = 1)
-    private val lost =
+    private val lostView =
         ClusterView(
             shards = mapOf(0 to VersionedShard(1, RightsShard(nextEpoch = 2, rights = listOf(right)))),
             hostOfLostTarget = mapOf(TargetId("t") to host),
@@ -28,35 +28,35 @@
     ) = Message.LastHeardReply("entry", upMs, listOfNotNull(heardMsAgo?.let { host to it }).toMap())
 
     @Test
-    fun `a vanished host is proven gone only when every member has been asked and denies`() =
+    fun `a removed host is proven gone only when every member replies and none has heard from it within the settling time`() =
         runTest {
             val cases =
                 listOf(
-                    Triple("all deny", listOf(reply(), reply(heardMsAgo = 70_000)), setOf(host)),
-                    Triple("one heard it lately", listOf(reply(), reply(heardMsAgo = 59_000)), emptySet()),
-                    Triple("one is up too short to know", listOf(reply(), reply(upMs = 59_000)), emptySet()),
-                    Triple("one does not answer", null, emptySet()),
+                    Triple("no member heard from it within the settling time", listOf(reply(), reply(heardMsAgo = 70_000)), setOf(host)),
+                    Triple("one member heard from it within the settling time", listOf(reply(), reply(heardMsAgo = 59_000)), emptySet()),
+                    Triple("one member has run for less than the settling time", listOf(reply(), reply(upMs = 59_000)), emptySet()),
+                    Triple("one member does not answer", null, emptySet()),
                 )
             cases.forEach { (name, replies, expected) ->
                 val clock = VirtualClock()
                 val controller = DepartureController(settlingMs = 60_000, clock) { replies }
-                assertEquals(emptySet(), controller.provenGone(lost), name)
+                assertEquals(emptySet(), controller.provenGone(lostView), name)
                 clock.advanceBy(59_999)
-                assertEquals(emptySet(), controller.provenGone(lost), name)
+                assertEquals(emptySet(), controller.provenGone(lostView), name)
                 clock.advanceBy(1)
-                assertEquals(expected, controller.provenGone(lost), name)
+                assertEquals(expected, controller.provenGone(lostView), name)
             }
         }
 
     @Test
-    fun `a host that is listed again is no longer counted as vanished`() =
+    fun `a host that is listed again is no longer proven gone`() =
         runTest {
             val clock = VirtualClock()
             val controller = DepartureController(settlingMs = 60_000, clock) { listOf(reply()) }
-            controller.provenGone(lost)
+            controller.provenGone(lostView)
             clock.advanceBy(60_000)
-            assertEquals(setOf(host), controller.provenGone(lost))
-            assertEquals(emptySet(), controller.provenGone(ClusterView(shards = lost.shards)))
-            assertEquals(emptySet(), controller.provenGone(lost))
+            assertEquals(setOf(host), controller.provenGone(lostView))
+            assertEquals(emptySet(), controller.provenGone(ClusterView(shards = lostView.shards)))
+            assertEquals(emptySet(), controller.provenGone(lostView))
         }
 }
--- a/entry/src/test/kotlin/EntryDocumentsTest.kt
+++ b/entry/src/test/kotlin/EntryDocumentsTest.kt
@@ -22,7 +22,7 @@
     private val offer = "[[models]]\nmodel = \"m\"\nservice = \"s\"\nversion = \"1\"\nmemory_mb = 10\n"
 
     @Test
-    fun `settings faults are named with their place, all at once`() {
+    fun `all settings faults are reported with their locations`() {
         val cases =
             listOf(
                 "$settings\npeers = [\"entry:1\"]" to listOf("s.toml:8:peers"),
@@ -31,14 +31,14 @@
                 settings.replace(":83", ":65536") to listOf("s.toml:7:platform"),
                 settings.replace("host = \"entry-1\"", "") to listOf("s.toml:host"),
             )
-        cases.forEach { (text, places) ->
+        cases.forEach { (text, locations) ->
             val faults = EntrySettings.read("s.toml", text).getError().orEmpty()
-            assertEquals(places, faults.map { listOfNotNull(it.file, it.line, it.path).joinToString(":") }, faults.joinToString())
+            assertEquals(locations, faults.map { listOfNotNull(it.file, it.line, it.path).joinToString(":") }, faults.joinToString())
         }
     }
 
     @Test
-    fun `ticket faults are named and nothing is taken in`() {
+    fun `all ticket faults are reported and the ticket is not read`() {
         val cases =
             listOf(
                 offer to listOf("number"),
