--- a/gateway/src/main/kotlin/KeeperLink.kt
+++ b/gateway/src/main/kotlin/KeeperLink.kt
@@ -72,8 +72,8 @@
                     target.update(message)
                     changed.raise()
                 }
-                is KeeperMessage.Load -> target.update(message)
-                is KeeperMessage.Greeting, is KeeperMessage.Usage, is KeeperMessage.Wish -> return
+                is KeeperMessage.EngineLoad -> target.update(message)
+                is KeeperMessage.Greeting, is KeeperMessage.Usage, is KeeperMessage.LoadRequest -> return
             }
         }
     }
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -29,7 +29,7 @@
     /** Last status of its keeper; null while its keeper is out of touch. */
     var status: KeeperMessage.Status? = null
         private set
-    var load = KeeperMessage.Load()
+    var load = KeeperMessage.EngineLoad()
         private set
     var keeper: KeeperLink? = null
 
@@ -51,7 +51,7 @@
     private val lastAskedMs = mutableMapOf<Pair<String, String?>, Long>()
 
     /** Whether its keeper, as far as one is in touch, gets answers from it. */
-    val answering: Boolean get() = status?.answering ?: true
+    val answering: Boolean get() = status?.engineReachable ?: true
 
     /** Models that can take requests now, with the adapters that are loaded. */
     var models: Map<String, Set<String>> = entry.models
@@ -64,7 +64,7 @@
 
     private fun usableModels(): Map<String, Set<String>> {
         val current = status ?: return entry.models
-        return current.models.filter { it.model !in current.leaving }.associate { it.model to it.adapters.toSet() }
+        return current.models.filter { it.model !in current.draining }.associate { it.model to it.adapters.toSet() }
     }
 
     /** How long the load that its keeper tells of has been in progress. */
@@ -90,7 +90,7 @@
         }
     }
 
-    fun update(newLoad: KeeperMessage.Load) {
+    fun update(newLoad: KeeperMessage.EngineLoad) {
         heard()
         load = newLoad
     }
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -177,7 +177,7 @@
     ): Long {
         val queuedMs =
             target.status
-                ?.wished
+                ?.pendingLoads
                 .orEmpty()
                 .sumOf { wished -> plan.models[ModelId(wished)]?.let { loadMs(target, it) } ?: 0 }
         return currentLoadMs(target, plan) + queuedMs
@@ -272,11 +272,11 @@
         val others = fleet.othersBeside(target)
         val copies = held.associateWith { copiesBeside(target, others, it, plan) }
         target.keeper?.send(
-            KeeperMessage.Wish(
+            KeeperMessage.LoadRequest(
                 target = target.entry.target.value,
                 model = model,
                 adapter = adapter,
-                patienceMs = patienceMs,
+                timeoutMs = patienceMs,
                 mayEvict = mayEvict,
                 memoryMb = plan.weightsMb,
                 adapterSlots = plan.adapterSlots,
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -281,7 +281,7 @@
         while (true) {
             when (channel.receive() ?: break) {
                 is KeeperMessage.Greeting -> channel.send(KeeperMessage.Status(models = listOf(HeldModel("m", emptyList()))))
-                is KeeperMessage.Usage -> channel.send(KeeperMessage.Load()).also { touch.countDown() }
+                is KeeperMessage.Usage -> channel.send(KeeperMessage.EngineLoad()).also { touch.countDown() }
                 else -> continue
             }
         }
--- a/gateway/src/test/kotlin/TargetSilenceTest.kt
+++ b/gateway/src/test/kotlin/TargetSilenceTest.kt
@@ -104,7 +104,7 @@
                     }
                     What.END -> target.end(begun.removeFirst())
                     What.TOKEN -> target.heard()
-                    What.KEEPER_ANSWER -> target.update(KeeperMessage.Load())
+                    What.KEEPER_ANSWER -> target.update(KeeperMessage.EngineLoad())
                 }
             }
             target.examineSilence()
--- a/keeper/src/main/kotlin/EngineControl.kt
+++ b/keeper/src/main/kotlin/EngineControl.kt
@@ -15,7 +15,7 @@
  * @property busy whether it is loading or unloading a model
  * @property sequence number of orders that it has accepted since its start
  * @property closing whether it closed the connection with this report, as one that is leaving does
- * @property coming adapters on their way, as model and adapter
+ * @property loadingAdapters adapters on their way, as model and adapter
  */
 public data class EngineSnapshot(
     val models: Map<String, Set<String>>,
@@ -24,7 +24,7 @@
     val queued: Int = 0,
     val active: Int = 0,
     val kvUsed: Long = 0,
-    val coming: Set<Pair<String, String>> = emptySet(),
+    val loadingAdapters: Set<Pair<String, String>> = emptySet(),
     val inMemory: List<String> = emptyList(),
     val onDisk: List<String> = emptyList(),
     val closing: Boolean = false,
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -118,8 +118,8 @@
                 message.demand.forEach { demand.tell(session.gateway, it, clock.nowMs()) }
                 answerUsage(session)
             }
-            is KeeperMessage.Wish -> begin(session.gateway, message)
-            is KeeperMessage.Status, is KeeperMessage.Load -> session.channel.close()
+            is KeeperMessage.LoadRequest -> begin(session.gateway, message)
+            is KeeperMessage.Status, is KeeperMessage.EngineLoad -> session.channel.close()
         }
     }
 
@@ -193,7 +193,7 @@
         }
     }
 
-    private fun load() = snapshot?.let { KeeperMessage.Load(it.queued, it.active, it.kvUsed) } ?: KeeperMessage.Load()
+    private fun load() = snapshot?.let { KeeperMessage.EngineLoad(it.queued, it.active, it.kvUsed) } ?: KeeperMessage.EngineLoad()
 
     private fun statusFor(session: Session): KeeperMessage.Status {
         val gateways = sessions.map { it.gateway }.filter { it.isNotEmpty() }.distinct()
@@ -217,15 +217,15 @@
                         inFlight = usage.inFlight(model, null),
                     )
                 },
-            leaving = leaving.keys.toList(),
+            draining = leaving.keys.toList(),
             loading = loading,
-            wished = modelWishes.models(nowMs),
+            pendingLoads = modelWishes.models(nowMs),
             inMemory = current?.inMemory.orEmpty(),
             onDisk = current?.onDisk.orEmpty(),
             gateways = gateways,
             load = load(),
             busy = current?.busy ?: false,
-            answering = current != null,
+            engineReachable = current != null,
         )
     }
 
@@ -237,7 +237,7 @@
 
     private fun begin(
         gateway: String,
-        wish: KeeperMessage.Wish,
+        wish: KeeperMessage.LoadRequest,
     ) {
         wish.sizes.forEach { sizes[it.model] = it }
         if (wish.adapter != null) return carryOutAdapter(wish)
@@ -270,7 +270,7 @@
         }
     }
 
-    private fun carryOutAdapter(wish: KeeperMessage.Wish) {
+    private fun carryOutAdapter(wish: KeeperMessage.LoadRequest) {
         val key = wish.model to wish.adapter
         if (!adapterWishes.add(key)) return
         scope.launch {
@@ -286,7 +286,7 @@
     }
 
     private fun logEnd(
-        wish: KeeperMessage.Wish,
+        wish: KeeperMessage.LoadRequest,
         outcome: String,
     ) = EventLog.info(
         "wish ended",
@@ -294,10 +294,10 @@
     )
 
     private suspend fun fulfil(
-        wish: KeeperMessage.Wish,
+        wish: KeeperMessage.LoadRequest,
         step: suspend () -> Step,
     ): String {
-        val endMs = clock.nowMs() + wish.patienceMs
+        val endMs = clock.nowMs() + wish.timeoutMs
         while (clock.nowMs() < endMs) {
             when (val outcome = orders.withLock { step() }) {
                 Step.Done -> return "held"
@@ -318,14 +318,14 @@
         ) : Step()
     }
 
-    private suspend fun adapterStep(wish: KeeperMessage.Wish): Step {
+    private suspend fun adapterStep(wish: KeeperMessage.LoadRequest): Step {
         val report = refresh() ?: return absent()
         val adapter = checkNotNull(wish.adapter)
         val adapters = report.models[wish.model]
         return when {
             adapters == null -> Step.Impossible("model is not held")
             adapter in adapters -> Step.Done
-            (wish.model to adapter) in report.coming || report.busy -> Step.Wait
+            (wish.model to adapter) in report.loadingAdapters || report.busy -> Step.Wait
             else -> loadAdapter(wish, adapter, report)
         }
     }
@@ -373,7 +373,7 @@
     }
 
     private fun evictionCandidates(
-        wish: KeeperMessage.Wish,
+        wish: KeeperMessage.LoadRequest,
         report: EngineSnapshot,
     ): List<EvictionCandidate> {
         val nowMs = clock.nowMs()
@@ -394,7 +394,7 @@
 
     /** Gateways send [victim] no more requests by now; those in progress may end first. */
     private suspend fun unloadOnceUnused(
-        wish: KeeperMessage.Wish,
+        wish: KeeperMessage.LoadRequest,
         report: EngineSnapshot,
         victim: String,
     ): Step {
@@ -403,15 +403,15 @@
     }
 
     private suspend fun loadAdapter(
-        wish: KeeperMessage.Wish,
+        wish: KeeperMessage.LoadRequest,
         adapter: String,
         report: EngineSnapshot,
     ): Step {
         val usedMb = usedMb(report) ?: return Step.Impossible("size of a held model is unknown")
         val adapterMb = (sizes[wish.model] ?: return Step.Impossible("size of the model is unknown")).adapterMb
-        if (report.coming.size >= MOST_ADAPTERS_IN_TRANSIT) return Step.Wait
+        if (report.loadingAdapters.size >= MOST_ADAPTERS_IN_TRANSIT) return Step.Wait
         val held = report.models.flatMap { (model, adapters) -> adapters.map { model to it } }
-        val full = held.size + report.coming.size + 1 > wish.adapterSlots || usedMb + adapterMb > wish.memoryMb
+        val full = held.size + report.loadingAdapters.size + 1 > wish.adapterSlots || usedMb + adapterMb > wish.memoryMb
         if (!full) {
             usage.touch(wish.model, adapter, clock.nowMs())
             return order(wish, report, EngineOrder.Kind.LOAD, wish.model, adapter)
@@ -427,16 +427,16 @@
 
     /** Memory that is or may be occupied; null when the size of something is unknown. */
     private fun usedMb(report: EngineSnapshot): Long? {
-        if (report.models.keys.any { it !in sizes } || report.coming.any { it.first !in sizes }) return null
+        if (report.models.keys.any { it !in sizes } || report.loadingAdapters.any { it.first !in sizes }) return null
         return report.models.keys.sumOf { sizes.getValue(it).weightsMb } + adapterMb(report)
     }
 
     private fun adapterMb(report: EngineSnapshot): Long =
         report.models.entries.sumOf { (model, adapters) -> sizes.getValue(model).adapterMb * adapters.size } +
-            report.coming.sumOf { sizes.getValue(it.first).adapterMb }
+            report.loadingAdapters.sumOf { sizes.getValue(it.first).adapterMb }
 
     private suspend fun order(
-        wish: KeeperMessage.Wish,
+        wish: KeeperMessage.LoadRequest,
         report: EngineSnapshot,
         kind: EngineOrder.Kind,
         model: String,
--- a/keeper/src/main/kotlin/KeeperMessage.kt
+++ b/keeper/src/main/kotlin/KeeperMessage.kt
@@ -36,11 +36,11 @@
      */
     @Serializable
     @SerialName("w")
-    public data class Wish(
+    public data class LoadRequest(
         val target: String,
         val model: String,
         val adapter: String? = null,
-        val patienceMs: Long,
+        @SerialName("patienceMs") val timeoutMs: Long,
         val mayEvict: Boolean,
         val memoryMb: Long,
         val adapterSlots: Int,
@@ -54,31 +54,31 @@
     /**
      * What the engine holds and is about to hold.
      *
-     * @property leaving models that are being unloaded and take no new requests
+     * @property draining models that are being unloaded and take no new requests
      * @property loading model that is being loaded
-     * @property wished models that will be loaded after it
-     * @property answering whether the engine answers its keeper
+     * @property pendingLoads models that will be loaded after it
+     * @property engineReachable whether the engine answers its keeper
      * @property gateways names of all gateways that are connected; null where they are as in the last status
      */
     @Serializable
     @SerialName("s")
     public data class Status(
         val models: List<HeldModel>,
-        val leaving: List<String> = emptyList(),
+        @SerialName("leaving") val draining: List<String> = emptyList(),
         val loading: String? = null,
-        val wished: List<String> = emptyList(),
+        @SerialName("wished") val pendingLoads: List<String> = emptyList(),
         val inMemory: List<String> = emptyList(),
         val onDisk: List<String> = emptyList(),
         val gateways: List<String>? = null,
-        val load: Load = Load(),
+        val load: EngineLoad = EngineLoad(),
         val busy: Boolean = false,
-        val answering: Boolean = true,
+        @SerialName("answering") val engineReachable: Boolean = true,
     ) : KeeperMessage()
 
     /** How much the engine has to do. */
     @Serializable
     @SerialName("l")
-    public data class Load(
+    public data class EngineLoad(
         val queued: Int = 0,
         val active: Int = 0,
         val kvUsed: Long = 0,
--- a/keeper/src/main/kotlin/WishQueue.kt
+++ b/keeper/src/main/kotlin/WishQueue.kt
@@ -5,12 +5,12 @@
 /** Models that gateways wish for and that wait for their turn; a wish that is not repeated is forgotten, since its callers have left. */
 internal class WishQueue {
     private class Asked(
-        val wish: KeeperMessage.Wish,
+        val wish: KeeperMessage.LoadRequest,
         val atMs: Long,
     )
 
     private class Waiting(
-        var wish: KeeperMessage.Wish,
+        var wish: KeeperMessage.LoadRequest,
         val sinceMs: Long,
     ) {
         val byGateway = mutableMapOf<String, Asked>()
@@ -25,7 +25,7 @@
 
     fun add(
         gateway: String,
-        wish: KeeperMessage.Wish,
+        wish: KeeperMessage.LoadRequest,
         nowMs: Long,
     ) {
         val entry = waiting.getOrPut(wish.model) { Waiting(wish, nowMs) }
@@ -71,6 +71,6 @@
  * @property valueMs what the load is worth to the callers of all gateways that asked for it, as `LoadValue` says
  */
 internal class ValuedWish(
-    val wish: KeeperMessage.Wish,
+    val wish: KeeperMessage.LoadRequest,
     val valueMs: Double,
 )
--- a/keeper/src/test/kotlin/KeeperTest.kt
+++ b/keeper/src/test/kotlin/KeeperTest.kt
@@ -149,11 +149,11 @@
     private fun wish(
         model: String,
         adapter: String? = null,
-    ) = KeeperMessage.Wish(
+    ) = KeeperMessage.LoadRequest(
         target = "t",
         model = model,
         adapter = adapter,
-        patienceMs = 2_000,
+        timeoutMs = 2_000,
         mayEvict = true,
         memoryMb = FakeEngine.MEMORY_MB,
         adapterSlots = FakeEngine.SLOTS,
@@ -163,7 +163,7 @@
     /** Plays wishes of two gateways over loopback until each has seen [wanted] in a status. */
     private fun play(
         seed: Int,
-        wishes: List<KeeperMessage.Wish>,
+        wishes: List<KeeperMessage.LoadRequest>,
         wanted: (KeeperMessage.Status) -> Boolean,
     ): FakeEngine =
         withKeeper(seed) { loop, port, _ ->
@@ -196,7 +196,7 @@
         loop: EventLoop,
         port: Int,
         name: String,
-        wishes: List<KeeperMessage.Wish>,
+        wishes: List<KeeperMessage.LoadRequest>,
         wanted: (KeeperMessage.Status) -> Boolean,
     ) {
         val connection = checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), 10_000))
@@ -265,7 +265,7 @@
         while (true) {
             val status = channel.receive() as? KeeperMessage.Status ?: continue
             if (status.models.any { it.model == "m3" }) break
-            if (status.leaving.isEmpty() || engine.inUse.isEmpty()) continue
+            if (status.draining.isEmpty() || engine.inUse.isEmpty()) continue
             engine.inUse = emptySet()
             channel.send(KeeperMessage.Usage(listOf("m1", "m2").map { Use(it, null, 0, inFlight = 0) }))
         }
--- a/keeper/src/test/kotlin/MessageChannelTest.kt
+++ b/keeper/src/test/kotlin/MessageChannelTest.kt
@@ -17,7 +17,7 @@
             KeeperMessage.Greeting("g"),
             KeeperMessage.Usage(listOf(Use("m", "a", 1, 2))),
             KeeperMessage.Status(listOf(HeldModel("m", listOf("a"), 1f, 2, 3)), gateways = listOf("g")),
-            KeeperMessage.Load(1, 2, 3),
+            KeeperMessage.EngineLoad(1, 2, 3),
         )
 
     private fun body(message: KeeperMessage) = MessageChannel.encode(message).drop(LENGTH_BYTES).toByteArray()
--- a/keeper/src/test/kotlin/WishQueueTest.kt
+++ b/keeper/src/test/kotlin/WishQueueTest.kt
@@ -24,10 +24,10 @@
     )
 
     private fun wish(ask: Ask) =
-        KeeperMessage.Wish(
+        KeeperMessage.LoadRequest(
             target = "t",
             model = ask.model,
-            patienceMs = 2_000,
+            timeoutMs = 2_000,
             mayEvict = true,
             memoryMb = 1,
             adapterSlots = 0,
