--- a/keeper/src/main/kotlin/Gathering.kt
+++ b/keeper/src/main/kotlin/CoalescedAction.kt
@@ -4,20 +4,20 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 
-/** Runs [action] once for all requests that come within [gatherMs] of the first. */
-internal class Gathering(
+/** Runs [action] once for all calls of [schedule] within [delayMs] of the first. */
+internal class CoalescedAction(
     private val scope: CoroutineScope,
-    private val gatherMs: Long,
+    private val delayMs: Long,
     private val action: () -> Unit,
 ) {
-    private var waiting = false
+    private var scheduled = false
 
-    fun request() {
-        if (waiting) return
-        waiting = true
+    fun schedule() {
+        if (scheduled) return
+        scheduled = true
         scope.launch {
-            delay(gatherMs)
-            waiting = false
+            delay(delayMs)
+            scheduled = false
             action()
         }
     }
--- a/keeper/src/main/kotlin/EngineControl.kt
+++ b/keeper/src/main/kotlin/EngineControl.kt
@@ -1,21 +1,21 @@
 package org.almondjunction.keeper
 
-/** The engine beside this process, as its keeper uses it. */
+/** Access to the engine that runs on the same host. */
 public interface EngineControl {
     /** Returns what the engine holds now; null when it does not answer. */
     public suspend fun report(): EngineSnapshot?
 
-    /** Gives one order. */
+    /** Sends one order. */
     public suspend fun order(order: EngineOrder): EngineOrderReply
 }
 
 /**
- * What an engine says of itself.
+ * State that an engine reports.
  *
  * @property busy whether it is loading or unloading a model
  * @property sequence number of orders that it has accepted since its start
- * @property closing whether it closed the connection with this report, as one that is leaving does
- * @property loadingAdapters adapters on their way, as model and adapter
+ * @property closing whether it closed the connection with this report, as it does while it shuts down
+ * @property loadingAdapters adapters that are being loaded, as pairs of model and adapter
  */
 public data class EngineSnapshot(
     val models: Map<String, Set<String>>,
@@ -33,8 +33,8 @@
 /**
  * An order to an engine.
  *
- * @property target identity of the engine for which it is meant
- * @property expectedSequence the order holds only while the engine has accepted this number of orders
+ * @property target identity of the engine that is to carry it out
+ * @property expectedSequence the order is valid only while the engine has accepted this number of orders
  * @property fence an order with a lower number than one that the engine has seen is refused
  */
 public data class EngineOrder(
@@ -45,24 +45,23 @@
     val expectedSequence: Long,
     val fence: Long,
 ) {
-    /** What is to be done. */
     public enum class Kind { LOAD, UNLOAD }
 }
 
-/** What came back from an order. */
+/** Result of an order. */
 public enum class EngineOrderReply {
-    /** It is being carried out or holds already. */
+    /** The order is being carried out, or the engine is already in the requested state. */
     ACCEPTED,
 
     /** Another order is in progress, or the sequence differs. */
     CONFLICT,
 
-    /** A higher fencing number was seen. */
+    /** The engine has seen a higher fencing number. */
     FENCED,
 
-    /** The order is not possible, or the engine is another one. */
+    /** The order is not possible, or is meant for another engine. */
     REFUSED,
 
-    /** No answer; it may have been accepted, or may be carried out later unless the sequence moves on. */
+    /** No reply; the order may have been accepted, or may be carried out later unless the sequence advances. */
     LOST,
 }
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -17,12 +17,12 @@
 import org.almondjunction.network.launchAlways
 
 /**
- * Keeps one engine: alone gives it orders, and tells every gateway what it holds.
+ * Controls one engine: is the only process that gives it orders, and reports its state to every gateway.
  *
- * What the engine reports is the only ledger; an order holds only while the engine's sequence is the one of the report that it was
- * planned on, so an order that is carried out late cannot follow a newer one.
+ * The engine's own report is the only source of truth. An order is valid only while the engine's sequence number equals that of the
+ * report on which it was planned, so a delayed order cannot take effect after a newer one.
  *
- * @param firstFence fencing number of the first order; must rise with each start of this process
+ * @param firstFence fencing number of the first order; must increase with each start of this process
  */
 public class Keeper(
     private val scope: CoroutineScope,
@@ -43,32 +43,32 @@
     }
 
     private val sessions = mutableSetOf<Session>()
-    private val usage = UsageBook()
-    private val demand = ToldDemand()
-    private val orders = Mutex()
-    private val adapterWishes = mutableSetOf<Pair<String, String?>>()
-
-    /** Models that take no new requests since they make way, with the time since when. */
-    private val leaving = mutableMapOf<String, Long>()
-    private val modelWishes = WishQueue()
+    private val usage = UsageStatistics()
+    private val demand = ReportedDemand()
+    private val orderLock = Mutex()
+    private val activeAdapterRequests = mutableSetOf<Pair<String, String?>>()
+
+    /** Models that are drained before eviction and receive no new requests, with the time at which draining began. */
+    private val draining = mutableMapOf<String, Long>()
+    private val loadQueue = LoadQueue()
     private val sizes = mutableMapOf<String, ModelSize>()
     private var loading: String? = null
     private var fence = firstFence
     private var snapshot: EngineSnapshot? = null
-    private var misses = 0
+    private var missedReports = 0
 
-    /** All gateways are told together of those that come or go at about one time. */
-    private val gatewaysChanged = Gathering(scope, GATEWAYS_GATHER_MS) { markDirty() }
+    /** Notifies all gateways once of connections and disconnections that occur close together. */
+    private val gatewaysChanged = CoalescedAction(scope, GATEWAY_CHANGE_WINDOW_MS) { markDirty() }
 
-    /** On an empty engine anything could be loaded: gateways that have just met it ask within a moment, and most is worth most. */
-    private val firstWishes = Gathering(scope, WISHES_GATHER_MS) { beginNext() }
+    /** Any model fits on an empty engine, so the first load waits for the requests of all gateways and the most valuable one starts. */
+    private val firstLoadRequests = CoalescedAction(scope, FIRST_REQUESTS_WINDOW_MS) { startNextLoad() }
 
-    /** When the engine was last heard, or a gateway last came for it. */
-    private var expectedMs = clock.nowMs()
+    /** Time of the engine's last report, or of the last connection of a gateway. */
+    private var lastContactMs = clock.nowMs()
 
-    /** Begins to watch the engine. */
+    /** Starts to poll the engine. */
     public fun start() {
-        scope.launchAlways("watch of the engine") {
+        scope.launchAlways("engine poll") {
             while (true) {
                 refresh()
                 delay(pollMs())
@@ -76,13 +76,13 @@
         }
     }
 
-    /** An engine that has been away for long is looked for less often, until a gateway knows of it again. */
+    /** An engine that has been unreachable for long is polled less often, until a gateway connects. */
     private fun pollMs(): Long =
         when {
             snapshot?.closing == true -> CLOSING_POLL_MS
             snapshot != null -> IDLE_POLL_MS
-            clock.nowMs() - expectedMs < EXPECTED_MS -> ABSENT_POLL_MS
-            else -> LONG_ABSENT_POLL_MS
+            clock.nowMs() - lastContactMs < RESTART_WINDOW_MS -> UNREACHABLE_POLL_MS
+            else -> LONG_UNREACHABLE_POLL_MS
         }
 
     /** Serves a gateway on [connection]. */
@@ -95,9 +95,9 @@
             } finally {
                 session.channel.close()
                 sessions -= session
-                usage.forget(session.gateway)
-                demand.forget(session.gateway)
-                gatewaysChanged.request()
+                usage.removeGateway(session.gateway)
+                demand.removeGateway(session.gateway)
+                gatewaysChanged.schedule()
             }
         }
     }
@@ -109,21 +109,21 @@
         when (message) {
             is KeeperMessage.Greeting -> {
                 session.gateway = message.gateway
-                expectedMs = clock.nowMs()
+                lastContactMs = clock.nowMs()
                 push(session.also { it.dirty = true })
-                gatewaysChanged.request()
+                gatewaysChanged.schedule()
             }
             is KeeperMessage.Usage -> {
                 usage.record(session.gateway, message.uses, clock.nowMs())
-                message.demand.forEach { demand.tell(session.gateway, it, clock.nowMs()) }
+                message.demand.forEach { demand.record(session.gateway, it, clock.nowMs()) }
                 answerUsage(session)
             }
-            is KeeperMessage.LoadRequest -> begin(session.gateway, message)
+            is KeeperMessage.LoadRequest -> submit(session.gateway, message)
             is KeeperMessage.Status, is KeeperMessage.EngineLoad -> session.channel.close()
         }
     }
 
-    /** A gateway with requests in flight takes the silence of a keeper for that of its engine. */
+    /** Answers each usage report, because a gateway with requests in flight treats a silent keeper as a silent engine. */
     private fun answerUsage(session: Session) {
         session.loadDirty = true
         if (clock.nowMs() - session.statusSentMs >= STATUS_INTERVAL_MS) session.dirty = true
@@ -133,16 +133,16 @@
     private suspend fun refresh(): EngineSnapshot? {
         val before = snapshot
         val now = engine.report()
-        if (now == null && before != null && ++misses < MISSES_OF_ABSENCE) return null
-        misses = 0
-        if (now == null && before != null) EventLog.warn("engine lost")
+        if (now == null && before != null && ++missedReports < MISSED_REPORTS_UNTIL_UNREACHABLE) return null
+        missedReports = 0
+        if (now == null && before != null) EventLog.warn("engine stopped responding")
         if (now != null &&
             before == null
         ) {
-            EventLog.info("engine found", LogFields(extra = describe(now)))
+            EventLog.info("engine is responding", LogFields(extra = describe(now)))
         }
         snapshot = now
-        if (now != null) expectedMs = clock.nowMs()
+        if (now != null) lastContactMs = clock.nowMs()
         when {
             now == null -> if (before != null) markDirty()
             now.models != before?.models || now.busy != before.busy -> markDirty()
@@ -177,7 +177,7 @@
                 failed = false
             } finally {
                 session.sending = false
-                // A gateway that would hear nothing more comes again.
+                // The gateway would receive no further messages on this connection; closing it makes the gateway reconnect.
                 if (failed) session.channel.close()
             }
         }
@@ -185,7 +185,7 @@
 
     private suspend fun sendChanges(session: Session) {
         while (session.dirty || session.loadDirty) {
-            val message = if (session.dirty) statusFor(session) else load()
+            val message = if (session.dirty) statusFor(session) else engineLoad()
             session.dirty = false
             session.loadDirty = false
             session.sentMs = clock.nowMs()
@@ -193,7 +193,7 @@
         }
     }
 
-    private fun load() = snapshot?.let { KeeperMessage.EngineLoad(it.queued, it.active, it.kvUsed) } ?: KeeperMessage.EngineLoad()
+    private fun engineLoad() = snapshot?.let { KeeperMessage.EngineLoad(it.queued, it.active, it.kvUsed) } ?: KeeperMessage.EngineLoad()
 
     private fun statusFor(session: Session): KeeperMessage.Status {
         val gateways = sessions.map { it.gateway }.filter { it.isNotEmpty() }.distinct()
@@ -217,89 +217,93 @@
                         inFlight = usage.inFlight(model, null),
                     )
                 },
-            draining = leaving.keys.toList(),
+            draining = draining.keys.toList(),
             loading = loading,
-            pendingLoads = modelWishes.models(nowMs),
+            pendingLoads = loadQueue.models(nowMs),
             inMemory = current?.inMemory.orEmpty(),
             onDisk = current?.onDisk.orEmpty(),
             gateways = gateways,
-            load = load(),
+            load = engineLoad(),
             busy = current?.busy ?: false,
             engineReachable = current != null,
         )
     }
 
-    /** A model that was just loaded has not been used yet, but gateways know who asks for it. */
+    /** Prefers the demand that gateways report, because a model that was just loaded has no usage yet. */
     private fun requestsPerSecond(
         model: String,
         nowMs: Long,
     ): Double = demand.perSecond(model, nowMs) ?: usage.ratePerSecond(model, null, nowMs)
 
-    private fun begin(
+    private fun submit(
         gateway: String,
-        wish: KeeperMessage.LoadRequest,
+        request: KeeperMessage.LoadRequest,
     ) {
-        wish.sizes.forEach { sizes[it.model] = it }
-        if (wish.adapter != null) return carryOutAdapter(wish)
-        if (!wish.mayEvict && loading != null) return
-        modelWishes.add(gateway, wish, clock.nowMs())
-        demand.tell(gateway, Demand(wish.model, wish.requestsPerSecond), clock.nowMs())
-        if (loading == null && snapshot?.models.isNullOrEmpty()) firstWishes.request() else beginNext()
+        request.sizes.forEach { sizes[it.model] = it }
+        if (request.adapter != null) return startAdapterLoad(request)
+        if (!request.mayEvict && loading != null) return
+        loadQueue.add(gateway, request, clock.nowMs())
+        demand.record(gateway, Demand(request.model, request.requestsPerSecond), clock.nowMs())
+        if (loading == null && snapshot?.models.isNullOrEmpty()) firstLoadRequests.schedule() else startNextLoad()
     }
 
-    /** Begins with the wish that is worth most, unless a model is on its way already. */
-    private fun beginNext() {
+    /** Starts the pending load of highest value, unless a model is being loaded already. */
+    private fun startNextLoad() {
         if (loading != null) return
-        modelWishes.take(clock.nowMs(), snapshot?.models?.keys.orEmpty())?.let { carryOut(it) }
+        loadQueue.take(clock.nowMs(), snapshot?.models?.keys.orEmpty())?.let { startLoad(it) }
     }
 
-    private fun carryOut(valued: ValuedWish) {
-        loading = valued.wish.model
+    private fun startLoad(load: ValuedLoad) {
+        loading = load.request.model
         markDirty()
         scope.launch {
             val outcome =
                 try {
-                    fulfil(valued.wish) { modelStep(valued) }
+                    runUntilDone(load.request) { modelStep(load) }
                 } finally {
                     loading = null
-                    leaving.clear()
+                    draining.clear()
                 }
-            logEnd(valued.wish, outcome)
+            logOutcome(load.request, outcome)
             markDirty()
-            beginNext()
+            startNextLoad()
         }
     }
 
-    private fun carryOutAdapter(wish: KeeperMessage.LoadRequest) {
-        val key = wish.model to wish.adapter
-        if (!adapterWishes.add(key)) return
+    private fun startAdapterLoad(request: KeeperMessage.LoadRequest) {
+        val key = request.model to request.adapter
+        if (!activeAdapterRequests.add(key)) return
         scope.launch {
             val outcome =
                 try {
-                    fulfil(wish) { adapterStep(wish) }
+                    runUntilDone(request) { adapterStep(request) }
                 } finally {
-                    adapterWishes -= key
+                    activeAdapterRequests -= key
                 }
-            logEnd(wish, outcome)
+            logOutcome(request, outcome)
             markDirty()
         }
     }
 
-    private fun logEnd(
-        wish: KeeperMessage.LoadRequest,
+    private fun logOutcome(
+        request: KeeperMessage.LoadRequest,
         outcome: String,
     ) = EventLog.info(
-        "wish ended",
-        LogFields(target = TargetId(wish.target), outcome = outcome, extra = mapOf("model" to wish.model, "adapter" to wish.adapter)),
+        "load request ended",
+        LogFields(
+            target = TargetId(request.target),
+            outcome = outcome,
+            extra = mapOf("model" to request.model, "adapter" to request.adapter),
+        ),
     )
 
-    private suspend fun fulfil(
-        wish: KeeperMessage.LoadRequest,
+    private suspend fun runUntilDone(
+        request: KeeperMessage.LoadRequest,
         step: suspend () -> Step,
     ): String {
-        val endMs = clock.nowMs() + wish.timeoutMs
-        while (clock.nowMs() < endMs) {
-            when (val outcome = orders.withLock { step() }) {
+        val deadlineMs = clock.nowMs() + request.timeoutMs
+        while (clock.nowMs() < deadlineMs) {
+            when (val outcome = orderLock.withLock { step() }) {
                 Step.Done -> return "held"
                 is Step.Impossible -> return outcome.reason
                 Step.Wait -> delay(BUSY_POLL_MS)
@@ -318,62 +322,62 @@
         ) : Step()
     }
 
-    private suspend fun adapterStep(wish: KeeperMessage.LoadRequest): Step {
-        val report = refresh() ?: return absent()
-        val adapter = checkNotNull(wish.adapter)
-        val adapters = report.models[wish.model]
+    private suspend fun adapterStep(request: KeeperMessage.LoadRequest): Step {
+        val report = refresh() ?: return missingReport()
+        val adapter = checkNotNull(request.adapter)
+        val adapters = report.models[request.model]
         return when {
             adapters == null -> Step.Impossible("model is not held")
             adapter in adapters -> Step.Done
-            (wish.model to adapter) in report.loadingAdapters || report.busy -> Step.Wait
-            else -> loadAdapter(wish, adapter, report)
+            (request.model to adapter) in report.loadingAdapters || report.busy -> Step.Wait
+            else -> loadAdapter(request, adapter, report)
         }
     }
 
-    private suspend fun modelStep(valued: ValuedWish): Step {
-        val report = refresh() ?: return absent()
-        val wish = valued.wish
-        if (wish.model in report.models) {
-            usage.touch(wish.model, null, clock.nowMs())
+    private suspend fun modelStep(load: ValuedLoad): Step {
+        val report = refresh() ?: return missingReport()
+        val request = load.request
+        if (request.model in report.models) {
+            usage.touch(request.model, null, clock.nowMs())
             return Step.Done
         }
-        val neededMb = (sizes[wish.model] ?: return Step.Impossible("size of the model is unknown")).weightsMb
+        val neededMb = (sizes[request.model] ?: return Step.Impossible("size of the model is unknown")).weightsMb
         val usedMb = usedMb(report) ?: return Step.Impossible("size of a held model is unknown")
-        val reserveMb = (sizes.values.maxOf { it.adapterMb } * wish.adapterSlots - adapterMb(report)).coerceAtLeast(0)
-        val missingMb = usedMb + neededMb + reserveMb - wish.memoryMb
-        val victim = leaving.keys.firstOrNull { it in report.models }
+        val reserveMb = (sizes.values.maxOf { it.adapterMb } * request.adapterSlots - adapterMb(report)).coerceAtLeast(0)
+        val missingMb = usedMb + neededMb + reserveMb - request.memoryMb
+        val victim = draining.keys.firstOrNull { it in report.models }
         return when {
-            missingMb > 0 && wish.mayEvict && victim == null -> chooseVictim(valued, report, missingMb)
+            missingMb > 0 && request.mayEvict && victim == null -> chooseVictim(load, report, missingMb)
             report.busy -> Step.Wait
-            missingMb <= 0 -> order(wish, report, EngineOrder.Kind.LOAD, wish.model, null)
+            missingMb <= 0 -> order(request, report, EngineOrder.Kind.LOAD, request.model, null)
             victim == null -> Step.Impossible("no room")
-            else -> unloadOnceUnused(wish, report, victim)
+            else -> unloadOnceDrained(request, report, victim)
         }
     }
 
-    private fun absent() = if (snapshot == null) Step.Impossible("the engine does not answer") else Step.Wait
+    private fun missingReport() = if (snapshot == null) Step.Impossible("the engine does not answer") else Step.Wait
 
-    /** Chooses what makes way for the wish; gateways send that no more requests. */
+    /** Chooses the model to evict for the request; gateways then send it no new requests. */
     private fun chooseVictim(
-        valued: ValuedWish,
+        load: ValuedLoad,
         report: EngineSnapshot,
         missingMb: Long,
     ): Step {
-        val candidates = evictionCandidates(valued.wish, report)
+        val candidates = evictionCandidates(load.request, report)
         val chosen =
-            EvictionPlan.choose(candidates, missingMb, LoadValue.callersOf(valued.valueMs))
+            EvictionPlan.choose(candidates, missingMb, LoadValue.callersOf(load.valueMs))
                 ?: return Step.Impossible("all that is held is too small")
-        if (chosen.costMs > valued.valueMs) return Step.Impossible("what is held is worth more")
+        if (chosen.costMs > load.valueMs) return Step.Impossible("what is held is worth more")
         val victim = candidates.first { it.model == chosen.models.first() }
-        val justLoaded = victim.inFlight == 0 && EvictionPlan.waitMs(victim) > 0
-        if (justLoaded) return Step.Wait
-        leaving[victim.model.value] = clock.nowMs()
+        val recentlyUsed = victim.inFlight == 0 && EvictionPlan.waitMs(victim) > 0
+        if (recentlyUsed) return Step.Wait
+        draining[victim.model.value] = clock.nowMs()
         markDirty()
         return Step.Wait
     }
 
     private fun evictionCandidates(
-        wish: KeeperMessage.LoadRequest,
+        request: KeeperMessage.LoadRequest,
         report: EngineSnapshot,
     ): List<EvictionCandidate> {
         val nowMs = clock.nowMs()
@@ -384,48 +388,48 @@
                 requestsPerSecond = requestsPerSecond(model, nowMs),
                 idleMs = usage.idleMs(model, null, nowMs),
                 inFlight = usage.inFlight(model, null),
-                otherCopies = wish.copiesElsewhere.count { it == model },
+                otherCopies = request.copiesElsewhere.count { it == model },
                 answerMs = demand.answerMs(model, nowMs) ?: EvictionCandidate.USUAL_ANSWER_MS,
-                surplus = model in wish.surplus,
-                reloadMs = if (model in report.inMemory || model in report.onDisk) RELOAD_AT_HAND_MS else RELOAD_FROM_STORE_MS,
+                surplus = model in request.surplus,
+                reloadMs = if (model in report.inMemory || model in report.onDisk) RELOAD_FROM_HOST_MS else RELOAD_FROM_STORE_MS,
             )
         }
     }
 
-    /** Gateways send [victim] no more requests by now; those in progress may end first. */
-    private suspend fun unloadOnceUnused(
-        wish: KeeperMessage.LoadRequest,
+    /** Unloads [victim], which receives no new requests, once its requests in progress have ended or [DRAIN_TIMEOUT_MS] has passed. */
+    private suspend fun unloadOnceDrained(
+        request: KeeperMessage.LoadRequest,
         report: EngineSnapshot,
         victim: String,
     ): Step {
-        val drains = usage.inFlight(victim, null) > 0 && clock.nowMs() - leaving.getValue(victim) < LONGEST_DRAIN_MS
-        return if (drains) Step.Wait else order(wish, report, EngineOrder.Kind.UNLOAD, victim, null)
+        val stillDraining = usage.inFlight(victim, null) > 0 && clock.nowMs() - draining.getValue(victim) < DRAIN_TIMEOUT_MS
+        return if (stillDraining) Step.Wait else order(request, report, EngineOrder.Kind.UNLOAD, victim, null)
     }
 
     private suspend fun loadAdapter(
-        wish: KeeperMessage.LoadRequest,
+        request: KeeperMessage.LoadRequest,
         adapter: String,
         report: EngineSnapshot,
     ): Step {
         val usedMb = usedMb(report) ?: return Step.Impossible("size of a held model is unknown")
-        val adapterMb = (sizes[wish.model] ?: return Step.Impossible("size of the model is unknown")).adapterMb
-        if (report.loadingAdapters.size >= MOST_ADAPTERS_IN_TRANSIT) return Step.Wait
+        val adapterMb = (sizes[request.model] ?: return Step.Impossible("size of the model is unknown")).adapterMb
+        if (report.loadingAdapters.size >= MAXIMUM_LOADING_ADAPTERS) return Step.Wait
         val held = report.models.flatMap { (model, adapters) -> adapters.map { model to it } }
-        val full = held.size + report.loadingAdapters.size + 1 > wish.adapterSlots || usedMb + adapterMb > wish.memoryMb
+        val full = held.size + report.loadingAdapters.size + 1 > request.adapterSlots || usedMb + adapterMb > request.memoryMb
         if (!full) {
-            usage.touch(wish.model, adapter, clock.nowMs())
-            return order(wish, report, EngineOrder.Kind.LOAD, wish.model, adapter)
+            usage.touch(request.model, adapter, clock.nowMs())
+            return order(request, report, EngineOrder.Kind.LOAD, request.model, adapter)
         }
         val nowMs = clock.nowMs()
         val victim =
             held
                 .filter { usage.inFlight(it.first, it.second) == 0 }
                 .maxByOrNull { usage.idleMs(it.first, it.second, nowMs) }
-                ?.takeIf { usage.idleMs(it.first, it.second, nowMs) >= SHORTEST_ADAPTER_IDLE_MS } ?: return Step.Wait
-        return order(wish, report, EngineOrder.Kind.UNLOAD, victim.first, victim.second)
+                ?.takeIf { usage.idleMs(it.first, it.second, nowMs) >= MINIMUM_ADAPTER_IDLE_MS } ?: return Step.Wait
+        return order(request, report, EngineOrder.Kind.UNLOAD, victim.first, victim.second)
     }
 
-    /** Memory that is or may be occupied; null when the size of something is unknown. */
+    /** Memory that is or may be occupied; null when the size of a model is unknown. */
     private fun usedMb(report: EngineSnapshot): Long? {
         if (report.models.keys.any { it !in sizes } || report.loadingAdapters.any { it.first !in sizes }) return null
         return report.models.keys.sumOf { sizes.getValue(it).weightsMb } + adapterMb(report)
@@ -436,18 +440,18 @@
             report.loadingAdapters.sumOf { sizes.getValue(it.first).adapterMb }
 
     private suspend fun order(
-        wish: KeeperMessage.LoadRequest,
+        request: KeeperMessage.LoadRequest,
         report: EngineSnapshot,
         kind: EngineOrder.Kind,
         model: String,
         adapter: String?,
     ): Step {
-        val order = EngineOrder(wish.target, kind, model, adapter, report.sequence, fence)
+        val order = EngineOrder(request.target, kind, model, adapter, report.sequence, fence)
         val reply = engine.order(order)
         EventLog.info(
             "order",
             LogFields(
-                target = TargetId(wish.target),
+                target = TargetId(request.target),
                 outcome = reply.name.lowercase(),
                 extra =
                     mapOf(
@@ -472,56 +476,56 @@
     }
 
     private companion object {
-        /** Time between reports while nothing is asked for; a report from the engine's own host is fresh and free. */
+        /** Poll interval while no load request is carried out; a report from the engine's own host is fresh and cheap. */
         const val IDLE_POLL_MS = 100L
 
-        /** Time between reports while each needs a new connection, since the engine is leaving. */
+        /** Poll interval while the engine is shutting down, when each report needs a new connection. */
         const val CLOSING_POLL_MS = 1_000L
 
-        /** Time between reports while the engine does not answer; each try is a new connection. */
-        const val ABSENT_POLL_MS = 500L
-        const val LONG_ABSENT_POLL_MS = 3_000L
+        /** Poll interval while the engine does not answer; each attempt opens a new connection. */
+        const val UNREACHABLE_POLL_MS = 500L
+        const val LONG_UNREACHABLE_POLL_MS = 3_000L
 
-        /** Time for which an engine that went away is expected back; longer than most restarts. */
-        const val EXPECTED_MS = 8_000L
+        /** Time for which an unreachable engine is expected to return; longer than most restarts. */
+        const val RESTART_WINDOW_MS = 8_000L
 
-        /** Reports in a row that must fail before the engine counts as away. */
-        const val MISSES_OF_ABSENCE = 2
+        /** Consecutive failed reports after which the engine counts as unreachable. */
+        const val MISSED_REPORTS_UNTIL_UNREACHABLE = 2
 
-        /** Time after which a model that makes way is unloaded though requests are in progress; the engine still ends those it has begun. */
-        const val LONGEST_DRAIN_MS = 2_500L
+        /** Time after which a draining model is unloaded despite requests in progress; the engine still completes those it has started. */
+        const val DRAIN_TIMEOUT_MS = 2_500L
 
-        /** Time between reports while an order is being carried out; about a load of an adapter. */
+        /** Poll interval while an order is being carried out; about the time in which an adapter is loaded. */
         const val BUSY_POLL_MS = 10L
 
-        /** Least time between two messages about the load alone. */
+        /** Minimum time between two messages that report only the load. */
         const val LOAD_INTERVAL_MS = 200L
 
-        /** Time between two messages about the load to different gateways, so that their number does not grow with the fleet. */
+        /** Part of the load interval for each connected gateway, so that the total message rate does not grow with the fleet. */
         const val LOAD_SPACING_MS = 40L
 
-        /** Time in which gateways that start together have all come. */
-        const val GATEWAYS_GATHER_MS = 300L
+        /** Time within which gateways that start together have all connected. */
+        const val GATEWAY_CHANGE_WINDOW_MS = 300L
 
-        /** Time in which gateways that have just met an empty engine ask for what their callers wait for. */
-        const val WISHES_GATHER_MS = 100L
+        /** Time within which gateways that have just connected to an empty engine request the models that their callers wait for. */
+        const val FIRST_REQUESTS_WINDOW_MS = 100L
 
-        /** Longest time between two full statuses while gateways talk. */
+        /** Maximum time between two full statuses while gateways report usage. */
         const val STATUS_INTERVAL_MS = 2_000L
 
-        /** An adapter that was loaded or used so recently stays; gateways tell of its requests within 500 ms. */
-        const val SHORTEST_ADAPTER_IDLE_MS = 700L
+        /** An adapter that was loaded or used more recently is not evicted; gateways report its requests within 500 ms. */
+        const val MINIMUM_ADAPTER_IDLE_MS = 700L
 
-        /** Engines take so many adapters at a time from the store. */
-        const val MOST_ADAPTERS_IN_TRANSIT = 4
+        /** Number of adapters that an engine loads from the store at the same time. */
+        const val MAXIMUM_LOADING_ADAPTERS = 4
 
-        /** Typical reload of a checkpoint that the engine's host still has. */
-        const val RELOAD_AT_HAND_MS = 800L
+        /** Typical time to reload a checkpoint that the engine's host still has in memory or on disk. */
+        const val RELOAD_FROM_HOST_MS = 800L
 
-        /** Typical load from the weight store. */
+        /** Typical time to load a checkpoint from the weight store. */
         const val RELOAD_FROM_STORE_MS = 6_000L
 
-        /** Added to a fencing number that was refused: this process alone orders its engine, so its clock had gone back. */
+        /** Added to a refused fencing number: only this process orders its engine, so a refusal means that its clock was set back. */
         const val FENCE_STEP = 86_400_000L
     }
 }
--- a/keeper/src/main/kotlin/KeeperMessage.kt
+++ b/keeper/src/main/kotlin/KeeperMessage.kt
@@ -6,7 +6,7 @@
 /** Messages between a gateway and the keeper of an engine. */
 @Serializable
 public sealed class KeeperMessage {
-    /** First message of a gateway. */
+    /** First message of a gateway on a connection. */
     @Serializable
     @SerialName("g")
     public data class Greeting(
@@ -14,10 +14,10 @@
     ) : KeeperMessage()
 
     /**
-     * What a gateway has sent to the engine lately.
+     * Recent requests of a gateway to the engine.
      *
      * @property uses one entry for each model or adapter that was used since the last message or has requests in flight
-     * @property demand what callers of the gateway ask of models that the engine holds
+     * @property demand demand of the gateway's callers for the models that the engine holds
      */
     @Serializable
     @SerialName("u")
@@ -27,12 +27,12 @@
     ) : KeeperMessage()
 
     /**
-     * A gateway asks for a model or an adapter.
+     * Request of a gateway to load a model or an adapter.
      *
-     * @property callers callers that wait for it there, weighed as `LoadValue` says
+     * @property callers callers that wait for it at the gateway, weighted as defined by `LoadValue`
      * @property requestsPerSecond recent demand for the model at the gateway
-     * @property copiesElsewhere models with a copy on another engine; one entry for each copy
-     * @property surplus models whose copies on other engines serve all of their callers
+     * @property copiesElsewhere models with a replica on another engine; one entry for each replica
+     * @property surplus models whose replicas on other engines can serve all of their callers
      */
     @Serializable
     @SerialName("w")
@@ -52,13 +52,13 @@
     ) : KeeperMessage()
 
     /**
-     * What the engine holds and is about to hold.
+     * State of the engine and of its pending loads.
      *
      * @property draining models that are being unloaded and take no new requests
      * @property loading model that is being loaded
-     * @property pendingLoads models that will be loaded after it
+     * @property pendingLoads models that are queued to be loaded after it
      * @property engineReachable whether the engine answers its keeper
-     * @property gateways names of all gateways that are connected; null where they are as in the last status
+     * @property gateways names of all gateways that are connected; null when unchanged since the last status
      */
     @Serializable
     @SerialName("s")
@@ -75,7 +75,7 @@
         @SerialName("answering") val engineReachable: Boolean = true,
     ) : KeeperMessage()
 
-    /** How much the engine has to do. */
+    /** Current load of the engine. */
     @Serializable
     @SerialName("l")
     public data class EngineLoad(
@@ -97,8 +97,8 @@
 /**
  * Demand for [model] at one gateway.
  *
- * @property requestsPerSecond the part of it that falls on one engine
- * @property answerMs how long its requests usually take at their engine
+ * @property requestsPerSecond share of the demand that falls on one engine
+ * @property answerMs usual duration of its requests at their engine
  */
 @Serializable
 public data class Demand(
@@ -107,7 +107,7 @@
     @SerialName("t") val answerMs: Int = 0,
 )
 
-/** Memory that a model and each of its adapters take. */
+/** Memory that a model and each of its adapters occupy. */
 @Serializable
 public data class ModelSize(
     @SerialName("m") val model: String,
@@ -118,7 +118,7 @@
 /**
  * A model on the engine.
  *
- * @property requestsPerSecond recent demand at this engine, all gateways together
+ * @property requestsPerSecond recent demand at this engine, of all gateways together
  * @property idleMs time since its last request
  */
 @Serializable
--- a/keeper/src/main/kotlin/MessageChannel.kt
+++ b/keeper/src/main/kotlin/MessageChannel.kt
@@ -7,7 +7,7 @@
 import org.almondjunction.network.ReadResult
 import org.almondjunction.network.TcpConnection
 
-/** Frames of a four-byte length and a CBOR message on [connection]. */
+/** Sends and receives messages on [connection] as frames: a length of four bytes, then the message in CBOR. */
 public class MessageChannel(
     private val connection: TcpConnection,
 ) : AutoCloseable {
@@ -17,7 +17,7 @@
     /** Sends [message]; returns false when the connection has ended. */
     public suspend fun send(message: KeeperMessage): Boolean = connection.write(encode(message))
 
-    /** Returns the next message; null when the connection has ended or the peer sent something else. */
+    /** Returns the next message; null when the connection has ended or the peer sent an invalid frame. */
     public suspend fun receive(): KeeperMessage? {
         val input = connection.input
         while (input.size < LENGTH_BYTES) if (connection.fill() != ReadResult.DATA) return null
@@ -34,7 +34,7 @@
         private const val LENGTH_BYTES = 4
         private const val BYTE_MASK = 0xFF
 
-        /** Bound on a frame; a status of 1,000 models takes about 60 KB. */
+        /** A status of 1,000 models takes about 60 KB. */
         private const val MAXIMUM_FRAME_BYTES = 256 * 1024
 
         @OptIn(ExperimentalSerializationApi::class)
@@ -48,21 +48,21 @@
             return frame
         }
 
-        /** Returns the message in the body of a frame; null when it cannot be read. */
+        /** Returns the message in the body of a frame; null when it cannot be decoded. */
         internal fun decode(body: ByteArray): KeeperMessage? =
             try {
                 CODEC.decodeFromByteArray(KeeperMessage.serializer(), body)
             } catch (failure: IllegalArgumentException) {
-                unreadable(failure)
+                logDecodingFailure(failure)
             } catch (failure: IllegalStateException) {
-                // The codec's answer to lengths that reach beyond the frame.
-                unreadable(failure)
+                // Thrown by the codec for lengths that reach beyond the frame.
+                logDecodingFailure(failure)
             } catch (failure: IndexOutOfBoundsException) {
-                unreadable(failure)
+                logDecodingFailure(failure)
             }
 
-        private fun unreadable(failure: RuntimeException): KeeperMessage? {
-            EventLog.warn("unreadable message", LogFields(reason = failure.toString()))
+        private fun logDecodingFailure(failure: RuntimeException): KeeperMessage? {
+            EventLog.warn("message cannot be decoded", LogFields(reason = failure.toString()))
             return null
         }
     }
--- a/keeper/src/main/kotlin/UsageBook.kt
+++ b/keeper/src/main/kotlin/UsageStatistics.kt
@@ -2,10 +2,10 @@
 
 import org.almondjunction.decisions.DecayingRate
 
-/** Recent uses of the models and adapters of one engine, as its gateways tell them. */
-internal class UsageBook {
+/** Recent uses of the models and adapters of one engine, as reported by its gateways. */
+internal class UsageStatistics {
     private class Entry {
-        val rate = DecayingRate(MEMORY_MS)
+        val rate = DecayingRate(RATE_TIME_CONSTANT_MS)
         var lastUseMs: Long? = null
         val inFlight = mutableMapOf<String, Int>()
     }
@@ -25,7 +25,7 @@
         }
     }
 
-    /** Counts [model] with [adapter] as used now, though no request has come yet: it was loaded for some. */
+    /** Counts [model] with [adapter] as used now although no request has arrived yet, because it was loaded for pending requests. */
     fun touch(
         model: String,
         adapter: String?,
@@ -34,7 +34,7 @@
         entries.getOrPut(model to adapter) { Entry() }.lastUseMs = nowMs
     }
 
-    fun forget(gateway: String): Unit = entries.values.forEach { it.inFlight.remove(gateway) }
+    fun removeGateway(gateway: String): Unit = entries.values.forEach { it.inFlight.remove(gateway) }
 
     fun ratePerSecond(
         model: String,
@@ -46,7 +46,7 @@
         model: String,
         adapter: String?,
         nowMs: Long,
-    ): Long = entries[model to adapter]?.lastUseMs?.let { nowMs - it } ?: NEVER_MS
+    ): Long = entries[model to adapter]?.lastUseMs?.let { nowMs - it } ?: NEVER_USED_IDLE_MS
 
     fun inFlight(
         model: String,
@@ -54,10 +54,10 @@
     ): Int = entries[model to adapter]?.inFlight?.values?.sum() ?: 0
 
     private companion object {
-        /** Uses count for about this long; a few gaps between requests of a rare model at the users' sheets. */
-        const val MEMORY_MS = 10_000.0
+        /** Time constant of the usage rate; a few intervals between requests for a rarely used model in the users' load descriptions. */
+        const val RATE_TIME_CONSTANT_MS = 10_000.0
 
-        /** Idle time of what was never used; one hour. */
-        const val NEVER_MS = 3_600_000L
+        /** Idle time reported for a model or adapter that was never used; one hour. */
+        const val NEVER_USED_IDLE_MS = 3_600_000L
     }
 }
