--- a/keeper/src/test/kotlin/KeeperTest.kt
+++ b/keeper/src/test/kotlin/KeeperTest.kt
@@ -17,7 +17,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** An engine in memory that judges every order; orders may be lost before or after they take effect, or take effect late. */
+/** An in-memory engine that checks every order; orders may be lost before or after they take effect, or take effect late. */
 private class FakeEngine(
     private val random: Random,
     private val scope: CoroutineScope,
@@ -27,10 +27,10 @@
     val faults = mutableListOf<String>()
     var orders = 0
 
-    /** Models with requests in progress; none of them may be unloaded before. */
+    /** Models with requests in progress; unloading one of them is a fault. */
     var inUse = emptySet<String>()
 
-    /** The shortest time for which an adapter stayed, in milliseconds. */
+    /** Shortest time for which an adapter stayed loaded, in milliseconds. */
     var shortestStayMs = Long.MAX_VALUE
     private val loadedMs = mutableMapOf<Pair<String, String>, Long>()
     private var sequence = 0L
@@ -47,15 +47,15 @@
             1 -> {
                 scope.launch {
                     delay(random.nextLong(1, 60))
-                    take(order)
+                    execute(order)
                 }
                 EngineOrderReply.LOST
             }
-            else -> take(order)
+            else -> execute(order)
         }
     }
 
-    private fun take(order: EngineOrder): EngineOrderReply {
+    private fun execute(order: EngineOrder): EngineOrderReply {
         if (busy || order.expectedSequence != sequence) return EngineOrderReply.CONFLICT
         sequence++
         fence = order.fence
@@ -110,27 +110,27 @@
         const val MEMORY_MB = 100L
         const val SLOTS = 2
 
-        /** Time in which gateways tell of a request for what was just loaded, in milliseconds. */
-        const val TOLD_MS = 500L
+        /** Time within which gateways report a request for an adapter that was just loaded, in milliseconds. */
+        const val USAGE_REPORT_MS = 500L
     }
 }
 
-/** A clock on which no two readings are more than [longestStepMs] apart, so that a machine that stalls does not end a wait. */
-private class UnhurriedClock(
-    private val longestStepMs: Long = 20,
+/** A clock that advances by at most [maximumStepMs] between two readings, so that a stalled machine does not end a wait. */
+private class BoundedStepClock(
+    private val maximumStepMs: Long = 20,
 ) : Clock {
     private var lastMs = SystemClock.nowMs()
     private var nowMs = 0L
 
     override fun nowMs(): Long {
         val systemMs = SystemClock.nowMs()
-        nowMs += (systemMs - lastMs).coerceIn(0, longestStepMs)
+        nowMs += (systemMs - lastMs).coerceIn(0, maximumStepMs)
         lastMs = systemMs
         return nowMs
     }
 }
 
-/** A clock that fails once while a status is made, as an exhausted stack or heap may. */
+/** A clock that throws once while a status is built, as an exhausted stack or heap may. */
 private class FailingClock : Clock {
     var failing = false
     var failures = 0
@@ -146,7 +146,7 @@
 }
 
 class KeeperTest {
-    private fun wish(
+    private fun request(
         model: String,
         adapter: String? = null,
     ) = KeeperMessage.LoadRequest(
@@ -160,14 +160,14 @@
         sizes = listOf("m1", "m2", "m3").map { ModelSize(it, FakeEngine.MODEL_MB, 1) },
     )
 
-    /** Plays wishes of two gateways over loopback until each has seen [wanted] in a status. */
-    private fun play(
+    /** Sends load requests of two gateways over loopback until each has seen [wanted] in a status. */
+    private fun requestLoads(
         seed: Int,
-        wishes: List<KeeperMessage.LoadRequest>,
+        requests: List<KeeperMessage.LoadRequest>,
         wanted: (KeeperMessage.Status) -> Boolean,
     ): FakeEngine =
         withKeeper(seed) { loop, port, _ ->
-            val gateways = List(2) { index -> launch { gateway(loop, port, "g$index", wishes, wanted) } }
+            val gateways = List(2) { index -> launch { gateway(loop, port, "g$index", requests, wanted) } }
             gateways.forEach { it.join() }
         }
 
@@ -196,16 +196,16 @@
         loop: EventLoop,
         port: Int,
         name: String,
-        wishes: List<KeeperMessage.LoadRequest>,
+        requests: List<KeeperMessage.LoadRequest>,
         wanted: (KeeperMessage.Status) -> Boolean,
     ) {
         val connection = checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), 10_000))
         val channel = MessageChannel(connection)
         channel.send(KeeperMessage.Greeting(name))
-        val asking: Job =
+        val sending: Job =
             launch {
                 while (true) {
-                    wishes.forEach { channel.send(it) }
+                    requests.forEach { channel.send(it) }
                     delay(20)
                 }
             }
@@ -215,37 +215,37 @@
             gateways = status.gateways ?: gateways
             if (wanted(status.copy(gateways = gateways))) break
         }
-        asking.cancel()
+        sending.cancel()
     }
 
     @Test
     fun `orders that are lost or carried out late never overfill the engine`() {
         for (seed in 1..6) {
-            val wishes = listOf(wish("m2"), wish("m2", "a1"), wish("m2", "a2"), wish("m2", "a3"), wish("m3"))
-            val engine = play(seed, wishes) { status -> status.models.any { it.model == "m3" } }
+            val requests = listOf(request("m2"), request("m2", "a1"), request("m2", "a2"), request("m2", "a3"), request("m3"))
+            val engine = requestLoads(seed, requests) { status -> status.models.any { it.model == "m3" } }
             assertEquals(emptyList(), engine.faults, "seed $seed")
         }
     }
 
     @Test
-    fun `an adapter that was just loaded for callers does not make way for the next one`() {
+    fun `an adapter that was just loaded for callers is not evicted for the next one`() {
         for (seed in 1..3) {
-            val wishes = listOf("a1", "a2", "a3").map { wish("m1", it) }
-            val engine = play(seed, wishes) { status -> status.models.any { "a3" in it.adapters } }
-            assertTrue(engine.shortestStayMs >= FakeEngine.TOLD_MS, "seed $seed: an adapter stayed for ${engine.shortestStayMs} ms")
+            val requests = listOf("a1", "a2", "a3").map { request("m1", it) }
+            val engine = requestLoads(seed, requests) { status -> status.models.any { "a3" in it.adapters } }
+            assertTrue(engine.shortestStayMs >= FakeEngine.USAGE_REPORT_MS, "seed $seed: an adapter stayed for ${engine.shortestStayMs} ms")
         }
     }
 
     @Test
-    fun `rare models at once - a model in use takes no new requests and makes way when its last one ends`() {
+    fun `rare models at once - a model in use receives no new requests and is evicted when its last request ends`() {
         for (seed in 1..3) {
-            val engine = withKeeper(seed, UnhurriedClock()) { loop, port, engine -> useAndEnd(loop, port, engine) }
+            val engine = withKeeper(seed, BoundedStepClock()) { loop, port, engine -> useUntilDrained(loop, port, engine) }
             assertEquals(emptyList(), engine.faults, "seed $seed")
         }
     }
 
-    /** A gateway with requests on `m1` and `m2` that end once one of them is to make way for `m3`; returns when that is held. */
-    private suspend fun CoroutineScope.useAndEnd(
+    /** A gateway with requests on `m1` and `m2` that end once one of the two is drained for `m3`; returns when `m3` is loaded. */
+    private suspend fun CoroutineScope.useUntilDrained(
         loop: EventLoop,
         port: Int,
         engine: FakeEngine,
@@ -255,10 +255,10 @@
         val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), 10_000)))
         channel.send(KeeperMessage.Greeting("g"))
         channel.send(KeeperMessage.Usage(listOf("m1", "m2").map { Use(it, null, 1, inFlight = 1) }))
-        val asking =
+        val sending =
             launch {
                 while (true) {
-                    channel.send(wish("m3"))
+                    channel.send(request("m3"))
                     delay(20)
                 }
             }
@@ -269,77 +269,77 @@
             engine.inUse = emptySet()
             channel.send(KeeperMessage.Usage(listOf("m1", "m2").map { Use(it, null, 0, inFlight = 0) }))
         }
-        asking.cancel()
+        sending.cancel()
     }
 
     @Test
-    fun `each telling of uses is answered, so that a gateway notices an engine that is gone with its host`() {
+    fun `each usage report is answered, so that a gateway detects an engine that failed with its host`() {
         var answers = 0
         withKeeper(seed = 1) { loop, port, _ ->
-            val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), NEVER_MS)))
+            val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), HANG_TIMEOUT_MS)))
             channel.send(KeeperMessage.Greeting("g"))
-            withTimeoutOrNull(NEVER_MS) {
+            withTimeoutOrNull(HANG_TIMEOUT_MS) {
                 while (channel.receive() as? KeeperMessage.Status == null) continue
-                repeat(TELLINGS) {
+                repeat(REPORTS) {
                     channel.send(KeeperMessage.Usage(listOf(Use("m1", null, count = 0, inFlight = 1))))
                     if (channel.receive() != null) answers++
                 }
             }
         }
-        assertEquals(TELLINGS, answers)
+        assertEquals(REPORTS, answers)
     }
 
     @Test
-    fun `rates of use are told again and again, also while each telling of uses is answered with the load alone`() {
+    fun `usage rates are reported repeatedly, even while usage reports are answered with the load only`() {
         val rates = mutableListOf<Float>()
-        withKeeper(seed = 1, UnhurriedClock()) { loop, port, _ ->
-            val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), NEVER_MS)))
+        withKeeper(seed = 1, BoundedStepClock()) { loop, port, _ ->
+            val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), HANG_TIMEOUT_MS)))
             channel.send(KeeperMessage.Greeting("g"))
-            val telling =
+            val reporting =
                 launch {
                     while (true) {
                         channel.send(KeeperMessage.Usage(listOf(Use("m1", null, count = 1, inFlight = 1))))
                         delay(100)
                     }
                 }
-            withTimeoutOrNull(NEVER_MS) {
+            withTimeoutOrNull(HANG_TIMEOUT_MS) {
                 while (rates.count { it > 0 } < STATUSES) {
                     val status = channel.receive() as? KeeperMessage.Status ?: continue
                     rates += status.models.map { it.requestsPerSecond }
                 }
             }
-            telling.cancel()
+            reporting.cancel()
         }
         assertEquals(STATUSES, rates.count { it > 0 })
     }
 
     @Test
-    fun `an unexpected error about a message to a gateway ends its connection, never only the messages on it`() {
+    fun `an unexpected error while sending to a gateway closes its connection instead of leaving it open and silent`() {
         val clock = FailingClock()
         var ended = false
         withKeeper(seed = 1, clock) { loop, port, _ ->
-            val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), NEVER_MS)))
+            val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), HANG_TIMEOUT_MS)))
             channel.send(KeeperMessage.Greeting("g"))
             channel.receive()
             clock.failing = true
-            val telling =
+            val reporting =
                 launch {
                     while (channel.send(KeeperMessage.Usage(listOf(Use("m1", null, count = 1, inFlight = 1))))) delay(100)
                 }
-            withTimeoutOrNull(LONGEST_END_MS) {
+            withTimeoutOrNull(CLOSE_TIMEOUT_MS) {
                 while (channel.receive() != null) continue
                 ended = true
             }
-            telling.cancel()
+            reporting.cancel()
         }
         assertEquals(1, clock.failures)
         assertTrue(ended)
     }
 
     @Test
-    fun `every gateway hears what the engine holds and who else is connected`() {
+    fun `every gateway is notified of the loaded models and of the connected gateways`() {
         val engine =
-            play(seed = 3, listOf(wish("m2"))) { status ->
+            requestLoads(seed = 3, listOf(request("m2"))) { status ->
                 status.models.any { it.model == "m2" } &&
                     status.gateways?.toSet() == setOf("g0", "g1")
             }
@@ -347,13 +347,13 @@
     }
 
     private companion object {
-        const val TELLINGS = 10
+        const val REPORTS = 10
         const val STATUSES = 2
 
-        /** Far beyond the time in which a connection ends. */
-        const val LONGEST_END_MS = 20_000L
+        /** Far longer than closing a connection takes. */
+        const val CLOSE_TIMEOUT_MS = 20_000L
 
-        /** Ends a test that would hang; far beyond what any machine needs. */
-        const val NEVER_MS = 300_000L
+        /** Ends a test that hangs; far longer than any machine needs. */
+        const val HANG_TIMEOUT_MS = 300_000L
     }
 }
--- a/keeper/src/test/kotlin/MessageChannelTest.kt
+++ b/keeper/src/test/kotlin/MessageChannelTest.kt
@@ -10,7 +10,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
 
-/** Frames that another program, an older version or a broken host may send. */
+/** Decoding of frames that another program, an older version or a faulty host may send. */
 class MessageChannelTest {
     private val messages =
         listOf(
@@ -26,7 +26,7 @@
     fun `a message is read as it was written`() = messages.forEach { assertEquals(it, MessageChannel.decode(body(it))) }
 
     @Test
-    fun `what is no message is none, and never an error`() {
+    fun `invalid bytes are decoded as no message and never throw`() {
         val lengthBeyondTheFrame = "7b7fffffffffffffff"
         val bytesBeyondTheFrame = "5a7fffffff"
         val textBeyondTheFrame = "9f627467" + "7a7fffffff"
@@ -38,7 +38,7 @@
     }
 
     @Test
-    fun `a damaged message is read as another one or as none, and never an error`() =
+    fun `a damaged message is decoded as another one or as none and never throws`() =
         runBlocking<Unit> {
             checkAll(PropTestConfig(seed = 41, iterations = 2_000), Arb.long()) { seed ->
                 val random = Random(seed)
