--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -60,7 +60,7 @@
     /** Notifies all gateways once of connections and disconnections that occur close together. */
     private val gatewaysChanged = CoalescedAction(scope, GATEWAY_CHANGE_WINDOW_MS) { markDirty() }
 
-    /** Any model fits on an empty engine, so the first load waits for the requests of all gateways and the most valuable one starts. */
+    /** Any model fits on an empty engine, so the first load waits for requests of more gateways to choose the most valuable. */
     private val firstLoadRequests = CoalescedAction(scope, FIRST_REQUESTS_WINDOW_MS) { startNextLoad() }
 
     /** Time of the engine's last report, or of the last connection of a gateway. */
