--- a/gateway/src/main/kotlin/Attempt.kt
+++ b/gateway/src/main/kotlin/Attempt.kt
@@ -10,7 +10,7 @@
 import org.almondjunction.common.TargetId
 import org.almondjunction.network.ByteBudget
 
-/** What is known of a request while it is forwarded. */
+/** State of a request while it is forwarded. */
 internal class Attempt(
     val request: ForwardedRequest,
     val answer: CallerAnswer,
@@ -20,7 +20,7 @@
     val tried = mutableMapOf<Target, Long>()
     var lastTarget: Target? = null
 
-    /** The send in progress; null while none is. */
+    /** The exchange in progress, or null. */
     var exchange: Exchange? = null
         private set
     private var lastSendPhase: RequestPhase? = null
@@ -34,21 +34,21 @@
     var failure: SendAnswer.Answered? = null
     var failureBody: ByteArray? = null
 
-    /** Time until the first part of the answer; null until it came. */
+    /** Time until the first part of the response; null until it has arrived. */
     var firstPartMs: Long? = null
 
-    /** When the caller came, or last got a part of the answer. */
+    /** When the request arrived, or the caller last received a part of the response. */
     var lastSignMs = request.arrivedMs
 
     val timeLeftMs get() = request.endMs - clock.nowMs()
 
     private var work: Job? = null
 
-    /** Whether [dismiss] has ended the work on it. */
+    /** Whether [dismiss] was called. */
     var dismissed = false
         private set
 
-    /** Runs [block] until it ends or [dismiss] ends it; returns whether it ended by itself. */
+    /** Runs [block] until it ends or [dismiss] cancels it; returns whether it ended by itself. */
     suspend fun runUntilDismissed(block: suspend () -> Unit): Boolean =
         coroutineScope {
             val started = launch { block() }
@@ -57,7 +57,7 @@
             !started.isCancelled
         }
 
-    /** Ends the work on it, so that its caller can still be told what is known. */
+    /** Cancels the forwarding, so that the caller can still get an error response. */
     fun dismiss() {
         dismissed = true
         work?.cancel()
@@ -87,7 +87,7 @@
             else -> RequestPhase.CONNECTING
         }
 
-    /** Writes the line that tells what became of the request under configuration [version]. */
+    /** Logs the outcome of the request under configuration [version]. */
     fun log(version: Long?) {
         val served = outcome == SERVED
         EventLog.info(
--- a/gateway/src/main/kotlin/CallerAnswer.kt
+++ b/gateway/src/main/kotlin/CallerAnswer.kt
@@ -7,24 +7,24 @@
 import org.almondjunction.network.ResponseHead
 import org.almondjunction.network.TcpConnection
 
-/** The answer to one request of a caller, written in order and once only. */
+/** Response to one request of a caller; can be written only once. */
 internal class CallerAnswer(
     private val connection: TcpConnection,
     private val request: RequestHead?,
     private val leaving: () -> Boolean = { false },
 ) {
-    /** Whether the head was written; from then on a failure can only be shown by ending the connection. */
+    /** Whether the head was written; after that a failure can only be signalled by closing the connection. */
     var begun = false
         private set
 
-    /** Whether the answer is complete. */
+    /** Whether the response is complete. */
     var complete = false
         private set
 
-    /** Whether the connection must end after this answer. */
+    /** Whether the connection must be closed after this response. */
     var closes = request == null || request.version == HttpVersion.HTTP_1_0 || request.headers.hasToken("Connection", "close")
 
-    /** Answers with a status of our own. */
+    /** Writes an error response of the gateway itself. */
     suspend fun refuse(
         status: Int,
         reason: String,
@@ -36,7 +36,7 @@
         whole(status, headers, body)
     }
 
-    /** Hands on a target's answer with its whole [body]. */
+    /** Writes the response of a target with its complete [body]. */
     suspend fun pass(
         head: ResponseHead,
         body: ByteArray,
@@ -54,7 +54,7 @@
         complete = connection.write(HttpWriter.response(status, all), shown)
     }
 
-    /** Begins an answer whose length is not known. */
+    /** Writes the head of a response of unknown length. */
     suspend fun begin(head: ResponseHead) {
         check(!begun) { "An answer was begun twice." }
         begun = true
@@ -62,15 +62,15 @@
         connection.write(HttpWriter.response(head.status, head.headers.endToEnd() + framing + connectionHeaders()))
     }
 
-    /** Adds [bytes] to the answer; returns false when the caller is gone. */
+    /** Writes [bytes] of the body; returns false if the caller has disconnected. */
     suspend fun add(bytes: ByteArray): Boolean = bytes.isEmpty() || connection.write(if (closesWithBody) bytes else HttpWriter.chunk(bytes))
 
-    /** Ends the answer as complete. */
+    /** Ends the body as complete. */
     suspend fun end() {
         complete = closesWithBody || connection.write(HttpWriter.LAST_CHUNK)
     }
 
-    /** Shows an answer that ends before it is complete as broken off where its end would look like that of a whole one. */
+    /** Resets the connection of an incomplete response if a regular close would make it look complete. */
     fun endIncomplete() {
         if (begun && !complete && closesWithBody) connection.abort()
     }
--- a/gateway/src/main/kotlin/CallerConnection.kt
+++ b/gateway/src/main/kotlin/CallerConnection.kt
@@ -19,7 +19,7 @@
 import org.almondjunction.network.TcpConnection
 import org.almondjunction.network.WholeBody
 
-/** Serves the requests of one caller's connection, one after another. */
+/** Serves the requests on one connection of a caller sequentially. */
 internal class CallerConnection(
     private val connection: TcpConnection,
     private val clock: Clock,
@@ -123,7 +123,7 @@
         return answer.complete && !answer.closes
     }
 
-    /** An unexpected error in [work] ends this request alone; its caller hears that its outcome is unknown. */
+    /** Runs [work]; an unexpected error ends only this request, with a response that its outcome is unknown. */
     private suspend fun guarded(
         head: RequestHead,
         answer: CallerAnswer,
@@ -141,7 +141,7 @@
         }
     }
 
-    /** Forwards [request] until it is answered or its caller is gone. */
+    /** Forwards [request] until it is answered or its caller disconnects. */
     private suspend fun watched(
         request: ForwardedRequest,
         answer: CallerAnswer,
@@ -204,10 +204,10 @@
         const val RETRY_WITHOUT_CONFIGURATION_MS = 500L
         const val RETRY_WITHOUT_ROOM_MS = 500L
 
-        /** Longest time for a whole body: above any caller's deadline, so that one that sends a byte now and then ends. */
+        /** Time limit for the complete body: above any caller's deadline; bounds callers that send single bytes at long intervals. */
         const val BODY_TIMEOUT_MS = 60_000L
 
-        /** Bytes of further requests that are taken in while one is answered. */
+        /** Maximum number of bytes of pipelined requests that are buffered while one is answered. */
         const val MOST_BYTES_AHEAD = 64 * 1024
         val CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".toByteArray()
     }
--- a/gateway/src/main/kotlin/EventSplitter.kt
+++ b/gateway/src/main/kotlin/EventSplitter.kt
@@ -2,22 +2,22 @@
 
 import java.io.ByteArrayOutputStream
 
-/** Splits a stream of bytes into whole server-sent events and remembers the identity of the last one. */
+/** Splits a stream of bytes into complete server-sent events and records the identity of the last one. */
 internal class EventSplitter {
     private var pending = ByteArrayOutputStream()
     private var lineEmpty = true
 
-    /** Identity of the last whole event; null before the first that has one. */
+    /** Identity of the last complete event that has one; null before that. */
     var lastEvent: String? = null
         private set
 
-    /** Whether bytes of an unfinished event wait. */
+    /** Whether bytes of an incomplete event are buffered. */
     val unfinished: Boolean get() = pending.size() > 0
 
-    /** Bytes of the unfinished event that wait. */
+    /** Number of buffered bytes of the incomplete event. */
     val pendingBytes: Int get() = pending.size()
 
-    /** Returns the bytes of the events that [bytes] completes, possibly none. */
+    /** Returns the bytes of the events that [bytes] completes; empty if there are none. */
     fun feed(bytes: ByteArray): ByteArray {
         var wholeUntil = 0
         for (index in bytes.indices) {
@@ -48,14 +48,14 @@
         lastEvent = text.substring(last + IDENTITY.length, text.indexOf('\n', last)).trim()
     }
 
-    /** Drops the bytes of an unfinished event; another target sends it again. */
+    /** Discards the bytes of an incomplete event, which another target sends again. */
     fun dropUnfinished() {
         pending = ByteArrayOutputStream()
         lineEmpty = true
     }
 
     companion object {
-        /** Bound on one event: far above the few tokens that it carries, far below a process's memory. */
+        /** Maximum size of one event: far above the few tokens that it contains, far below the memory of a process. */
         const val MAXIMUM_EVENT_BYTES = 256 * 1024
         private val EMPTY = ByteArray(0)
         private const val IDENTITY = "id:"
--- a/gateway/src/main/kotlin/Exchange.kt
+++ b/gateway/src/main/kotlin/Exchange.kt
@@ -17,22 +17,22 @@
 import org.almondjunction.network.TcpConnection
 import org.almondjunction.network.WholeBody
 
-/** What came back from one send, before its body. */
+/** Result of sending one request to a target, before the body of the response is read. */
 internal sealed class SendAnswer {
-    /** No answer that can be handed on. */
+    /** No response that can be passed on to the caller. */
     class Unserved(
         val result: SendResult,
         val detail: String,
     ) : SendAnswer()
 
-    /** The target's own answer; its body is still to be read. */
+    /** The target's own response; its body has not been read yet. */
     class Answered(
         val head: ResponseHead,
         val body: BodyReader,
     ) : SendAnswer()
 }
 
-/** One send of one request to one target on one connection. */
+/** Exchange of one request and its response with a target on one connection. */
 internal class Exchange(
     private val scope: CoroutineScope,
     val target: Target,
@@ -47,7 +47,7 @@
     private var framing: BodyFraming = BodyFraming.None
     private var writtenBefore = 0L
 
-    /** Whether the head of an answer to this request has come. */
+    /** Whether the head of a response to this request has arrived. */
     val answered: Boolean get() = answer != null
 
     /** Whether any byte of the request may have reached the target. */
@@ -133,7 +133,7 @@
         return SendAnswer.Unserved(SendResult.Lost, detail)
     }
 
-    /** Keeps the connection for another request if it is sound; [bodyRead] tells whether the answer's body was read to its end. */
+    /** Returns the connection to the pool if it can be reused; [bodyRead] is whether the body of the response was read to its end. */
     suspend fun finish(bodyRead: Boolean) {
         val opened = connection ?: return
         val head = answer
@@ -149,7 +149,7 @@
         }
     }
 
-    /** Ends the send; a target that still works on it sees its caller gone, and bytes still on their way never arrive. */
+    /** Resets the connection: a target that still processes the request sees a disconnect, and bytes in transit are discarded. */
     override fun close() {
         closedAfterBytes = mayHaveArrived
         writer?.cancel()
--- a/gateway/src/main/kotlin/Fleet.kt
+++ b/gateway/src/main/kotlin/Fleet.kt
@@ -16,12 +16,12 @@
 import org.almondjunction.network.EventLoop
 import org.almondjunction.network.launchAlways
 
-/** Where a gateway stands, and where zones lie. */
+/** Location of a gateway, and the region of each zone. */
 public data class Place(
     val location: Location,
     val regionOfZone: Map<ZoneId, RegionId>,
 ) {
-    /** Returns the expected one-way time to [zone], in milliseconds. */
+    /** Returns the expected one-way delay to [zone], in milliseconds. */
     public fun distanceMs(zone: ZoneId): Double =
         when {
             zone == location.zone -> IN_ZONE_MS
@@ -30,7 +30,7 @@
         }
 
     private companion object {
-        /** Typical one-way times of the users' networks. */
+        /** Typical one-way delays in the users' networks. */
         const val IN_ZONE_MS = 0.1
         const val BETWEEN_ZONES_MS = 1.0
         const val BETWEEN_REGIONS_MS = 12.0
@@ -38,9 +38,9 @@
 }
 
 /**
- * Every target that this gateway may use.
+ * Registry of the targets that this gateway may use.
  *
- * @param keeperPort port of the keeper beside each engine
+ * @param keeperPort port of the keeper next to each engine
  */
 internal class Fleet(
     private val loop: EventLoop,
@@ -51,13 +51,13 @@
 ) {
     private val targets = mutableMapOf<TargetId, Target>()
 
-    /** Targets that are no longer listed and still answer requests. */
+    /** Targets that are no longer listed but still have requests in flight. */
     private val departed = mutableSetOf<Target>()
 
     private var gatewaysSeen = setOf(gateway)
     private var gatewaysSeenAt = state.changed.count
 
-    /** Names of the gateways that keepers see. */
+    /** Names of the gateways that are connected to keepers, including this one. */
     val gateways: Set<String>
         get() {
             val changes = state.changed.count
@@ -83,7 +83,7 @@
         while (true) {
             delay(EXAMINATION_MS)
             val nowMs = loop.clock.nowMs()
-            // Signs that came while this process itself stood still are not read yet.
+            // Activity that arrived while this process was suspended has not been read yet.
             val stoodStill = nowMs - examinedMs > STOOD_STILL_MS
             examinedMs = nowMs
             if (stoodStill) targets.values.forEach { it.excuseSilence() }
@@ -118,7 +118,7 @@
         if (target.inFlight.isNotEmpty()) departed += target
     }
 
-    /** Dials the keepers of engines whose services are known by now. */
+    /** Connects to the keepers of all engines whose service is configured. */
     fun linkAll(): Unit = targets.values.forEach { link(it) }
 
     private fun link(target: Target) {
@@ -134,7 +134,7 @@
         target.keeper = KeeperLink(loop, scope, gateway, address, target, state.changed) { demandAt(target) }
     }
 
-    /** What callers of this gateway ask of the models of [target]; engines that hold the same model share it. */
+    /** Returns this gateway's demand for the models of [target], divided by the number of engines that hold the same model. */
     private fun demandAt(target: Target): List<Demand> {
         val nowMs = loop.clock.nowMs()
         val others = othersBeside(target)
@@ -160,46 +160,46 @@
                     it.answering
             }.let { possible -> possible.filterNot { it.silent }.ifEmpty { possible } }
 
-    /** Targets that may take requests for the service of [target] in its place. */
+    /** Returns the other targets that accept requests for the service of [target]. */
     fun othersBeside(target: Target): List<Target> = ready(target.entry.service).filter { it !== target }
 
     private companion object {
         const val SWEEP_MS = 1_000L
         const val EXAMINATION_MS = 100L
 
-        /** An examination so late shows that this process did not run; well below the shortest silence that counts. */
+        /** A longer interval between checks shows that this process was suspended; well below the shortest silence limit. */
         const val STOOD_STILL_MS = 400L
 
-        /** Assumed until the configuration tells. */
+        /** Assumed until a configuration is in force. */
         const val DEFAULT_PROMPT_MEMORY_TOKENS = 200_000L
     }
 }
 
-/** What is accepted and known, shared by the parts of a gateway. */
+/** Mutable state shared by the components of a gateway. */
 internal class GatewayState {
     val changed = Signal()
     var configuration: GatewayConfiguration? = null
     var leaving = false
 
-    /** When requests whose answers have not begun get their last word, since this gateway goes; never before it leaves. */
+    /** When requests without a begun response get an error response during shutdown; [Long.MAX_VALUE] until shutdown starts. */
     var lastWordMs = Long.MAX_VALUE
 
-    /** When this process ends; never before it leaves. */
+    /** When this process exits; [Long.MAX_VALUE] until shutdown starts. */
     var endMs = Long.MAX_VALUE
 
-    /** Bodies and unfinished events that this process holds at this moment. */
+    /** Budget for buffered bodies and incomplete events. */
     val gathered = ByteBudget(Runtime.getRuntime().maxMemory() / SHARE_OF_MEMORY)
 
-    /** What callers ask for, and who waits for it. */
+    /** Statistics of the requests for each model. */
     val demand = DemandBook()
     val waiting = WaitingCallers()
     val work = WorkBook()
 
-    /** How long the answers of each route last. */
+    /** Statistics of the response durations of each route. */
     val durations = AnswerDurations()
 
     private companion object {
-        /** Part of the heap, as its divisor, that bodies may fill; joining the parts of a body takes as much again. */
+        /** Bodies may fill the heap divided by this; joining the parts of a body needs the same amount again. */
         const val SHARE_OF_MEMORY = 4
     }
 }
--- a/gateway/src/main/kotlin/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/ForwardedRequest.kt
@@ -3,11 +3,11 @@
 import org.almondjunction.network.RequestHead
 
 /**
- * A request of a caller, read in full.
+ * A complete request of a caller.
  *
  * @property arrivedMs when its first byte was read
- * @property deadlineMs when its caller stops waiting; null where it does not say
- * @property answerTokens greatest number of tokens of its answer; 0 where it does not say
+ * @property deadlineMs when its caller stops waiting; null if not given
+ * @property answerTokens maximum number of tokens of the response; 0 if not given
  */
 internal class ForwardedRequest(
     val head: RequestHead,
@@ -24,13 +24,13 @@
 ) {
     val service = route.serviceFor(id)
 
-    /** Name of the weights that read the prompt; what is kept of prompts belongs to it. */
+    /** Model and adapter that process the prompt; cached prompt parts are specific to them. */
     val weights: String get() = if (adapter == null) "$model" else "$model/$adapter"
 
-    /** When a final answer must be there. */
+    /** Deadline of the complete response. */
     val endMs: Long get() = minOf(arrivedMs + route.timeoutMs, deadlineMs ?: Long.MAX_VALUE)
 
-    /** When its caller has most likely left if nothing has reached it. */
+    /** When the caller has probably disconnected if it has received nothing. */
     val patienceEndMs: Long get() = minOf(endMs, arrivedMs + route.callerPatienceMs)
 
     companion object {
@@ -58,7 +58,7 @@
             )
         }
 
-        /** A part that cannot be read ends the list: what follows it cannot be shared either. */
+        /** A malformed part ends the list, since the parts after it cannot be shared either. */
         private fun parts(text: String): List<PromptPart> {
             val parts = mutableListOf<PromptPart>()
             for (item in text.split(',')) {
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -16,7 +16,7 @@
 import org.almondjunction.network.HttpHeader
 import org.almondjunction.network.WholeBody
 
-/** Brings one request to a target and its answer back. */
+/** Forwards requests to targets and relays the responses. */
 internal class Forwarder(
     private val clock: Clock,
     private val selector: TargetSelector,
@@ -28,7 +28,7 @@
 ) {
     private val held = mutableSetOf<Attempt>()
 
-    /** Serves [request]; returns when its answer is complete or cannot be. */
+    /** Serves [request]; returns when its response is complete or cannot be completed. */
     suspend fun forward(
         request: ForwardedRequest,
         answer: CallerAnswer,
@@ -52,10 +52,10 @@
         }
     }
 
-    /** Tells every caller whose answer has not begun what is known of its request, for a process that is about to end. */
+    /** Cancels every request whose response has not begun, so that its caller gets an error response before the process ends. */
     fun answerHeld(): Unit = held.filter { !it.answer.begun }.forEach { it.dismiss() }
 
-    /** Breaks off every request that is still held and returns how many those were. */
+    /** Cancels every active request and returns their number. */
     fun breakOffHeld(): Int = held.toList().onEach { it.dismiss() }.size
 
     private suspend fun timedOut(attempt: Attempt) {
@@ -127,7 +127,7 @@
         }
     }
 
-    /** Whether an answer that begins now would be complete before this process ends. */
+    /** Whether a response that begins now would be complete before this process ends. */
     private fun endsInTime(request: ForwardedRequest): Boolean {
         if (!state.leaving) return true
         val likelyMs = state.durations.likelyMs(request.route.name, request.answerTokens) ?: UNKNOWN_ANSWER_MS
@@ -346,7 +346,7 @@
         state.durations.record(request.route.name, attempt.firstPartMs ?: wholeMs, wholeMs, request.answerTokens)
     }
 
-    /** Returns the next part; bytes that end no event are no progress, so that they do not keep a stalled stream alive. */
+    /** Returns the next part. Only complete events extend the time limit, so that single bytes do not keep a stalled stream alive. */
     private suspend fun nextPart(
         attempt: Attempt,
         answer: SendAnswer.Answered,
@@ -363,7 +363,7 @@
         return withTimeoutOrNull(leftMs) { answer.body.next() } ?: BodyPart.Broken("no event came for $limitMs ms")
     }
 
-    /** A stream that nobody else can continue is waited for as long as its caller waits, however slow it is. */
+    /** Whether another target may continue the stream; if not, a slow stream is awaited for as long as its caller waits. */
     private fun mayContinueElsewhere(attempt: Attempt): Boolean {
         val route = attempt.request.route
         return route.repeat == RepeatKind.RESUMABLE &&
@@ -428,37 +428,37 @@
         const val LOWEST_URGENCY = 9
         val SUCCESS = 200..299
 
-        /** Answers of plain services are held whole, so that one that breaks off is never begun. */
+        /** Responses of plain services are buffered completely, so that a truncated one is never passed on in part. */
         const val MAXIMUM_ANSWER_BYTES = 8L * 1024 * 1024
         const val MOST_REASON_CHARACTERS = 40
 
-        /** Sends that targets may refuse before the caller is told; each is also taken out of the repeat budget. */
+        /** Refusals by targets after which the caller gets an error; each retry also counts against the retry budget. */
         const val MOST_REFUSALS = 4
 
-        /** A kept connection this young has hardly been closed by its target; older ones are used where a repeat is allowed. */
+        /** A connection idle for less than this is unlikely to be closed by its target; older ones serve requests that may be retried. */
         const val KEPT_FOR_ONCE_MS = 10_000L
         const val KEPT_MS = 60_000L
 
-        /** Re-examination of a wait, in case the change that ends it is not told. */
+        /** Interval at which a waiting request is checked again, in case no change is signalled. */
         const val LONGEST_WAIT_MS = 100L
         const val SHORT_WAIT_MS = 30L
 
-        /** Part of the latency objective after which a caller without a target is better off elsewhere. */
+        /** Fraction of the latency objective after which a request without a target is refused, so that its caller tries another gateway. */
         const val PATIENCE_DIVISOR = 8
         const val LONGEST_PATIENCE_MS = 300L
         const val RETRY_AFTER_REFUSAL_MS = 300L
 
-        /** Assumed of the answers of a route that this process has not seen: most streams end within this. */
+        /** Response duration assumed for a route without statistics: most streams end within this. */
         const val UNKNOWN_ANSWER_MS = 3_000L
 
-        /** A caller that is sent to another gateway need not wait. */
+        /** The caller is expected to use another gateway, so it need not wait. */
         const val RETRY_AT_ONCE_MS = 0L
 
-        /** Pauses of a stream, in multiples of its objective, after which its target counts as silent. */
+        /** Multiple of the pause objective of a stream after which its target counts as silent. */
         const val SILENT_PAUSES = 3
         const val SHORTEST_SILENCE_MS = 1_000L
 
-        /** Added to the time after which a caller leaves by itself, so that it is never cut off before. */
+        /** Added to the time after which a caller disconnects by itself, so that the gateway never disconnects it first. */
         const val GONE_AFTER_PATIENCE_MS = 250L
     }
 }
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -19,9 +19,9 @@
 import org.almondjunction.network.launchAlways
 
 /**
- * The program that stands between callers and targets.
+ * HTTP reverse proxy between callers and targets.
  *
- * [accept] and [directory] are fed by whoever knows the accepted configuration and the platform's list of targets.
+ * The embedding program passes the accepted configuration to [accept] and the platform's list of targets to [directory].
  */
 public class Gateway(
     private var settings: GatewaySettings,
@@ -41,13 +41,13 @@
     private var targetsKnown = false
     private val left = CompletableDeferred<Unit>()
 
-    /** The targets that this gateway knows. */
+    /** Targets known to this gateway. */
     public val directory: TargetDirectory = TargetDirectory(clock, settings.lapseMs) { fleet.apply(it) }
 
-    /** Whether callers may come. */
+    /** Whether this gateway accepts requests of callers. */
     public val ready: Boolean get() = state.configuration != null && targetsKnown && !state.leaving
 
-    /** Begins to listen. */
+    /** Starts listening and starts the background tasks. */
     public fun start() {
         TcpListener(loop, settings.callers) { serve(it) }
         TcpListener(loop, settings.readiness) { connection -> scope.launch { answerReadiness(connection) } }
@@ -61,7 +61,7 @@
         scope.launchAlways("preparation") { preparation.run() }
     }
 
-    /** Takes [configuration] in force unless a later version already is. */
+    /** Puts [configuration] into force, unless the same or a later version is in force. */
     public fun accept(configuration: GatewayConfiguration) {
         val current = state.configuration
         if (current != null && current.version >= configuration.version) return
@@ -71,14 +71,14 @@
         EventLog.info("configuration in force", LogFields(extra = mapOf("version" to configuration.version.toString())))
     }
 
-    /** Takes what of [changed] may change while this process runs: the time to stop, the limits on repeats and where zones lie. */
+    /** Applies those settings of [changed] that may change at run time: the grace time, the retry limits and the regions of zones. */
     public fun apply(changed: GatewaySettings) {
         settings = settings.copy(graceMs = changed.graceMs, repeats = changed.repeats, place = changed.place)
         allowance.limits = changed.repeats
         selector.place = changed.place
     }
 
-    /** Says that [directory] has been filled once. */
+    /** Records that [directory] has received the complete list of targets at least once. */
     public fun targetsListed() {
         if (!targetsKnown) EventLog.info("targets known")
         targetsKnown = true
@@ -113,10 +113,10 @@
     }
 
     /**
-     * Leaves the balancer, finishes what is in progress and returns when nothing is left or the grace time is nearly over.
+     * Reports not ready to the load balancer, finishes requests in progress and returns when none remain or the grace time is nearly over.
      *
-     * Whoever has no answer by then is told what is known of its request; only answers that have begun are broken off.
-     * A further call returns when the first does.
+     * Requests without a response by then get an error response that states whether they may have run; only responses that have begun
+     * are cut off. A further call returns when the first does.
      */
     public suspend fun leave() {
         if (state.leaving) return left.await()
@@ -146,7 +146,7 @@
     }
 
     private suspend fun closeIdle() {
-        // Lets the loop read requests that came while this process stood still.
+        // Lets the event loop read requests that arrived while this process was suspended.
         delay(SHORTEST_DELAY_MS)
         connections.filter { !it.busy }.forEach { it.close() }
     }
@@ -159,15 +159,15 @@
         const val READINESS_IDLE_MS = 10_000L
         const val MAXIMUM_READINESS_BYTES = 4_096
 
-        /** The balancer asks each second and believes two misses; requests on open connections are served meanwhile. */
+        /** The load balancer polls every second and removes a gateway after two failures; open connections are served meanwhile. */
         const val BALANCER_MS = 2_600L
         const val SHORTEST_DELAY_MS = 1L
         const val LEAVING_POLL_MS = 50L
 
-        /** Time kept for the last answers to reach their callers: a few ways between regions. */
+        /** Time reserved for the final responses to reach their callers: a few one-way delays between regions. */
         const val LAST_WORD_MS = 200L
 
-        /** Time kept for the end of the process itself. */
+        /** Time reserved for the exit of the process itself. */
         const val EXIT_MARGIN_MS = 500L
     }
 }
--- a/gateway/src/main/kotlin/GatewayConfiguration.kt
+++ b/gateway/src/main/kotlin/GatewayConfiguration.kt
@@ -5,7 +5,7 @@
 import org.almondjunction.decisions.Rendezvous
 import org.almondjunction.decisions.RepeatKind
 
-/** The accepted configuration of the gateways; one whole state under one [version]. */
+/** Accepted configuration of the gateways: a complete state, identified by [version]. */
 public data class GatewayConfiguration(
     val version: Long,
     val routes: List<Route>,
@@ -16,7 +16,7 @@
         routes.groupBy { it.host.lowercase() }.mapValues { (_, group) -> group.sortedByDescending { it.pathPrefix.length } }
     }
 
-    /** Returns the route of [host] whose prefix is the longest that begins [path]; null when there is none. */
+    /** Returns the route of [host] with the longest prefix of [path], or null if no route matches. */
     public fun route(
         host: String,
         path: String,
@@ -24,16 +24,16 @@
 }
 
 /**
- * How requests of one host below one prefix are handled.
+ * Handling of requests to one host with one path prefix.
  *
  * @property destinations services that share the requests, by weight
- * @property timeoutMs longest time that a caller is kept waiting
- * @property latencyObjectiveMs time within which an answer, or its first event, is worth most
+ * @property timeoutMs time limit for the complete response
+ * @property latencyObjectiveMs time within which the response, or its first event, should arrive
  * @property priority rank, 0 is the highest
- * @property maximumTargets targets that may run one request
- * @property streaming whether the answer is a series of events
- * @property pauseObjectiveMs longest pause between events that is still on time
- * @property callerPatienceMs time after which callers leave if nothing has reached them
+ * @property maximumTargets largest number of targets that may run one request
+ * @property streaming whether the response is a stream of events
+ * @property pauseObjectiveMs longest pause between events that still meets the objective
+ * @property callerPatienceMs time after which callers disconnect if they have received nothing
  */
 public data class Route(
     val name: String,
@@ -49,7 +49,7 @@
     val pauseObjectiveMs: Long = 0,
     val callerPatienceMs: Long = Long.MAX_VALUE / 2,
 ) {
-    /** Returns the service that takes the request called [requestId]. */
+    /** Returns the service that handles the request [requestId]. */
     public fun serviceFor(requestId: String): ServiceId {
         val total = destinations.sumOf { it.weight }
         if (destinations.size == 1 || total <= 0) return destinations.first().service
@@ -69,9 +69,9 @@
 )
 
 /**
- * What the operator says of a service.
+ * Configuration of a service.
  *
- * @property engine what its engines can do; null for a plain service
+ * @property engine capacity of its engines; null for a plain service
  */
 public data class ServicePlan(
     val service: ServiceId,
@@ -80,10 +80,10 @@
 )
 
 /**
- * What an engine of a service can hold and do.
+ * Capacity of each engine of a service.
  *
- * @property batch requests that it works on at once
- * @property promptMemoryTokens tokens that its memory for prompts holds
+ * @property batch number of requests that it processes at once
+ * @property promptMemoryTokens capacity of its prompt cache, in tokens
  */
 public data class EnginePlan(
     val batch: Int,
@@ -94,11 +94,11 @@
 )
 
 /**
- * Size of a model and how long it takes to load.
+ * Size and load times of a model.
  *
- * @property loadMs from the weight store
- * @property loadFromMemoryMs from a copy in the memory of the engine's host
- * @property loadFromDiskMs from a copy on the disk of the engine's host
+ * @property loadMs load time from the weight store
+ * @property loadFromMemoryMs load time from a copy in the memory of the engine's host
+ * @property loadFromDiskMs load time from a copy on the disk of the engine's host
  */
 public data class ModelPlan(
     val model: ModelId,
@@ -109,7 +109,7 @@
     val loadFromDiskMs: Long,
 )
 
-/** What callers may send, and how long they may take. */
+/** Limits on the size of requests and on the time that callers may take to send them. */
 public data class CallerLimits(
     val maximumHeadBytes: Int = 16_384,
     val maximumBodyBytes: Long = 4L * 1024 * 1024,
--- a/gateway/src/main/kotlin/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/GatewaySettings.kt
@@ -8,12 +8,12 @@
  *
  * @property name identity of this process among gateways
  * @property callers address for callers
- * @property readiness address at which a balancer asks whether callers may come
- * @property readinessPath path of that question
- * @property keeperPort port of the keeper beside each engine
+ * @property readiness address at which a load balancer polls readiness
+ * @property readinessPath path of the readiness check
+ * @property keeperPort port of the keeper next to each engine
  * @property graceMs time between a request to stop and the end of the process
- * @property repeats repeats that all gateways together may make
- * @property lapseMs time for which an entry that vanished with the platform's store is still believed
+ * @property repeats retries that all gateways together may make
+ * @property lapseMs time for which an entry is kept after it disappeared while the platform's store was not trusted
  */
 public data class GatewaySettings(
     val name: String,
--- a/gateway/src/main/kotlin/HeaderNames.kt
+++ b/gateway/src/main/kotlin/HeaderNames.kt
@@ -1,20 +1,20 @@
 package org.almondjunction.gateway
 
 /**
- * Names of the headers that carry a request's fields between callers, gateways and targets.
+ * Names of the headers that carry fields of a request between callers, gateways and targets.
  *
  * @property requestId identity of one request of a caller
- * @property deadlineMs milliseconds that the sender will still wait
- * @property model model, and after a slash an adapter
- * @property tokens tokens of the prompt and greatest number of tokens of the answer
- * @property promptParts parts of the prompt, in order, with their tokens
- * @property lastEvent last event that the caller has received
- * @property signature proof that an answer is a target's own
- * @property targetIdentity only the target with this identity may run the request
- * @property answeringTarget identity of the target that answers
- * @property notExecuted present where the target has not run the request
+ * @property deadlineMs remaining time that the sender waits, in milliseconds
+ * @property model model, optionally followed by a slash and an adapter
+ * @property tokens number of tokens of the prompt and maximum number of tokens of the response
+ * @property promptParts parts of the prompt, in order, with their numbers of tokens
+ * @property lastEvent identity of the last event that the caller has received
+ * @property signature proof that the target itself produced the response
+ * @property targetIdentity identity of the only target that may run the request
+ * @property answeringTarget identity of the target that responds
+ * @property notExecuted present if the target has not run the request
  * @property urgency rank of the request within its target, 0 is first
- * @property reserved headers that only the system sets; those of callers are dropped
+ * @property reserved headers that only the system may set, in lower case; they are removed from callers' requests
  */
 public data class HeaderNames(
     val requestId: String,
--- a/gateway/src/main/kotlin/KeeperLink.kt
+++ b/gateway/src/main/kotlin/KeeperLink.kt
@@ -16,7 +16,7 @@
 import org.almondjunction.network.TcpConnection
 import org.almondjunction.network.launchAlways
 
-/** Connection to the keeper of [target], dialled again whenever it ends or falls silent. */
+/** Connection to the keeper of [target]; reconnects when it is closed or silent. */
 internal class KeeperLink(
     private val loop: EventLoop,
     scope: CoroutineScope,
@@ -30,7 +30,7 @@
     private var heardMs = 0L
     private val job: Job = scope.launchAlways("keeper link") { keep() }
 
-    /** Sends [message] if the keeper is in touch; returns whether it was handed over. */
+    /** Sends [message] if the keeper is connected; returns whether it was written to the connection. */
     suspend fun send(message: KeeperMessage): Boolean = channel?.send(message) ?: false
 
     private suspend fun keep() {
@@ -97,13 +97,13 @@
         const val DIAL_TIMEOUT_MS = 1_000L
         const val REDIAL_MS = 500L
 
-        /** Time between two tellings of uses; well below the shortest idle time after which a model may be unloaded. */
+        /** Interval between usage reports; well below the shortest idle time after which a model may be unloaded. */
         const val USAGE_INTERVAL_MS = 500L
 
-        /** A gateway without uses shows that it lives in each third round. */
+        /** A gateway without uses sends an empty report every third interval as a heartbeat. */
         const val ROUNDS_PER_SIGN = 3
 
-        /** A keeper answers uses with its status every 2 s at least. */
+        /** A keeper answers usage reports with its status at least every 2 s. */
         const val SILENCE_MS = 5_000L
     }
 }
--- a/gateway/src/main/kotlin/Preparation.kt
+++ b/gateway/src/main/kotlin/Preparation.kt
@@ -5,10 +5,11 @@
 import org.almondjunction.decisions.Rendezvous
 
 /**
- * Has models loaded that no target holds, before callers ask for them: where there is room, and where no host has the weights at hand
- * even in the place of another, so that they are on a host's disk when they are asked for.
+ * Preloads models that no target holds or that need more replicas, before callers request them.
  *
- * Gateways share the work: each model is looked after by the one that comes first for it among those that keepers see.
+ * A model that no target holds is loaded where memory is free; if no host has a copy of its weights, the load may evict another model,
+ * so that a copy is on the disk of a host when the model is requested. Each model is assigned to one gateway by rendezvous hashing over
+ * the gateways connected to keepers.
  */
 internal class Preparation(
     private val fleet: Fleet,
@@ -59,10 +60,10 @@
     }
 
     private companion object {
-        /** Share of the targets that must be in touch; with fewer, this gateway is likely to be cut off itself. */
+        /** Minimum share of targets with a connected keeper; with fewer, this gateway itself is probably disconnected from the network. */
         const val LEAST_SHARE_IN_TOUCH = 0.5
 
-        /** Time in which gateways and keepers have found each other after a start of all hosts. */
+        /** Time within which gateways and keepers are connected after a start of all hosts. */
         const val SETTLE_MS = 3_000L
         const val INTERVAL_MS = 500L
     }
--- a/gateway/src/main/kotlin/PromptMemory.kt
+++ b/gateway/src/main/kotlin/PromptMemory.kt
@@ -6,14 +6,14 @@
     val tokens: Long,
 )
 
-/** What a target probably still keeps of the prompts that this gateway sent there; the least recently used parts are forgotten. */
+/** Estimate of the prompt parts in a target's cache, from the prompts that this gateway sent; drops the least recently used parts. */
 internal class PromptMemory(
     private val capacityTokens: Long,
 ) {
     private val kept = LinkedHashMap<String, Long>(INITIAL_PARTS, LOAD_FACTOR, true)
     private var total = 0L
 
-    /** Returns how many of the first tokens of a prompt for [weights] need not be read again. */
+    /** Returns the number of leading tokens of a prompt for [weights] that are expected in the cache. */
     fun keptTokens(
         weights: String,
         parts: List<PromptPart>,
--- a/gateway/src/main/kotlin/RequestPhase.kt
+++ b/gateway/src/main/kotlin/RequestPhase.kt
@@ -1,21 +1,21 @@
 package org.almondjunction.gateway
 
-/** How far a request has come at this gateway. */
+/** Progress of a request at this gateway. */
 internal enum class RequestPhase(
     val label: String,
 ) {
-    /** No target has been found for it, or the last one refused it. */
+    /** No target has been selected yet, or the last one refused the request. */
     WAITING("waiting"),
 
-    /** A connection to its target is being made; no byte of it has left. */
+    /** A connection to the target is being established; no byte of the request has been sent. */
     CONNECTING("connecting"),
 
-    /** It has left, at least in part, and no head of an answer has come. */
+    /** At least a part of the request has been sent, and no head of a response has arrived. */
     SENT("sent"),
 
-    /** The head of an answer has come, and nothing of it has been handed on. */
+    /** The head of a response has arrived, and no part of the response has been passed on. */
     ANSWER_ARRIVING("answer arriving"),
 
-    /** Its caller has got the head of an answer. */
+    /** The head of a response has been sent to the caller. */
     ANSWER_BEGUN("answer begun"),
 }
--- a/gateway/src/main/kotlin/Send.kt
+++ b/gateway/src/main/kotlin/Send.kt
@@ -1,11 +1,11 @@
 package org.almondjunction.gateway
 
 /**
- * A request on its way to a target or being answered there.
+ * A request in flight at a target.
  *
- * @property repeatable whether it may be sent to another target while nothing of its answer has come
- * @property patienceMs time after which its caller leaves if nothing reaches it
- * @property lastSignMs when its caller came, or last got a part of the answer
+ * @property repeatable whether it may be retried at another target as long as no part of its response has arrived
+ * @property patienceMs time after which its caller disconnects if it receives nothing
+ * @property lastSignMs when the request arrived, or its caller last received a part of the response
  */
 internal class Send(
     val model: String?,
@@ -18,31 +18,31 @@
     var beganMs = 0L
     var answering = false
 
-    /** Ends it at its target; may be called more than once. */
+    /** Cancels the request at its target; may be called more than once. */
     var leave: () -> Unit = {}
 
-    /** Silence of its target and of the keeper there that is no longer a pause. */
+    /** Time without activity of its target and the keeper there after which the target counts as silent. */
     val silenceLimitMs: Long get() = if (model == null) PLAIN_SILENCE_MS else ENGINE_SILENCE_MS
 
-    /** Leaves a target that no longer takes requests, if it is no harm to send it to another one. */
+    /** Cancels the request at a target that no longer accepts requests, if it may be retried at another one. */
     fun leaveIfRepeatable() {
         if (repeatable && !answering) leave()
     }
 
-    /** Leaves a silent target: for another one, or because its caller is about to leave and an answer of ours is better than none. */
+    /** Cancels the request at a silent target: to retry it elsewhere, or to send an error response before its caller disconnects. */
     fun leaveIfHopeless(nowMs: Long) {
         if (nowMs - lastSignMs >= patienceMs - LAST_WORD_MS) return leave()
         if (nowMs - beganMs >= silenceLimitMs) leaveIfRepeatable()
     }
 
     companion object {
-        /** A keeper answers each telling of uses, every 500 ms while requests are in flight; with the way between regions. */
+        /** A keeper answers each usage report, every 500 ms while requests are in flight; includes the delay between regions. */
         const val ENGINE_SILENCE_MS = 1_300L
 
-        /** Twice the latency objective of a short request on the users' sheets. */
+        /** Twice the latency objective of a short request in the users' requirements. */
         private const val PLAIN_SILENCE_MS = 600L
 
-        /** Time for an answer to reach a caller before it leaves: the interval of examination and some ways to it. */
+        /** Time for a response to reach a caller before it disconnects: the interval of silence checks and some one-way delays. */
         private const val LAST_WORD_MS = 250L
     }
 }
--- a/gateway/src/main/kotlin/Signal.kt
+++ b/gateway/src/main/kotlin/Signal.kt
@@ -4,7 +4,7 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** Wakes everybody who waits for a change of the state that gateways decide from. */
+/** Wakes all coroutines that wait for a change of the state on which a gateway bases its decisions. */
 internal class Signal {
     private val changes = MutableStateFlow(0L)
 
@@ -14,7 +14,7 @@
         changes.value++
     }
 
-    /** Returns when a change came after [seen], or after [timeoutMs]. */
+    /** Returns when [count] differs from [seen], or after [timeoutMs]. */
     suspend fun await(
         seen: Long,
         timeoutMs: Long,
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -10,7 +10,7 @@
 import org.almondjunction.network.EventLoop
 import kotlin.math.exp
 
-/** One target as this gateway knows it: its entry, its connections, what it holds and how its answers were. */
+/** State of one target: its entry, its connections, its models and its recent failures. */
 internal class Target(
     loop: EventLoop,
     entry: TargetEntry,
@@ -26,18 +26,18 @@
     var gone = false
         private set
 
-    /** Last status of its keeper; null while its keeper is out of touch. */
+    /** Last status of its keeper; null while its keeper is not connected. */
     var status: KeeperMessage.Status? = null
         private set
     var load = KeeperMessage.Load()
         private set
     var keeper: KeeperLink? = null
 
-    /** Whether neither it nor its keeper has given a sign for too long while requests are in flight. */
+    /** Whether neither it nor its keeper has shown activity within the time limit while requests are in flight. */
     var silent = false
         private set
 
-    /** When it or its keeper last gave a sign of life. */
+    /** Time of the last activity of the target or its keeper. */
     var heardMs = clock.nowMs()
         private set
 
@@ -50,10 +50,10 @@
     private val uses = mutableMapOf<Pair<String, String?>, Int>()
     private val lastAskedMs = mutableMapOf<Pair<String, String?>, Long>()
 
-    /** Whether its keeper, as far as one is in touch, gets answers from it. */
+    /** Whether its keeper gets answers from it; true if no keeper is connected. */
     val answering: Boolean get() = status?.answering ?: true
 
-    /** Models that can take requests now, with the adapters that are loaded. */
+    /** Models that accept requests now, with the loaded adapters. */
     var models: Map<String, Set<String>> = entry.models
         private set
 
@@ -67,13 +67,13 @@
         return current.models.filter { it.model !in current.leaving }.associate { it.model to it.adapters.toSet() }
     }
 
-    /** How long the load that its keeper tells of has been in progress. */
+    /** Duration so far of the load that its keeper reports. */
     val loadingForMs: Long get() = clock.nowMs() - loadingSinceMs
 
-    /** Whether its host has a copy of the weights of [model]. */
+    /** Whether its host has a copy of the weights of [model] in memory or on disk. */
     fun hasAtHand(model: String): Boolean = status?.let { model in it.inMemory || model in it.onDisk } ?: false
 
-    /** Whether it loads a model from the weight store, as far as its keeper tells. */
+    /** Whether it is loading a model from the weight store, according to its keeper. */
     val loadsFromStore: Boolean get() = status?.loading?.let { !hasAtHand(it) } ?: false
 
     fun update(newStatus: KeeperMessage.Status?) {
@@ -95,11 +95,11 @@
         load = newLoad
     }
 
-    /** Tokens of the prompt of [request] that it still has to read, as far as known. */
+    /** Returns the number of prompt tokens of [request] that are not expected in its prompt cache. */
     fun unreadTokens(request: ForwardedRequest): Long =
         (request.promptTokens - prompts.keptTokens(request.weights, request.parts)).coerceAtLeast(0)
 
-    /** Notes a sign of life from it or its keeper. */
+    /** Records activity of the target or its keeper. */
     fun heard() {
         heardMs = clock.nowMs()
         health?.heard(heardMs)
@@ -107,16 +107,16 @@
         silent = false
     }
 
-    /** Forgives its silence so far, of which this process would not know. */
+    /** Resets the silence measured so far, for example after this process was suspended. */
     fun excuseSilence() {
         health?.heard(clock.nowMs())
         silent = false
     }
 
     /**
-     * Examines whether it has fallen silent, and gives up what has waited too long and may be sent elsewhere.
+     * Checks whether the target is silent, and cancels overdue requests that may be retried elsewhere.
      *
-     * To be called several times in the shortest limit. Returns whether [silent] has changed.
+     * Must be called several times within the shortest silence limit. Returns whether [silent] has changed.
      */
     fun examineSilence(): Boolean {
         val nowMs = clock.nowMs()
@@ -157,7 +157,7 @@
         send.adapter?.let { uses.putIfAbsent(model to it, 0) }
     }
 
-    /** Returns and clears the uses since the last call, with the requests in flight. */
+    /** Returns the uses since the last call with the requests in flight, and clears the uses. */
     fun takeUses(): List<Use> {
         val flying = mutableMapOf<Pair<String, String?>, Int>()
         inFlight.forEach { send ->
@@ -171,7 +171,7 @@
         return taken
     }
 
-    /** Returns whether a wish for [model] and [adapter] may be sent again now, and notes that it is. */
+    /** Returns whether a load request for [model] and [adapter] may be sent again now; if so, records it as sent. */
     fun mayAsk(
         model: String,
         adapter: String?,
@@ -184,14 +184,14 @@
         return true
     }
 
-    /** Counts how a send ended. */
+    /** Records the result of a request to this target. */
     fun weigh(failed: Boolean) {
         decay()
         sends += 1
         if (failed) failures += 1
     }
 
-    /** Recent share of sends that failed; a target without recent sends is trusted again. */
+    /** Returns the share of recent requests that failed; it decays to 0 without requests. */
     fun failureShare(): Double {
         decay()
         return failures / (sends + TRUST)
@@ -213,13 +213,13 @@
     }
 
     private companion object {
-        /** Sends count for about this long: the length of the shortest troubles that are worth evading. */
+        /** Time constant of the decay of request counts: the duration of the shortest disturbances that are worth avoiding. */
         const val MEMORY_MS = 3_000.0
 
-        /** A silent target without requests in flight is tried again after this; a keeper in touch gives a sign sooner. */
+        /** A silent target without requests in flight is tried again after this; a connected keeper reports activity sooner. */
         const val TRY_SILENT_AGAIN_MS = 2_000L
 
-        /** Successful sends assumed of a target without a record. */
+        /** Number of successful requests assumed in advance for a target without history. */
         const val TRUST = 1.5
     }
 }
--- a/gateway/src/main/kotlin/TargetDirectory.kt
+++ b/gateway/src/main/kotlin/TargetDirectory.kt
@@ -9,12 +9,12 @@
 import org.almondjunction.common.ZoneId
 
 /**
- * What the platform's list says of a target.
+ * Entry of a target in the platform's list.
  *
- * @property ready whether it takes requests; false while it is leaving
- * @property bornMs calendar time of its start, in milliseconds; tells two lives under one identity apart
- * @property sequence rises with each telling in one life
- * @property models adapters of each model that it held when it last told
+ * @property ready whether it accepts requests; false while it is draining
+ * @property bornMs calendar time of its start, in milliseconds; distinguishes incarnations with the same identity
+ * @property sequence increases with each report of one incarnation
+ * @property models models that it held at its last report, with their adapters
  */
 public data class TargetEntry(
     val target: TargetId,
@@ -29,23 +29,23 @@
 )
 
 /**
- * The targets as the platform lists them.
+ * Targets listed by the platform.
  *
- * Entries that vanish while the list cannot be trusted are kept for [graceMs] after it can be trusted again.
+ * An entry that disappears while the list is not trusted is kept for [graceMs].
  */
 public class TargetDirectory(
     private val clock: Clock,
     private val graceMs: Long,
     private val onChange: (Change) -> Unit,
 ) {
-    /** What changed. */
+    /** Change of the directory. */
     public sealed class Change {
-        /** A target appeared, or its entry changed. */
+        /** A target was added, or its entry changed. */
         public data class Put(
             val entry: TargetEntry,
         ) : Change()
 
-        /** A target is gone. */
+        /** A target was removed. */
         public data class Removed(
             val target: TargetId,
         ) : Change()
@@ -56,9 +56,9 @@
     private val occupants = mutableMapOf<Address, TargetId>()
 
     /**
-     * Takes an entry; one that the target wrote before the one already known is left out.
+     * Adds or replaces the entry of a target; an entry older than the known one is ignored.
      *
-     * Where two targets are listed at one address, only the one that started later can be alive.
+     * Of two targets listed at one address, only the one that started later is kept, since the other can no longer be running.
      */
     public fun put(entry: TargetEntry) {
         val known = entries[entry.target]
@@ -85,7 +85,7 @@
             else -> entry.ready && !known.ready
         }
 
-    /** Takes the removal of [target]; [trusted] is false when entries may have lapsed without their targets being gone. */
+    /** Removes [target]; [trusted] is false if entries may have expired in the store while their targets are still running. */
     public fun remove(
         target: TargetId,
         trusted: Boolean,
@@ -94,7 +94,7 @@
         if (trusted || !entry.ready) drop(target) else lapsed.putIfAbsent(target, clock.nowMs() + graceMs)
     }
 
-    /** Takes the whole list. */
+    /** Replaces the complete list. */
     public fun replaceAll(
         all: List<TargetEntry>,
         trusted: Boolean,
@@ -104,7 +104,7 @@
         entries.keys.filter { it !in listed }.forEach { remove(it, trusted) }
     }
 
-    /** Drops the lapsed entries whose time is over; to be called often. */
+    /** Drops the entries whose grace time has passed; must be called periodically. */
     public fun expire() {
         val nowMs = clock.nowMs()
         lapsed.filterValues { it <= nowMs }.keys.forEach { drop(it) }
--- a/gateway/src/main/kotlin/TargetPool.kt
+++ b/gateway/src/main/kotlin/TargetPool.kt
@@ -6,7 +6,7 @@
 import org.almondjunction.network.HttpHeaders
 import org.almondjunction.network.TcpConnection
 
-/** Kept connections to one target; a connection on which anything odd was seen never comes back here. */
+/** Idle connections to one target; a connection with a protocol violation is never returned to the pool. */
 internal class TargetPool(
     private val loop: EventLoop,
     private val address: Address,
@@ -21,7 +21,7 @@
     private val kept = ArrayDeque<Kept>()
     private var closed = false
 
-    /** Returns a kept connection that was used within [youngerThanMs] and still looks sound, or null. */
+    /** Returns an open connection that has been idle for at most [youngerThanMs], or null. */
     fun takeKept(youngerThanMs: Long): TcpConnection? {
         val nowMs = clock.nowMs()
         while (true) {
@@ -56,7 +56,7 @@
         kept.addLast(Kept(connection, nowMs, nowMs + keepMs))
     }
 
-    /** Closes what has been idle for too long. */
+    /** Closes connections whose idle time limit has passed. */
     fun sweep() {
         val nowMs = clock.nowMs()
         while (kept.isNotEmpty() && kept.first().untilMs <= nowMs) kept.removeFirst().connection.close()
@@ -71,16 +71,16 @@
     private companion object {
         const val MILLISECONDS_PER_SECOND = 1_000L
 
-        /** Keep time where the target states none. */
+        /** Idle time limit if the target states none. */
         const val DEFAULT_KEEP_MS = 5_000L
 
-        /** A request that is sent this long before the target's limit still arrives before it closes, between any two regions. */
+        /** A request sent this long before the target's idle time limit arrives before the target closes, between any two regions. */
         const val KEEP_MARGIN_MS = 400L
 
-        /** Bound on kept connections to one target; above the requests that one gateway has there at once. */
+        /** Maximum number of idle connections to one target; above the number of concurrent requests of one gateway there. */
         const val MOST_KEPT = 64
 
-        /** Time for a target to accept; above any round trip between regions plus a set-up queue. */
+        /** Time limit for a target to accept; above any round trip between regions plus the delay of an accept queue. */
         const val CONNECT_TIMEOUT_MS = 1_000L
     }
 }
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -13,26 +13,26 @@
 import org.almondjunction.keeper.KeeperMessage
 import org.almondjunction.keeper.ModelSize
 
-/** Finds the target for a request, and asks keepers for what is missing. */
+/** Selects the target for a request, and sends load requests to keepers for missing models and adapters. */
 internal class TargetSelector(
     private val clock: Clock,
     private val fleet: Fleet,
     var place: Place,
     private val state: GatewayState,
 ) {
-    /** What there is for a request at the moment. */
+    /** Result of the selection for a request. */
     sealed class Choice {
-        /** [target] can take it now. */
+        /** [target] can run the request now. */
         data class Use(
             val target: Target,
         ) : Choice()
 
-        /** It may be possible after [expectedMs]; a keeper has been asked. */
+        /** A target is expected to be able to run the request after [expectedMs]. */
         data class Later(
             val expectedMs: Long,
         ) : Choice()
 
-        /** There is no way known. */
+        /** No target can run the request, for [reason]. */
         data class None(
             val reason: String,
         ) : Choice()
@@ -134,7 +134,7 @@
         return Choice.Later(if (free.isEmpty()) ADAPTER_BEHIND_LOAD_MS else ADAPTER_EXPECTED_MS)
     }
 
-    /** Asks one of [ready] for a model that none of them holds and for which [callers] wait, weighed as [LoadValue] says. */
+    /** Requests that one of [ready] loads [model] for [callers], the number of waiting callers weighted by [LoadValue]. */
     suspend fun askForModel(
         ready: List<Target>,
         plan: EnginePlan,
@@ -162,7 +162,7 @@
                     costOfLoad(target, plan, model, mayEvict, valueMs)?.let { target to it }
                 }.minByOrNull { it.second }
         val target = best?.first ?: return if (mayEvict) Choice.Later(model.loadFromDiskMs) else Choice.None("no room")
-        // What many callers wait for is loaded before what else is wished for.
+        // A model with high demand is loaded before other pending load requests.
         val beforeMs = if (demand >= BUSY_REQUESTS_PER_SECOND) currentLoadMs(target, plan) else remainingLoadMs(target, plan)
         val expectedMs = beforeMs + loadMs(target, model)
         asked[name] = Asked(target, nowMs + MODEL_ASK_INTERVAL_MS, expectedMs)
@@ -170,7 +170,7 @@
         return Choice.Later(expectedMs)
     }
 
-    /** Returns how long the load that is in progress at [target] will still take; 0 where there is none. */
+    /** Returns the expected time until the load in progress and the pending loads of [target] are complete; 0 if there are none. */
     private fun remainingLoadMs(
         target: Target,
         plan: EnginePlan,
@@ -204,7 +204,7 @@
         }
     }
 
-    /** Returns the expected time until [target] holds [model], with the harm to others counted as time; null where there is no way. */
+    /** Returns the expected time until [target] holds [model] plus the cost to other requests; null if it cannot load the model. */
     private fun costOfLoad(
         target: Target,
         plan: EnginePlan,
@@ -290,9 +290,9 @@
     }
 
     /**
-     * Copies of a model for which the one on a target may be given up.
+     * Replicas of a model on other targets that permit eviction of the one on a given target.
      *
-     * @property suffice whether they serve all callers of the model without it
+     * @property suffice whether they can serve all callers of the model without it
      */
     private class Copies(
         val count: Int,
@@ -300,9 +300,9 @@
     )
 
     /**
-     * Returns the copies of [model] on [others] if that on [target] may be given up for them.
+     * Returns the replicas of [model] on [others] if the one on [target] may be evicted, otherwise none.
      *
-     * Only one copy counts as spare, the same one for every gateway; engines that decide at the same moment never give up all of them.
+     * All gateways select the same single replica as evictable, so that concurrent decisions never evict all replicas.
      */
     private fun copiesBeside(
         target: Target,
@@ -317,7 +317,7 @@
         return Copies(holders.size.coerceAtMost(MOST_COPIES_TOLD), suffice)
     }
 
-    /** Returns what callers of all gateways ask of [model], as the keepers of its [holders] tell. */
+    /** Returns the load on [model] from all gateways, as reported by the keepers of its [holders]. */
     fun loadOf(
         model: String,
         holders: List<Target>,
@@ -332,60 +332,60 @@
     }
 
     private companion object {
-        /** Requests that a plain target may hold for each of its places, counted by this gateway alone. */
+        /** Maximum number of requests of this gateway at a plain target for each of its slots. */
         const val PLAIN_QUEUE_FACTOR = 3
 
-        /** Work of a short request, as on the users' sheets. */
+        /** Duration of a short request, from the users' requirements. */
         const val PLAIN_WORK_MS = 40.0
 
-        /** Preference for the less busy of two targets with free places. */
+        /** Cost of each request in flight; prefers the less busy of two targets with free slots. */
         const val PLAIN_SHARE_MS = 4.0
 
-        /** Speed at which engines read prompts, from the users' sheets. */
+        /** Rate at which engines process prompts, from the users' requirements. */
         const val TOKENS_READ_PER_MS = 38.7
 
-        /** A request of another gateway is still being read for a part of its time only. */
+        /** Expected prompt processing left for each request of another gateway, most of which are past that stage. */
         const val OTHERS_READING_MS = 12.0
 
-        /** A request that waits within an engine stands for a prompt that is still to be read. */
+        /** Expected prompt processing for each request that is queued in an engine. */
         const val QUEUED_MS = 120.0
 
-        /** Leading parts of a prompt that requests share; the last belongs to one session. */
+        /** Number of leading prompt parts that requests have in common; later parts belong to one session. */
         const val SHARED_PARTS = 2
 
         const val ADAPTER_ASK_INTERVAL_MS = 150L
         const val ADAPTER_PATIENCE_MS = 2_000L
         const val ADAPTER_EXPECTED_MS = 40L
 
-        /** An adapter waits for the load of a model on the same engine; most of those come from its host's own copies. */
+        /** An adapter waits for a model load on the same engine; most of these use a copy on the engine's host. */
         const val ADAPTER_BEHIND_LOAD_MS = 600L
 
-        /** A target that refused a request, for an order or a full queue, is asked again after this. */
+        /** Time after which a request may be sent again to a target that refused it because of a load order or a full queue. */
         const val TRY_AGAIN_MS = 150L
         const val MODEL_ASK_INTERVAL_MS = 400L
 
-        /** Part of a target's requests that a load holds up, since it needs an adapter that is not loaded. */
+        /** Share of a target's requests that are delayed by a model load, since they need an adapter that is not loaded. */
         const val SHARE_HELD_UP = 0.15
 
-        /** Least time that a load in progress is expected to take still. */
+        /** Minimum of the expected remaining time of a load in progress. */
         const val SHORTEST_LOAD_MS = 100L
 
-        /** Time in which a gateway that starts meets the keepers, some of which may have the weights at hand. */
+        /** Time after a start in which the gateway connects to keepers, some of which may have local copies of the weights. */
         const val MEETING_MS = 2_000L
 
-        /** Loads from the weight store at one time, over all engines: the least that the users' stores carry out at full speed. */
+        /** Concurrent loads from the weight store over all engines: the fewest that any of the users' stores supports at full speed. */
         const val MOST_STORE_LOADS = 2
 
-        /** As above for models that many callers wait for, so that rare ones never hold them up. */
+        /** The same limit for models with high demand, so that rarely requested models never delay them. */
         const val MOST_STORE_LOADS_WITH_BUSY_MODELS = 4
 
-        /** Demand of a model, over all gateways, that is busy: its callers outnumber those of any rare one. */
+        /** Demand over all gateways from which a model counts as busy: above that of any rarely requested model. */
         const val BUSY_REQUESTS_PER_SECOND = 1.0
 
-        /** More copies of a model than this tell a keeper nothing more. */
+        /** Maximum number of replicas reported to a keeper; more make no difference to its decisions. */
         const val MOST_COPIES_TOLD = 3
 
-        /** What a load from the weight store costs beyond its time: it occupies the engine's orders and the store. */
+        /** Cost of a load from the weight store beyond its duration: it occupies the engine's order queue and the store. */
         const val STORE_LOAD_MS = 8_000L
     }
 }
--- a/gateway/src/main/kotlin/WaitingCallers.kt
+++ b/gateway/src/main/kotlin/WaitingCallers.kt
@@ -2,11 +2,11 @@
 
 import org.almondjunction.decisions.LoadValue
 
-/** Callers of this gateway that wait for a model or an adapter of it. */
+/** Callers of this gateway that wait for a model or one of its adapters to be loaded. */
 internal class WaitingCallers {
     private val objectivesMs = mutableMapOf<String, MutableList<Long>>()
 
-    /** Counts a caller that is served in time if its answer begins until [objectiveMs]. */
+    /** Adds a caller whose latency objective is met if its response begins by [objectiveMs]. */
     fun enter(
         model: String,
         objectiveMs: Long,
@@ -23,7 +23,7 @@
         if (waiting.isEmpty()) objectivesMs -= model
     }
 
-    /** Returns the callers that wait for [model], weighed by whether an answer that begins at [expectedMs] is in time. */
+    /** Returns the number of callers that wait for [model], weighted by whether a response that begins at [expectedMs] is in time. */
     fun weight(
         model: String,
         expectedMs: Long,
