--- a/gateway/src/main/kotlin/CallerAnswer.kt
+++ b/gateway/src/main/kotlin/CallerAnswer.kt
@@ -11,7 +11,7 @@
 internal class CallerAnswer(
     private val connection: TcpConnection,
     private val request: RequestHead?,
-    private val leaving: () -> Boolean = { false },
+    private val stopping: () -> Boolean = { false },
 ) {
     /** Whether the head was written; after that a failure can only be signalled by closing the connection. */
     var begun = false
@@ -22,7 +22,7 @@
         private set
 
     /** Whether the connection must be closed after this response. */
-    var closes = request == null || request.version == HttpVersion.HTTP_1_0 || request.headers.hasToken("Connection", "close")
+    var closesConnection = request == null || request.version == HttpVersion.HTTP_1_0 || request.headers.hasToken("Connection", "close")
 
     /** Writes an error response of the gateway itself. */
     suspend fun refuse(
@@ -33,30 +33,30 @@
         val body = "{\"status\":$status,\"reason\":\"$reason\"}\n".toByteArray()
         val headers = mutableListOf(HttpHeader("Content-Type", "application/problem+json"))
         if (retryAfterMs != null) headers += HttpHeader("Retry-After", seconds(retryAfterMs))
-        whole(status, headers, body)
+        writeComplete(status, headers, body)
     }
 
     /** Writes the response of a target with its complete [body]. */
-    suspend fun pass(
+    suspend fun relay(
         head: ResponseHead,
         body: ByteArray,
-    ): Unit = whole(head.status, head.headers.endToEnd(), body)
+    ): Unit = writeComplete(head.status, head.headers.endToEnd(), body)
 
-    private suspend fun whole(
+    private suspend fun writeComplete(
         status: Int,
         headers: List<HttpHeader>,
         body: ByteArray,
     ) {
-        check(!begun) { "An answer was begun twice." }
+        check(!begun) { "The response has already begun." }
         begun = true
         val all = headers + HttpHeader("Content-Length", body.size.toString()) + connectionHeaders()
-        val shown = if (request?.method == "HEAD") EMPTY else body
-        complete = connection.write(HttpWriter.response(status, all), shown)
+        val written = if (request?.method == "HEAD") EMPTY else body
+        complete = connection.write(HttpWriter.response(status, all), written)
     }
 
     /** Writes the head of a response of unknown length. */
     suspend fun begin(head: ResponseHead) {
-        check(!begun) { "An answer was begun twice." }
+        check(!begun) { "The response has already begun." }
         begun = true
         val framing = if (closesWithBody) emptyList() else listOf(HttpHeader("Transfer-Encoding", "chunked"))
         connection.write(HttpWriter.response(head.status, head.headers.endToEnd() + framing + connectionHeaders()))
@@ -71,15 +71,15 @@
     }
 
     /** Resets the connection of an incomplete response if a regular close would make it look complete. */
-    fun endIncomplete() {
+    fun abortIfIncomplete() {
         if (begun && !complete && closesWithBody) connection.abort()
     }
 
     private val closesWithBody get() = request?.version == HttpVersion.HTTP_1_0
 
     private fun connectionHeaders(): List<HttpHeader> {
-        closes = closes || leaving()
-        return if (closes) listOf(HttpHeader("Connection", "close")) else emptyList()
+        closesConnection = closesConnection || stopping()
+        return if (closesConnection) listOf(HttpHeader("Connection", "close")) else emptyList()
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/CallerConnection.kt
+++ b/gateway/src/main/kotlin/CallerConnection.kt
@@ -51,13 +51,13 @@
         }
         busy = true
         val arrivedMs = clock.nowMs()
-        val served = withTimeoutOrNull(limits.headTimeoutMs) { reader.requestHead(limits.maximumHeadBytes) }
+        val result = withTimeoutOrNull(limits.headTimeoutMs) { reader.requestHead(limits.maximumHeadBytes) }
         val more =
-            when (served) {
+            when (result) {
                 null -> refuseUnread(REQUEST_TIMEOUT, "the head took too long")
-                is HeadResult.Read -> answer(served.head, arrivedMs, limits)
+                is HeadResult.Read -> answer(result.head, arrivedMs, limits)
                 HeadResult.End, HeadResult.Broken -> false
-                is HeadResult.Malformed -> refuseUnread(BAD_REQUEST, served.detail)
+                is HeadResult.Malformed -> refuseUnread(BAD_REQUEST, result.detail)
                 HeadResult.TooLarge -> refuseUnread(HEADERS_TOO_LARGE, "the head is too large")
             }
         busy = false
@@ -68,7 +68,7 @@
         status: Int,
         reason: String,
     ): Boolean {
-        note(null, status, reason)
+        logRefusal(null, status, reason)
         CallerAnswer(connection, null).refuse(status, reason)
         return false
     }
@@ -78,7 +78,7 @@
         arrivedMs: Long,
         limits: CallerLimits,
     ): Boolean {
-        val answer = CallerAnswer(connection, head) { state.leaving && connection.input.size == 0 }
+        val answer = CallerAnswer(connection, head) { state.stopping && connection.input.size == 0 }
         val framing = HttpHeadParser.framingOf(head)
         val hosts = head.headers.all("Host")
         if (framing == null || hosts.size != 1) return refuse(head, answer, BAD_REQUEST, "the request can be read in two ways", null)
@@ -86,12 +86,12 @@
             return refuse(head, answer, CONTENT_TOO_LARGE, "the body is too large", null)
         }
         if (head.headers.hasToken("Expect", "100-continue")) connection.write(CONTINUE)
-        return state.gathered.reserve().use { reservation ->
+        return state.buffered.reserve().use { reservation ->
             val read = withTimeoutOrNull(BODY_TIMEOUT_MS) { reader.body(framing).whole(limits.maximumBodyBytes, reservation) }
             when (read) {
                 is WholeBody.Read -> answer(head, read.bytes, arrivedMs, answer, hosts.single())
                 WholeBody.TooLarge -> refuse(head, answer, CONTENT_TOO_LARGE, "the body is too large", null)
-                WholeBody.NoRoom -> refuse(head, answer, SERVICE_UNAVAILABLE, "too many bodies at once", RETRY_WITHOUT_ROOM_MS)
+                WholeBody.NoRoom -> refuse(head, answer, SERVICE_UNAVAILABLE, "too many bodies at once", RETRY_AFTER_OVERLOAD_MS)
                 is WholeBody.Broken -> refuse(head, answer, BAD_REQUEST, read.detail, null)
                 null -> refuse(head, answer, REQUEST_TIMEOUT, "the body took too long", null)
             }
@@ -110,21 +110,24 @@
         val route = configuration?.route(host.substringBeforeLast(':'), path) ?: configuration?.route(host, path)
         when {
             configuration == null -> {
-                note(head, SERVICE_UNAVAILABLE, "no configuration yet")
+                logRefusal(head, SERVICE_UNAVAILABLE, "no configuration yet")
                 answer.refuse(SERVICE_UNAVAILABLE, "no configuration yet", RETRY_WITHOUT_CONFIGURATION_MS)
             }
             route == null -> {
-                note(head, NOT_FOUND, "no route")
+                logRefusal(head, NOT_FOUND, "no route")
                 answer.refuse(NOT_FOUND, "no route")
             }
-            else -> guarded(head, answer) { watched(ForwardedRequest.of(head, body, route, arrivedMs, names), answer) }
+            else ->
+                handleUnexpectedErrors(head, answer) {
+                    forwardUntilDisconnect(ForwardedRequest.of(head, body, route, arrivedMs, names), answer)
+                }
         }
-        answer.endIncomplete()
-        return answer.complete && !answer.closes
+        answer.abortIfIncomplete()
+        return answer.complete && !answer.closesConnection
     }
 
     /** Runs [work]; an unexpected error ends only this request, with a response that its outcome is unknown. */
-    private suspend fun guarded(
+    private suspend fun handleUnexpectedErrors(
         head: RequestHead,
         answer: CallerAnswer,
         work: suspend () -> Unit,
@@ -142,24 +145,24 @@
     }
 
     /** Forwards [request] until it is answered or its caller disconnects. */
-    private suspend fun watched(
+    private suspend fun forwardUntilDisconnect(
         request: ForwardedRequest,
         answer: CallerAnswer,
     ): Unit =
         coroutineScope {
             val work = launch { forwarder.forward(request, answer) }
-            val watch =
+            val disconnectWatch =
                 launch {
-                    while (connection.input.size < MOST_BYTES_AHEAD) {
+                    while (connection.input.size < MAXIMUM_PIPELINED_BYTES) {
                         if (connection.fill() != ReadResult.DATA) break
                     }
-                    if (connection.input.size < MOST_BYTES_AHEAD) {
+                    if (connection.input.size < MAXIMUM_PIPELINED_BYTES) {
                         metrics.count(MetricName.REFUSALS, "caller-gone")
                         work.cancel()
                     }
                 }
             work.join()
-            watch.cancelAndJoin()
+            disconnectWatch.cancelAndJoin()
         }
 
     private suspend fun refuse(
@@ -169,13 +172,13 @@
         reason: String,
         retryAfterMs: Long?,
     ): Boolean {
-        note(head, status, reason)
-        answer.closes = true
+        logRefusal(head, status, reason)
+        answer.closesConnection = true
         answer.refuse(status, reason, retryAfterMs)
         return false
     }
 
-    private fun note(
+    private fun logRefusal(
         head: RequestHead?,
         status: Int,
         reason: String,
@@ -202,13 +205,13 @@
         const val BAD_GATEWAY = 502
         const val SERVICE_UNAVAILABLE = 503
         const val RETRY_WITHOUT_CONFIGURATION_MS = 500L
-        const val RETRY_WITHOUT_ROOM_MS = 500L
+        const val RETRY_AFTER_OVERLOAD_MS = 500L
 
         /** Time limit for the complete body: above any caller's deadline; bounds callers that send single bytes at long intervals. */
         const val BODY_TIMEOUT_MS = 60_000L
 
         /** Maximum number of bytes of pipelined requests that are buffered while one is answered. */
-        const val MOST_BYTES_AHEAD = 64 * 1024
+        const val MAXIMUM_PIPELINED_BYTES = 64 * 1024
         val CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".toByteArray()
     }
 }
--- a/gateway/src/main/kotlin/EventSplitter.kt
+++ b/gateway/src/main/kotlin/EventSplitter.kt
@@ -12,44 +12,44 @@
         private set
 
     /** Whether bytes of an incomplete event are buffered. */
-    val unfinished: Boolean get() = pending.size() > 0
+    val hasIncompleteEvent: Boolean get() = pending.size() > 0
 
     /** Number of buffered bytes of the incomplete event. */
     val pendingBytes: Int get() = pending.size()
 
     /** Returns the bytes of the events that [bytes] completes; empty if there are none. */
     fun feed(bytes: ByteArray): ByteArray {
-        var wholeUntil = 0
+        var completeUntil = 0
         for (index in bytes.indices) {
             when (bytes[index]) {
                 LINE_FEED -> {
-                    if (lineEmpty) wholeUntil = index + 1
+                    if (lineEmpty) completeUntil = index + 1
                     lineEmpty = true
                 }
                 CARRIAGE_RETURN -> Unit
                 else -> lineEmpty = false
             }
         }
-        if (wholeUntil == 0) {
+        if (completeUntil == 0) {
             pending.write(bytes)
             return EMPTY
         }
-        pending.write(bytes, 0, wholeUntil)
-        val whole = pending.toByteArray()
-        pending = ByteArrayOutputStream().apply { write(bytes, wholeUntil, bytes.size - wholeUntil) }
-        noteIdentity(whole)
-        return whole
+        pending.write(bytes, 0, completeUntil)
+        val complete = pending.toByteArray()
+        pending = ByteArrayOutputStream().apply { write(bytes, completeUntil, bytes.size - completeUntil) }
+        recordIdentity(complete)
+        return complete
     }
 
-    private fun noteIdentity(whole: ByteArray) {
-        val text = String(whole, Charsets.ISO_8859_1)
-        val start = if (text.startsWith(IDENTITY)) 0 else text.lastIndexOf("\n$IDENTITY").let { if (it < 0) return else it + 1 }
-        val last = maxOf(start, text.lastIndexOf("\n$IDENTITY") + 1)
-        lastEvent = text.substring(last + IDENTITY.length, text.indexOf('\n', last)).trim()
+    private fun recordIdentity(complete: ByteArray) {
+        val text = String(complete, Charsets.ISO_8859_1)
+        val start = if (text.startsWith(ID_FIELD)) 0 else text.lastIndexOf("\n$ID_FIELD").let { if (it < 0) return else it + 1 }
+        val last = maxOf(start, text.lastIndexOf("\n$ID_FIELD") + 1)
+        lastEvent = text.substring(last + ID_FIELD.length, text.indexOf('\n', last)).trim()
     }
 
     /** Discards the bytes of an incomplete event, which another target sends again. */
-    fun dropUnfinished() {
+    fun discardIncompleteEvent() {
         pending = ByteArrayOutputStream()
         lineEmpty = true
     }
@@ -58,7 +58,7 @@
         /** Maximum size of one event: far above the few tokens that it contains, far below the memory of a process. */
         const val MAXIMUM_EVENT_BYTES = 256 * 1024
         private val EMPTY = ByteArray(0)
-        private const val IDENTITY = "id:"
+        private const val ID_FIELD = "id:"
         private const val LINE_FEED = '\n'.code.toByte()
         private const val CARRIAGE_RETURN = '\r'.code.toByte()
     }
--- a/gateway/src/main/kotlin/Exchange.kt
+++ b/gateway/src/main/kotlin/Exchange.kt
@@ -18,18 +18,18 @@
 import org.almondjunction.network.WholeBody
 
 /** Result of sending one request to a target, before the body of the response is read. */
-internal sealed class SendAnswer {
+internal sealed class ExchangeResult {
     /** No response that can be passed on to the caller. */
-    class Unserved(
+    class Unusable(
         val result: SendResult,
         val detail: String,
-    ) : SendAnswer()
+    ) : ExchangeResult()
 
     /** The target's own response; its body has not been read yet. */
-    class Answered(
+    class Response(
         val head: ResponseHead,
         val body: BodyReader,
-    ) : SendAnswer()
+    ) : ExchangeResult()
 }
 
 /** Exchange of one request and its response with a target on one connection. */
@@ -40,42 +40,42 @@
 ) : AutoCloseable {
     private var connection: TcpConnection? = null
     private var writer: Job? = null
-    private var wholeRequestSent = false
-    private var odd = false
+    private var requestSent = false
+    private var mustClose = false
     private var answer: ResponseHead? = null
     private var body: BodyReader? = null
     private var framing: BodyFraming = BodyFraming.None
-    private var writtenBefore = 0L
+    private var bytesWrittenBefore = 0L
 
     /** Whether the head of a response to this request has arrived. */
     val answered: Boolean get() = answer != null
 
     /** Whether any byte of the request may have reached the target. */
-    val mayHaveArrived: Boolean get() = closedAfterBytes || connection?.let { it.bytesWritten > writtenBefore } ?: false
-    private var closedAfterBytes = false
+    val mayHaveArrived: Boolean get() = closedAfterSending || connection?.let { it.bytesWritten > bytesWrittenBefore } ?: false
+    private var closedAfterSending = false
 
     suspend fun send(
         request: ForwardedRequest,
         headers: List<HttpHeader>,
-        keptYoungerThanMs: Long,
+        maximumIdleMs: Long,
         timeoutMs: Long,
-    ): SendAnswer {
+    ): ExchangeResult {
         val opened =
-            target.pool.takeKept(keptYoungerThanMs)
+            target.pool.takeIdle(maximumIdleMs)
                 ?: target.pool.dial(timeoutMs)
-                ?: return SendAnswer.Unserved(SendResult.NotSent, "the target cannot be reached")
+                ?: return ExchangeResult.Unusable(SendResult.NotSent, "the target cannot be reached")
         connection = opened
-        writtenBefore = opened.bytesWritten
+        bytesWrittenBefore = opened.bytesWritten
         val sent = CompletableDeferred<Boolean>()
         writer =
             scope.launch {
-                wholeRequestSent = opened.write(HttpWriter.request(request.head.method, request.head.target, headers), request.body)
-                sent.complete(wholeRequestSent)
+                requestSent = opened.write(HttpWriter.request(request.head.method, request.head.target, headers), request.body)
+                sent.complete(requestSent)
             }
         val answer = awaitAnswer(request, opened)
-        val nothingLeft = opened.bytesWritten == writtenBefore
-        if (answer is SendAnswer.Unserved && answer.result == SendResult.Lost && nothingLeft) {
-            return SendAnswer.Unserved(SendResult.NotSent, "the connection failed before the request left")
+        val nothingSent = opened.bytesWritten == bytesWrittenBefore
+        if (answer is ExchangeResult.Unusable && answer.result == SendResult.Lost && nothingSent) {
+            return ExchangeResult.Unusable(SendResult.NotSent, "the connection failed before the request left")
         }
         return answer
     }
@@ -83,22 +83,22 @@
     private suspend fun awaitAnswer(
         request: ForwardedRequest,
         opened: TcpConnection,
-    ): SendAnswer {
+    ): ExchangeResult {
         val reader = HttpReader(opened)
-        repeat(MOST_STRAY_ANSWERS) {
+        repeat(MAXIMUM_STRAY_ANSWERS) {
             val head =
                 when (val result = reader.responseHead(MAXIMUM_ANSWER_HEAD_BYTES)) {
-                    is HeadResult.Read -> result.head.also { target.heard() }
+                    is HeadResult.Read -> result.head.also { target.recordActivity() }
                     HeadResult.End, HeadResult.Broken -> return lost("the connection ended before an answer")
                     is HeadResult.Malformed -> return lost(result.detail)
                     HeadResult.TooLarge -> return lost("the head of the answer is too large")
                 }
             if (head.status < FIRST_FINAL_STATUS) return@repeat
             val bodyFraming = HttpHeadParser.framingOf(head, request.head.method) ?: return lost("the answer's length is contradictory")
-            if (head.headers[names.requestId] == request.id) return judge(head, reader.body(bodyFraming), bodyFraming)
-            odd = true
+            if (head.headers[names.requestId] == request.id) return classify(head, reader.body(bodyFraming), bodyFraming)
+            mustClose = true
             if (head.headers[names.requestId] == null && head.headers[names.notExecuted] != null) {
-                return judge(head, reader.body(bodyFraming), bodyFraming)
+                return classify(head, reader.body(bodyFraming), bodyFraming)
             }
             if (bodyFraming == BodyFraming.UntilEnd || reader.body(bodyFraming).whole(MAXIMUM_STRAY_BYTES) !is WholeBody.Read) {
                 return lost("an answer to another request came")
@@ -107,11 +107,11 @@
         return lost("answers to other requests came")
     }
 
-    private fun judge(
+    private fun classify(
         head: ResponseHead,
         body: BodyReader,
         bodyFraming: BodyFraming,
-    ): SendAnswer {
+    ): ExchangeResult {
         answer = head
         this.body = body
         framing = bodyFraming
@@ -119,18 +119,18 @@
         val signed = head.headers[names.signature] != null
         return when {
             notRun -> {
-                val another = head.headers[names.answeringTarget]?.let { it != target.entry.target.value } ?: false
-                SendAnswer.Unserved(SendResult.Refused(another), "status ${head.status}, not executed")
+                val byAnotherTarget = head.headers[names.answeringTarget]?.let { it != target.entry.target.value } ?: false
+                ExchangeResult.Unusable(SendResult.Refused(byAnotherTarget), "status ${head.status}, not executed")
             }
             head.status in SUCCESS && !signed -> lost("a success without signature came")
             head.headers["Content-Encoding"] != null -> lost("an encoded body came")
-            else -> SendAnswer.Answered(head, body)
+            else -> ExchangeResult.Response(head, body)
         }
     }
 
-    private fun lost(detail: String): SendAnswer {
-        odd = true
-        return SendAnswer.Unserved(SendResult.Lost, detail)
+    private fun lost(detail: String): ExchangeResult {
+        mustClose = true
+        return ExchangeResult.Unusable(SendResult.Lost, detail)
     }
 
     /** Returns the connection to the pool if it can be reused; [bodyRead] is whether the body of the response was read to its end. */
@@ -140,10 +140,10 @@
         val unread = body.takeUnless { bodyRead }
         val drained =
             unread == null || withTimeoutOrNull(DRAIN_TIMEOUT_MS) { unread.whole(MAXIMUM_STRAY_BYTES) is WholeBody.Read } == true
-        val sound = head != null && drained && wholeRequestSent && !odd && framing != BodyFraming.UntilEnd && opened.input.size == 0
-        if (sound && head != null && !head.headers.hasToken("Connection", "close")) {
+        val reusable = head != null && drained && requestSent && !mustClose && framing != BodyFraming.UntilEnd && opened.input.size == 0
+        if (reusable && head != null && !head.headers.hasToken("Connection", "close")) {
             connection = null
-            target.pool.giveBack(opened, head.headers)
+            target.pool.release(opened, head.headers)
         } else {
             close()
         }
@@ -151,14 +151,14 @@
 
     /** Resets the connection: a target that still processes the request sees a disconnect, and bytes in transit are discarded. */
     override fun close() {
-        closedAfterBytes = mayHaveArrived
+        closedAfterSending = mayHaveArrived
         writer?.cancel()
         connection?.abort()
         connection = null
     }
 
     private companion object {
-        const val MOST_STRAY_ANSWERS = 4
+        const val MAXIMUM_STRAY_ANSWERS = 4
         const val FIRST_FINAL_STATUS = 200
         const val MISDIRECTED = 421
         val SUCCESS = 200..299
--- a/gateway/src/main/kotlin/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/ForwardedRequest.kt
@@ -28,10 +28,10 @@
     val weights: String get() = if (adapter == null) "$model" else "$model/$adapter"
 
     /** Deadline of the complete response. */
-    val endMs: Long get() = minOf(arrivedMs + route.timeoutMs, deadlineMs ?: Long.MAX_VALUE)
+    val responseDeadlineMs: Long get() = minOf(arrivedMs + route.timeoutMs, deadlineMs ?: Long.MAX_VALUE)
 
     /** When the caller has probably disconnected if it has received nothing. */
-    val patienceEndMs: Long get() = minOf(endMs, arrivedMs + route.callerPatienceMs)
+    val callerDisconnectMs: Long get() = minOf(responseDeadlineMs, arrivedMs + route.callerPatienceMs)
 
     companion object {
         fun of(
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -20,108 +20,108 @@
 internal class Forwarder(
     private val clock: Clock,
     private val selector: TargetSelector,
-    private val fleet: Fleet,
+    private val registry: TargetRegistry,
     private val state: GatewayState,
     private val names: HeaderNames,
-    private val allowance: RepeatAllowance,
+    private val retryBudget: RepeatAllowance,
     private val metrics: Metrics,
 ) {
-    private val held = mutableSetOf<Attempt>()
+    private val active = mutableSetOf<ForwardingContext>()
 
     /** Serves [request]; returns when its response is complete or cannot be completed. */
     suspend fun forward(
         request: ForwardedRequest,
         answer: CallerAnswer,
     ) {
-        val attempt = Attempt(request, answer, state.gathered.reserve(), clock)
-        allowance.first(clock.nowMs())
+        val context = ForwardingContext(request, answer, state.buffered.reserve(), clock)
+        retryBudget.first(clock.nowMs())
         metrics.count(MetricName.REQUESTS)
         request.model?.let { state.demand.arrive(it, clock.nowMs()) }
-        held += attempt
+        active += context
         try {
-            val ended = withTimeoutOrNull(attempt.timeLeftMs.coerceAtLeast(0)) { attempt.runUntilDismissed { run(attempt) } }
+            val ended = withTimeoutOrNull(context.timeLeftMs.coerceAtLeast(0)) { context.runCancellable { run(context) } }
             when (ended) {
-                null -> timedOut(attempt)
+                null -> handleTimeout(context)
                 true -> Unit
-                false -> giveUp(attempt, "the gateway goes before an answer came", RETRY_AT_ONCE_MS)
+                false -> giveUp(context, "the gateway goes before an answer came", RETRY_IMMEDIATELY_MS)
             }
         } finally {
-            held -= attempt
-            attempt.gathered.close()
-            attempt.log(state.configuration?.version)
+            active -= context
+            context.buffered.close()
+            context.log(state.configuration?.version)
         }
     }
 
     /** Cancels every request whose response has not begun, so that its caller gets an error response before the process ends. */
-    fun answerHeld(): Unit = held.filter { !it.answer.begun }.forEach { it.dismiss() }
+    fun answerPending(): Unit = active.filter { !it.answer.begun }.forEach { it.cancel() }
 
     /** Cancels every active request and returns their number. */
-    fun breakOffHeld(): Int = held.toList().onEach { it.dismiss() }.size
+    fun cancelActive(): Int = active.toList().onEach { it.cancel() }.size
 
-    private suspend fun timedOut(attempt: Attempt) {
-        if (attempt.answer.begun) {
-            attempt.outcome = "broken off at its time limit"
+    private suspend fun handleTimeout(context: ForwardingContext) {
+        if (context.answer.begun) {
+            context.outcome = "broken off at its time limit"
             return
         }
-        if (attempt.sends > 0) respondUnknown(attempt, GATEWAY_TIMEOUT) else respondNotRun(attempt, null)
+        if (context.sends > 0) respondUnknown(context, GATEWAY_TIMEOUT) else respondNotRun(context, null)
     }
 
-    private suspend fun run(attempt: Attempt) {
+    private suspend fun run(context: ForwardingContext) {
         while (true) {
-            val target = awaitTarget(attempt) ?: return
-            val step = coroutineScope { sendTo(this, target, attempt) }
+            val target = awaitTarget(context) ?: return
+            val step = coroutineScope { sendTo(this, target, context) }
             when (step) {
                 null -> return
-                ForwardingStep.SendAgain -> metrics.count(MetricName.RETRIES, attempt.detail.take(MOST_REASON_CHARACTERS))
-                ForwardingStep.AnswerNotRun -> return respondNotRun(attempt, RETRY_AFTER_REFUSAL_MS)
-                ForwardingStep.AnswerUnknown -> return respondUnknown(attempt, BAD_GATEWAY)
-                ForwardingStep.PassFailure -> return passFailure(attempt)
+                ForwardingStep.SendAgain -> metrics.count(MetricName.RETRIES, context.detail.take(MAXIMUM_REASON_CHARACTERS))
+                ForwardingStep.AnswerNotRun -> return respondNotRun(context, RETRY_AFTER_REFUSAL_MS)
+                ForwardingStep.AnswerUnknown -> return respondUnknown(context, BAD_GATEWAY)
+                ForwardingStep.PassFailure -> return relayFailure(context)
             }
         }
     }
 
-    private suspend fun awaitTarget(attempt: Attempt): Target? {
-        attempt.waits()
-        val request = attempt.request
-        val model = request.model ?: return findTarget(attempt)
+    private suspend fun awaitTarget(context: ForwardingContext): Target? {
+        context.markWaiting()
+        val request = context.request
+        val model = request.model ?: return findTarget(context)
         val objectiveMs = request.arrivedMs + request.route.latencyObjectiveMs
-        state.waiting.enter(model, objectiveMs)
+        state.waitingCallers.add(model, objectiveMs)
         try {
-            return findTarget(attempt)
+            return findTarget(context)
         } finally {
-            state.waiting.leave(model, objectiveMs)
+            state.waitingCallers.remove(model, objectiveMs)
         }
     }
 
-    private suspend fun findTarget(attempt: Attempt): Target? {
-        val request = attempt.request
+    private suspend fun findTarget(context: ForwardingContext): Target? {
+        val request = context.request
         while (true) {
             val seen = state.changed.count
-            if (clock.nowMs() >= state.lastWordMs) {
-                giveUp(attempt, "the gateway goes", RETRY_AT_ONCE_MS)
+            if (clock.nowMs() >= state.finalResponseMs) {
+                giveUp(context, "the gateway goes", RETRY_IMMEDIATELY_MS)
                 return null
             }
-            if (!attempt.answer.begun && !endsInTime(request)) {
-                giveUp(attempt, "the gateway goes before the answer would end", RETRY_AT_ONCE_MS)
+            if (!context.answer.begun && !endsInTime(request)) {
+                giveUp(context, "the gateway goes before the answer would end", RETRY_IMMEDIATELY_MS)
                 return null
             }
-            when (val choice = selector.choose(request, attempt.tried)) {
-                is TargetSelector.Choice.Use -> return choice.target
+            when (val choice = selector.choose(request, context.tried)) {
+                is TargetSelector.Choice.Selected -> return choice.target
                 is TargetSelector.Choice.Later -> {
-                    attempt.detail = "waits for weights"
-                    if (choice.expectedMs > request.patienceEndMs - clock.nowMs() && !attempt.answer.begun) {
-                        giveUp(attempt, "weights come too late", choice.expectedMs)
+                    context.detail = "waits for weights"
+                    if (choice.expectedMs > request.callerDisconnectMs - clock.nowMs() && !context.answer.begun) {
+                        giveUp(context, "weights come too late", choice.expectedMs)
                         return null
                     }
-                    state.changed.await(seen, LONGEST_WAIT_MS)
+                    state.changed.await(seen, LOAD_WAIT_MS)
                 }
                 is TargetSelector.Choice.None -> {
                     val waitedMs = clock.nowMs() - request.arrivedMs
-                    if (waitedMs >= minOf(request.route.latencyObjectiveMs / PATIENCE_DIVISOR, LONGEST_PATIENCE_MS)) {
-                        giveUp(attempt, choice.reason, RETRY_AFTER_REFUSAL_MS)
+                    if (waitedMs >= minOf(request.route.latencyObjectiveMs / OBJECTIVE_DIVISOR, MAXIMUM_TARGET_WAIT_MS)) {
+                        giveUp(context, choice.reason, RETRY_AFTER_REFUSAL_MS)
                         return null
                     }
-                    state.changed.await(seen, SHORT_WAIT_MS)
+                    state.changed.await(seen, TARGET_WAIT_MS)
                 }
             }
         }
@@ -129,83 +129,83 @@
 
     /** Whether a response that begins now would be complete before this process ends. */
     private fun endsInTime(request: ForwardedRequest): Boolean {
-        if (!state.leaving) return true
-        val likelyMs = state.durations.likelyMs(request.route.name, request.answerTokens) ?: UNKNOWN_ANSWER_MS
-        return clock.nowMs() + minOf(likelyMs, request.route.timeoutMs) < state.endMs
+        if (!state.stopping) return true
+        val likelyMs = state.answerDurations.likelyMs(request.route.name, request.answerTokens) ?: DEFAULT_ANSWER_MS
+        return clock.nowMs() + minOf(likelyMs, request.route.timeoutMs) < state.exitMs
     }
 
     private suspend fun giveUp(
-        attempt: Attempt,
+        context: ForwardingContext,
         reason: String,
         retryAfterMs: Long,
     ) {
-        attempt.detail = reason
+        context.detail = reason
         when {
-            attempt.answer.begun -> breakOff(attempt)
-            attempt.failure != null -> passFailure(attempt)
-            attempt.mayHaveRun -> respondUnknown(attempt, BAD_GATEWAY)
-            else -> respondNotRun(attempt, retryAfterMs)
+            context.answer.begun -> recordTruncation(context)
+            context.failure != null -> relayFailure(context)
+            context.mayHaveRun -> respondUnknown(context, BAD_GATEWAY)
+            else -> respondNotRun(context, retryAfterMs)
         }
     }
 
     private suspend fun sendTo(
         scope: CoroutineScope,
         target: Target,
-        attempt: Attempt,
+        context: ForwardingContext,
     ): ForwardingStep? {
-        val request = attempt.request
-        val send = sendOf(request, target, attempt)
+        val request = context.request
+        val inFlight = newInFlightRequest(request, target, context)
         val exchange = Exchange(scope, target, names)
-        attempt.beginSend(exchange)
-        send.leave = { exchange.close() }
-        target.begin(send)
-        attempt.tried[target] = clock.nowMs()
-        attempt.lastTarget = target
-        attempt.sends++
+        context.beginExchange(exchange)
+        inFlight.cancel = { exchange.close() }
+        target.begin(inFlight)
+        context.tried[target] = clock.nowMs()
+        context.lastTarget = target
+        context.sends++
         try {
-            target.prompts.add(request.weights, request.parts)
-            val younger = if (request.route.repeat == RepeatKind.ONCE) KEPT_FOR_ONCE_MS else KEPT_MS
-            val answer = exchange.send(request, headersFor(target, attempt), younger, attempt.timeLeftMs)
+            target.promptCache.add(request.weights, request.parts)
+            val maximumIdleMs = if (request.route.repeat == RepeatKind.ONCE) MAXIMUM_IDLE_FOR_ONCE_MS else MAXIMUM_IDLE_MS
+            val answer = exchange.send(request, headersFor(target, context), maximumIdleMs, context.timeLeftMs)
             return when (answer) {
-                is SendAnswer.Unserved -> unserved(target, exchange, attempt, answer)
-                is SendAnswer.Answered -> answered(target, exchange, attempt, answer, send)
+                is ExchangeResult.Unusable -> handleUnusable(target, exchange, context, answer)
+                is ExchangeResult.Response -> handleResponse(target, exchange, context, answer, inFlight)
             }
         } finally {
-            attempt.endSend()
+            context.endExchange()
             exchange.close()
-            target.end(send)
+            target.end(inFlight)
         }
     }
 
-    private fun sendOf(
+    private fun newInFlightRequest(
         request: ForwardedRequest,
         target: Target,
-        attempt: Attempt,
-    ) = Send(
+        context: ForwardingContext,
+    ) = InFlightRequest(
         model = request.model,
         adapter = request.adapter,
-        promptTokens = target.unreadTokens(request),
-        repeatable = request.route.repeat != RepeatKind.ONCE,
-        patienceMs = request.route.callerPatienceMs,
-        lastSignMs = attempt.lastSignMs,
+        promptTokens = target.uncachedTokens(request),
+        retryable = request.route.repeat != RepeatKind.ONCE,
+        callerTimeoutMs = request.route.callerPatienceMs,
+        lastProgressMs = context.lastProgressMs,
     )
 
     private fun headersFor(
         target: Target,
-        attempt: Attempt,
+        context: ForwardingContext,
     ): List<HttpHeader> {
-        val request = attempt.request
-        val own = request.head.headers
+        val request = context.request
+        val received = request.head.headers
         val headers =
-            own
+            received
                 .endToEnd()
                 .filter { header ->
                     val name = header.name.lowercase()
                     name !in names.reserved &&
                         name != names.deadlineMs.lowercase() &&
-                        (attempt.events.lastEvent == null || name != names.lastEvent.lowercase())
+                        (context.events.lastEvent == null || name != names.lastEvent.lowercase())
                 }.toMutableList()
-        headers += HttpHeader(names.deadlineMs, attempt.timeLeftMs.coerceAtLeast(1).toString())
+        headers += HttpHeader(names.deadlineMs, context.timeLeftMs.coerceAtLeast(1).toString())
         headers += HttpHeader(names.targetIdentity, target.entry.target.value)
         if (request.route.streaming) {
             headers +=
@@ -216,78 +216,78 @@
                         .toString(),
                 )
         }
-        attempt.events.lastEvent?.let { headers += HttpHeader(names.lastEvent, it) }
-        val framed = request.body.isNotEmpty() || own["Content-Length"] != null || own["Transfer-Encoding"] != null
-        if (framed) headers += HttpHeader("Content-Length", request.body.size.toString())
+        context.events.lastEvent?.let { headers += HttpHeader(names.lastEvent, it) }
+        val hasBody = request.body.isNotEmpty() || received["Content-Length"] != null || received["Transfer-Encoding"] != null
+        if (hasBody) headers += HttpHeader("Content-Length", request.body.size.toString())
         return headers
     }
 
-    private suspend fun unserved(
+    private suspend fun handleUnusable(
         target: Target,
         exchange: Exchange,
-        attempt: Attempt,
-        answer: SendAnswer.Unserved,
+        context: ForwardingContext,
+        answer: ExchangeResult.Unusable,
     ): ForwardingStep {
-        attempt.detail = answer.detail
-        target.weigh(failed = true)
+        context.detail = answer.detail
+        target.recordResult(failed = true)
         if (answer.result is SendResult.Refused) exchange.finish(bodyRead = false) else exchange.close()
-        return decide(attempt, answer.result)
+        return decide(context, answer.result)
     }
 
     private fun decide(
-        attempt: Attempt,
+        context: ForwardingContext,
         result: SendResult,
     ): ForwardingStep {
-        if (result.knownNotRun) attempt.refusals++ else attempt.runs++
+        if (result.knownNotRun) context.refusals++ else context.runs++
         val forwarding =
             ForwardingState(
-                kind = attempt.request.route.repeat,
-                mayHaveRun = attempt.mayHaveRun,
-                runsLeft = attempt.request.route.maximumTargets - attempt.runs,
-                refusalsLeft = MOST_REFUSALS - attempt.refusals,
-                timeLeftMs = attempt.timeLeftMs,
+                kind = context.request.route.repeat,
+                mayHaveRun = context.mayHaveRun,
+                runsLeft = context.request.route.maximumTargets - context.runs,
+                refusalsLeft = MAXIMUM_REFUSALS - context.refusals,
+                timeLeftMs = context.timeLeftMs,
             )
-        if (!result.knownNotRun) attempt.mayHaveRun = true
-        return ForwardingDecision.after(forwarding, result) { allowance.tryRepeat(clock.nowMs(), fleet.gateways.size) }
+        if (!result.knownNotRun) context.mayHaveRun = true
+        return ForwardingDecision.after(forwarding, result) { retryBudget.tryRepeat(clock.nowMs(), registry.gateways.size) }
     }
 
-    private suspend fun answered(
+    private suspend fun handleResponse(
         target: Target,
         exchange: Exchange,
-        attempt: Attempt,
-        answer: SendAnswer.Answered,
-        send: Send,
+        context: ForwardingContext,
+        answer: ExchangeResult.Response,
+        inFlight: InFlightRequest,
     ): ForwardingStep? {
         val succeeded = answer.head.status in SUCCESS
-        if (succeeded && attempt.request.route.streaming) return relay(target, exchange, attempt, answer, send)
-        if (attempt.answer.begun) {
-            attempt.detail = "status ${answer.head.status} instead of the rest of a stream"
-            target.weigh(failed = true)
-            return decide(attempt, SendResult.Lost).brokenOff(attempt)
+        if (succeeded && context.request.route.streaming) return relayStream(target, exchange, context, answer, inFlight)
+        if (context.answer.begun) {
+            context.detail = "status ${answer.head.status} instead of the rest of a stream"
+            target.recordResult(failed = true)
+            return decide(context, SendResult.Lost).orTruncated(context)
         }
-        val body = answer.body.whole(MAXIMUM_ANSWER_BYTES, attempt.gathered)
+        val body = answer.body.whole(MAXIMUM_ANSWER_BYTES, context.buffered)
         if (body !is WholeBody.Read) {
-            attempt.detail = unusable(body)
-            target.weigh(failed = true)
-            return decide(attempt, SendResult.Lost)
+            context.detail = unusableReason(body)
+            target.recordResult(failed = true)
+            return decide(context, SendResult.Lost)
         }
         exchange.finish(bodyRead = true)
         val failed = answer.head.status >= FIRST_SERVER_ERROR
-        target.weigh(failed)
+        target.recordResult(failed)
         if (failed) {
-            attempt.failure = answer
-            attempt.failureBody = body.bytes
-            attempt.detail = "status ${answer.head.status}"
-            return decide(attempt, SendResult.Failed)
+            context.failure = answer
+            context.failureBody = body.bytes
+            context.detail = "status ${answer.head.status}"
+            return decide(context, SendResult.Failed)
         }
-        attempt.outcome = Attempt.SERVED
-        attempt.detail = "status ${answer.head.status}"
-        learnDuration(attempt)
-        attempt.answer.pass(answer.head, body.bytes)
+        context.outcome = ForwardingContext.SERVED
+        context.detail = "status ${answer.head.status}"
+        recordDuration(context)
+        context.answer.relay(answer.head, body.bytes)
         return null
     }
 
-    private fun unusable(body: WholeBody): String =
+    private fun unusableReason(body: WholeBody): String =
         when (body) {
             is WholeBody.Read -> "the answer cannot be handed on"
             WholeBody.TooLarge -> "the answer is too large"
@@ -295,132 +295,132 @@
             is WholeBody.Broken -> "the answer broke off"
         }
 
-    private suspend fun relay(
+    private suspend fun relayStream(
         target: Target,
         exchange: Exchange,
-        attempt: Attempt,
-        answer: SendAnswer.Answered,
-        send: Send,
+        context: ForwardingContext,
+        answer: ExchangeResult.Response,
+        inFlight: InFlightRequest,
     ): ForwardingStep? {
         while (true) {
-            val part = nextPart(attempt, answer, send)
+            val part = nextPart(context, answer, inFlight)
             when (part) {
                 is BodyPart.Data -> {
-                    val whole = attempt.events.feed(part.bytes)
-                    val room = attempt.gathered.hold(attempt.events.pendingBytes.toLong())
-                    if (!room || attempt.events.pendingBytes > EventSplitter.MAXIMUM_EVENT_BYTES) {
-                        return streamBroke(target, attempt, "an event does not end")
+                    val complete = context.events.feed(part.bytes)
+                    val room = context.buffered.hold(context.events.pendingBytes.toLong())
+                    if (!room || context.events.pendingBytes > EventSplitter.MAXIMUM_EVENT_BYTES) {
+                        return handleBrokenStream(target, context, "an event does not end")
                     }
-                    if (whole.isEmpty()) continue
-                    target.heard()
-                    send.answering = true
-                    attempt.lastSignMs = clock.nowMs()
-                    send.lastSignMs = attempt.lastSignMs
-                    if (!attempt.answer.begun) {
-                        val firstPartMs = attempt.lastSignMs - attempt.request.arrivedMs
+                    if (complete.isEmpty()) continue
+                    target.recordActivity()
+                    inFlight.answering = true
+                    context.lastProgressMs = clock.nowMs()
+                    inFlight.lastProgressMs = context.lastProgressMs
+                    if (!context.answer.begun) {
+                        val firstPartMs = context.lastProgressMs - context.request.arrivedMs
                         metrics.record(MetricName.TIME_TO_FIRST_TOKEN, firstPartMs)
-                        attempt.firstPartMs = firstPartMs
-                        attempt.answer.begin(answer.head)
+                        context.firstPartMs = firstPartMs
+                        context.answer.begin(answer.head)
                     }
-                    if (!attempt.answer.add(whole)) return null
+                    if (!context.answer.add(complete)) return null
                 }
                 BodyPart.Complete -> {
-                    if (attempt.events.unfinished) return streamBroke(target, attempt, "the stream ended inside an event")
+                    if (context.events.hasIncompleteEvent) return handleBrokenStream(target, context, "the stream ended inside an event")
                     exchange.finish(bodyRead = true)
-                    target.weigh(failed = false)
-                    attempt.outcome = Attempt.SERVED
-                    learnDuration(attempt)
-                    send.model?.let { state.work.record(it, send.promptTokens, clock.nowMs() - send.beganMs) }
-                    if (!attempt.answer.begun) attempt.answer.begin(answer.head)
-                    attempt.answer.end()
+                    target.recordResult(failed = false)
+                    context.outcome = ForwardingContext.SERVED
+                    recordDuration(context)
+                    inFlight.model?.let { state.workStatistics.record(it, inFlight.promptTokens, clock.nowMs() - inFlight.startedMs) }
+                    if (!context.answer.begun) context.answer.begin(answer.head)
+                    context.answer.end()
                     return null
                 }
-                is BodyPart.Broken -> return streamBroke(target, attempt, part.detail)
+                is BodyPart.Broken -> return handleBrokenStream(target, context, part.detail)
             }
         }
     }
 
-    private fun learnDuration(attempt: Attempt) {
-        val request = attempt.request
-        val wholeMs = clock.nowMs() - request.arrivedMs
-        state.durations.record(request.route.name, attempt.firstPartMs ?: wholeMs, wholeMs, request.answerTokens)
+    private fun recordDuration(context: ForwardingContext) {
+        val request = context.request
+        val completeMs = clock.nowMs() - request.arrivedMs
+        state.answerDurations.record(request.route.name, context.firstPartMs ?: completeMs, completeMs, request.answerTokens)
     }
 
     /** Returns the next part. Only complete events extend the time limit, so that single bytes do not keep a stalled stream alive. */
     private suspend fun nextPart(
-        attempt: Attempt,
-        answer: SendAnswer.Answered,
-        send: Send,
+        context: ForwardingContext,
+        answer: ExchangeResult.Response,
+        inFlight: InFlightRequest,
     ): BodyPart {
-        val route = attempt.request.route
+        val route = context.request.route
         val limitMs =
-            if (send.answering && mayContinueElsewhere(attempt)) {
-                maxOf(route.pauseObjectiveMs * SILENT_PAUSES, SHORTEST_SILENCE_MS)
+            if (inFlight.answering && mayRetryElsewhere(context)) {
+                maxOf(route.pauseObjectiveMs * PAUSES_UNTIL_SILENT, MINIMUM_SILENCE_MS)
             } else {
-                route.callerPatienceMs + GONE_AFTER_PATIENCE_MS
+                route.callerPatienceMs + CALLER_DISCONNECT_MARGIN_MS
             }
-        val leftMs = (attempt.lastSignMs + limitMs - clock.nowMs()).coerceAtLeast(0)
+        val leftMs = (context.lastProgressMs + limitMs - clock.nowMs()).coerceAtLeast(0)
         return withTimeoutOrNull(leftMs) { answer.body.next() } ?: BodyPart.Broken("no event came for $limitMs ms")
     }
 
     /** Whether another target may continue the stream; if not, a slow stream is awaited for as long as its caller waits. */
-    private fun mayContinueElsewhere(attempt: Attempt): Boolean {
-        val route = attempt.request.route
+    private fun mayRetryElsewhere(context: ForwardingContext): Boolean {
+        val route = context.request.route
         return route.repeat == RepeatKind.RESUMABLE &&
-            attempt.runs + 1 < route.maximumTargets &&
-            allowance.allows(clock.nowMs(), fleet.gateways.size)
+            context.runs + 1 < route.maximumTargets &&
+            retryBudget.allows(clock.nowMs(), registry.gateways.size)
     }
 
-    private fun streamBroke(
+    private fun handleBrokenStream(
         target: Target,
-        attempt: Attempt,
+        context: ForwardingContext,
         detail: String,
     ): ForwardingStep? {
-        target.weigh(failed = true)
-        attempt.detail = detail
-        attempt.events.dropUnfinished()
-        return decide(attempt, SendResult.Lost).brokenOff(attempt)
+        target.recordResult(failed = true)
+        context.detail = detail
+        context.events.discardIncompleteEvent()
+        return decide(context, SendResult.Lost).orTruncated(context)
     }
 
-    private fun ForwardingStep.brokenOff(attempt: Attempt): ForwardingStep? {
-        if (this == ForwardingStep.SendAgain || !attempt.answer.begun) return this
-        attempt.outcome = BROKEN_OFF
+    private fun ForwardingStep.orTruncated(context: ForwardingContext): ForwardingStep? {
+        if (this == ForwardingStep.SendAgain || !context.answer.begun) return this
+        context.outcome = TRUNCATED
         return null
     }
 
-    private fun breakOff(attempt: Attempt) {
-        attempt.outcome = BROKEN_OFF
-        metrics.count(MetricName.UNKNOWN_OUTCOMES, attempt.detail.take(MOST_REASON_CHARACTERS))
+    private fun recordTruncation(context: ForwardingContext) {
+        context.outcome = TRUNCATED
+        metrics.count(MetricName.UNKNOWN_OUTCOMES, context.detail.take(MAXIMUM_REASON_CHARACTERS))
     }
 
-    private suspend fun passFailure(attempt: Attempt) {
-        val failure = attempt.failure
-        val body = attempt.failureBody
-        if (failure == null || body == null) return respondUnknown(attempt, BAD_GATEWAY)
-        attempt.outcome = "failed by its target"
-        attempt.answer.pass(failure.head, body)
+    private suspend fun relayFailure(context: ForwardingContext) {
+        val failure = context.failure
+        val body = context.failureBody
+        if (failure == null || body == null) return respondUnknown(context, BAD_GATEWAY)
+        context.outcome = "failed by its target"
+        context.answer.relay(failure.head, body)
     }
 
     private suspend fun respondNotRun(
-        attempt: Attempt,
+        context: ForwardingContext,
         retryAfterMs: Long?,
     ) {
-        attempt.outcome = "not run"
-        metrics.count(MetricName.REFUSALS, attempt.detail.take(MOST_REASON_CHARACTERS))
-        if (!attempt.answer.begun) attempt.answer.refuse(SERVICE_UNAVAILABLE, "not run", retryAfterMs)
+        context.outcome = "not run"
+        metrics.count(MetricName.REFUSALS, context.detail.take(MAXIMUM_REASON_CHARACTERS))
+        if (!context.answer.begun) context.answer.refuse(SERVICE_UNAVAILABLE, "not run", retryAfterMs)
     }
 
     private suspend fun respondUnknown(
-        attempt: Attempt,
+        context: ForwardingContext,
         status: Int,
     ) {
-        attempt.outcome = "unknown"
-        metrics.count(MetricName.UNKNOWN_OUTCOMES, attempt.detail.take(MOST_REASON_CHARACTERS))
-        if (!attempt.answer.begun) attempt.answer.refuse(status, "outcome unknown")
+        context.outcome = "unknown"
+        metrics.count(MetricName.UNKNOWN_OUTCOMES, context.detail.take(MAXIMUM_REASON_CHARACTERS))
+        if (!context.answer.begun) context.answer.refuse(status, "outcome unknown")
     }
 
     private companion object {
-        const val BROKEN_OFF = "broken off"
+        const val TRUNCATED = "broken off"
         const val BAD_GATEWAY = 502
         const val SERVICE_UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
@@ -430,35 +430,35 @@
 
         /** Responses of plain services are buffered completely, so that a truncated one is never passed on in part. */
         const val MAXIMUM_ANSWER_BYTES = 8L * 1024 * 1024
-        const val MOST_REASON_CHARACTERS = 40
+        const val MAXIMUM_REASON_CHARACTERS = 40
 
         /** Refusals by targets after which the caller gets an error; each retry also counts against the retry budget. */
-        const val MOST_REFUSALS = 4
+        const val MAXIMUM_REFUSALS = 4
 
         /** A connection idle for less than this is unlikely to be closed by its target; older ones serve requests that may be retried. */
-        const val KEPT_FOR_ONCE_MS = 10_000L
-        const val KEPT_MS = 60_000L
+        const val MAXIMUM_IDLE_FOR_ONCE_MS = 10_000L
+        const val MAXIMUM_IDLE_MS = 60_000L
 
         /** Interval at which a waiting request is checked again, in case no change is signalled. */
-        const val LONGEST_WAIT_MS = 100L
-        const val SHORT_WAIT_MS = 30L
+        const val LOAD_WAIT_MS = 100L
+        const val TARGET_WAIT_MS = 30L
 
-        /** Fraction of the latency objective after which a request without a target is refused, so that its caller tries another gateway. */
-        const val PATIENCE_DIVISOR = 8
-        const val LONGEST_PATIENCE_MS = 300L
+        /** Divides the latency objective; a request without a target is refused after that, so that its caller tries another gateway. */
+        const val OBJECTIVE_DIVISOR = 8
+        const val MAXIMUM_TARGET_WAIT_MS = 300L
         const val RETRY_AFTER_REFUSAL_MS = 300L
 
         /** Response duration assumed for a route without statistics: most streams end within this. */
-        const val UNKNOWN_ANSWER_MS = 3_000L
+        const val DEFAULT_ANSWER_MS = 3_000L
 
         /** The caller is expected to use another gateway, so it need not wait. */
-        const val RETRY_AT_ONCE_MS = 0L
+        const val RETRY_IMMEDIATELY_MS = 0L
 
         /** Multiple of the pause objective of a stream after which its target counts as silent. */
-        const val SILENT_PAUSES = 3
-        const val SHORTEST_SILENCE_MS = 1_000L
+        const val PAUSES_UNTIL_SILENT = 3
+        const val MINIMUM_SILENCE_MS = 1_000L
 
         /** Added to the time after which a caller disconnects by itself, so that the gateway never disconnects it first. */
-        const val GONE_AFTER_PATIENCE_MS = 250L
+        const val CALLER_DISCONNECT_MARGIN_MS = 250L
     }
 }
--- a/gateway/src/main/kotlin/Attempt.kt
+++ b/gateway/src/main/kotlin/ForwardingContext.kt
@@ -11,10 +11,10 @@
 import org.almondjunction.network.ByteBudget
 
 /** State of a request while it is forwarded. */
-internal class Attempt(
+internal class ForwardingContext(
     val request: ForwardedRequest,
     val answer: CallerAnswer,
-    val gathered: ByteBudget.Reservation,
+    val buffered: ByteBudget.Reservation,
     private val clock: Clock,
 ) {
     val tried = mutableMapOf<Target, Long>()
@@ -23,7 +23,7 @@
     /** The exchange in progress, or null. */
     var exchange: Exchange? = null
         private set
-    private var lastSendPhase: RequestPhase? = null
+    private var lastExchangePhase: RequestPhase? = null
     val events = EventSplitter()
     var mayHaveRun = false
     var runs = 0
@@ -31,53 +31,53 @@
     var sends = 0
     var detail = ""
     var outcome = "cancelled"
-    var failure: SendAnswer.Answered? = null
+    var failure: ExchangeResult.Response? = null
     var failureBody: ByteArray? = null
 
     /** Time until the first part of the response; null until it has arrived. */
     var firstPartMs: Long? = null
 
     /** When the request arrived, or the caller last received a part of the response. */
-    var lastSignMs = request.arrivedMs
+    var lastProgressMs = request.arrivedMs
 
-    val timeLeftMs get() = request.endMs - clock.nowMs()
+    val timeLeftMs get() = request.responseDeadlineMs - clock.nowMs()
 
-    private var work: Job? = null
+    private var job: Job? = null
 
-    /** Whether [dismiss] was called. */
-    var dismissed = false
+    /** Whether [cancel] was called. */
+    var cancelled = false
         private set
 
-    /** Runs [block] until it ends or [dismiss] cancels it; returns whether it ended by itself. */
-    suspend fun runUntilDismissed(block: suspend () -> Unit): Boolean =
+    /** Runs [block] until it ends or [cancel] cancels it; returns whether it ended by itself. */
+    suspend fun runCancellable(block: suspend () -> Unit): Boolean =
         coroutineScope {
             val started = launch { block() }
-            work = started
+            job = started
             started.join()
             !started.isCancelled
         }
 
     /** Cancels the forwarding, so that the caller can still get an error response. */
-    fun dismiss() {
-        dismissed = true
-        work?.cancel()
+    fun cancel() {
+        cancelled = true
+        job?.cancel()
     }
 
-    fun waits() {
-        lastSendPhase = null
+    fun markWaiting() {
+        lastExchangePhase = null
     }
 
-    fun beginSend(begun: Exchange) {
-        exchange = begun
+    fun beginExchange(started: Exchange) {
+        exchange = started
     }
 
-    fun endSend() {
-        if (dismissed && exchange?.mayHaveArrived == true) mayHaveRun = true
-        lastSendPhase = phase
+    fun endExchange() {
+        if (cancelled && exchange?.mayHaveArrived == true) mayHaveRun = true
+        lastExchangePhase = phase
         exchange = null
     }
 
-    private val phase: RequestPhase get() = lastSendPhase ?: exchange?.let { phaseOf(it) } ?: RequestPhase.WAITING
+    private val phase: RequestPhase get() = lastExchangePhase ?: exchange?.let { phaseOf(it) } ?: RequestPhase.WAITING
 
     private fun phaseOf(current: Exchange): RequestPhase =
         when {
@@ -106,7 +106,7 @@
                         "tookMs" to (clock.nowMs() - request.arrivedMs).toString(),
                         "leftMs" to timeLeftMs.toString(),
                         "phase" to phase.label.takeUnless { served },
-                        "silentMs" to lastTarget?.let { "${clock.nowMs() - it.heardMs}" }.takeUnless { served },
+                        "silentMs" to lastTarget?.let { "${clock.nowMs() - it.lastActivityMs}" }.takeUnless { served },
                         "version" to version.toString(),
                     ),
             ),
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -32,33 +32,33 @@
 ) {
     private val clock = loop.clock
     internal val state = GatewayState()
-    private val fleet = Fleet(loop, scope, settings.name, settings.keeperPort, state)
-    private val selector = TargetSelector(clock, fleet, settings.place, state)
-    private val preparation = Preparation(fleet, selector, state, settings.name)
-    private val allowance = RepeatAllowance(settings.repeats)
-    private val forwarder = Forwarder(clock, selector, fleet, state, names, allowance, metrics)
+    private val registry = TargetRegistry(loop, scope, settings.name, settings.keeperPort, state)
+    private val selector = TargetSelector(clock, registry, settings.place, state)
+    private val preloader = ModelPreloader(registry, selector, state, settings.name)
+    private val retryBudget = RepeatAllowance(settings.repeats)
+    private val forwarder = Forwarder(clock, selector, registry, state, names, retryBudget, metrics)
     private val connections = mutableSetOf<CallerConnection>()
     private var targetsKnown = false
-    private val left = CompletableDeferred<Unit>()
+    private val stopped = CompletableDeferred<Unit>()
 
     /** Targets known to this gateway. */
-    public val directory: TargetDirectory = TargetDirectory(clock, settings.lapseMs) { fleet.apply(it) }
+    public val directory: TargetDirectory = TargetDirectory(clock, settings.lapseMs) { registry.apply(it) }
 
     /** Whether this gateway accepts requests of callers. */
-    public val ready: Boolean get() = state.configuration != null && targetsKnown && !state.leaving
+    public val ready: Boolean get() = state.configuration != null && targetsKnown && !state.stopping
 
     /** Starts listening and starts the background tasks. */
     public fun start() {
         TcpListener(loop, settings.callers) { serve(it) }
         TcpListener(loop, settings.readiness) { connection -> scope.launch { answerReadiness(connection) } }
-        fleet.start()
+        registry.start()
         scope.launchAlways("expiry of entries") {
             while (true) {
-                delay(EXPIRY_MS)
+                delay(EXPIRY_INTERVAL_MS)
                 directory.expire()
             }
         }
-        scope.launchAlways("preparation") { preparation.run() }
+        scope.launchAlways("preparation") { preloader.run() }
     }
 
     /** Puts [configuration] into force, unless the same or a later version is in force. */
@@ -66,7 +66,7 @@
         val current = state.configuration
         if (current != null && current.version >= configuration.version) return
         state.configuration = configuration
-        fleet.linkAll()
+        registry.connectKeepers()
         state.changed.raise()
         EventLog.info("configuration in force", LogFields(extra = mapOf("version" to configuration.version.toString())))
     }
@@ -74,13 +74,13 @@
     /** Applies those settings of [changed] that may change at run time: the grace time, the retry limits and the regions of zones. */
     public fun apply(changed: GatewaySettings) {
         settings = settings.copy(graceMs = changed.graceMs, repeats = changed.repeats, place = changed.place)
-        allowance.limits = changed.repeats
+        retryBudget.limits = changed.repeats
         selector.place = changed.place
     }
 
     /** Records that [directory] has received the complete list of targets at least once. */
     public fun targetsListed() {
-        if (!targetsKnown) EventLog.info("targets known")
+        if (!targetsKnown) EventLog.info("target list received")
         targetsKnown = true
     }
 
@@ -99,7 +99,7 @@
     private suspend fun answerReadiness(connection: TcpConnection) {
         val reader = HttpReader(connection)
         while (true) {
-            val result = withTimeoutOrNull(READINESS_IDLE_MS) { reader.requestHead(MAXIMUM_READINESS_BYTES) }
+            val result = withTimeoutOrNull(READINESS_IDLE_TIMEOUT_MS) { reader.requestHead(MAXIMUM_READINESS_HEAD_BYTES) }
             val head = (result as? HeadResult.Read)?.head ?: break
             val status =
                 when {
@@ -119,35 +119,35 @@
      * are cut off. A further call returns when the first does.
      */
     public suspend fun leave() {
-        if (state.leaving) return left.await()
-        state.leaving = true
+        if (state.stopping) return stopped.await()
+        state.stopping = true
         try {
-            finishAccepted()
+            drain()
         } finally {
-            left.complete(Unit)
+            stopped.complete(Unit)
         }
     }
 
-    private suspend fun finishAccepted() {
+    private suspend fun drain() {
         EventLog.info("leaving", LogFields(extra = mapOf("connections" to connections.size.toString())))
-        val endMs = clock.nowMs() + settings.graceMs - EXIT_MARGIN_MS
-        state.lastWordMs = endMs - LAST_WORD_MS
-        state.endMs = endMs
-        delay(minOf(BALANCER_MS, state.lastWordMs - clock.nowMs()))
-        while (clock.nowMs() < endMs) {
-            closeIdle()
+        val exitMs = clock.nowMs() + settings.graceMs - EXIT_MARGIN_MS
+        state.finalResponseMs = exitMs - FINAL_RESPONSE_MS
+        state.exitMs = exitMs
+        delay(minOf(BALANCER_REMOVAL_MS, state.finalResponseMs - clock.nowMs()))
+        while (clock.nowMs() < exitMs) {
+            closeIdleConnections()
             if (connections.isEmpty()) break
-            if (clock.nowMs() >= state.lastWordMs) forwarder.answerHeld()
-            delay(LEAVING_POLL_MS)
+            if (clock.nowMs() >= state.finalResponseMs) forwarder.answerPending()
+            delay(DRAIN_POLL_MS)
         }
-        val brokenOff = forwarder.breakOffHeld()
-        if (brokenOff > 0) delay(LEAVING_POLL_MS)
-        EventLog.info("left", LogFields(extra = mapOf("unfinished" to brokenOff.toString())))
+        val aborted = forwarder.cancelActive()
+        if (aborted > 0) delay(DRAIN_POLL_MS)
+        EventLog.info("left", LogFields(extra = mapOf("unfinished" to aborted.toString())))
     }
 
-    private suspend fun closeIdle() {
+    private suspend fun closeIdleConnections() {
         // Lets the event loop read requests that arrived while this process was suspended.
-        delay(SHORTEST_DELAY_MS)
+        delay(MINIMUM_DELAY_MS)
         connections.filter { !it.busy }.forEach { it.close() }
     }
 
@@ -155,17 +155,17 @@
         const val OK = 200
         const val NOT_FOUND = 404
         const val SERVICE_UNAVAILABLE = 503
-        const val EXPIRY_MS = 100L
-        const val READINESS_IDLE_MS = 10_000L
-        const val MAXIMUM_READINESS_BYTES = 4_096
+        const val EXPIRY_INTERVAL_MS = 100L
+        const val READINESS_IDLE_TIMEOUT_MS = 10_000L
+        const val MAXIMUM_READINESS_HEAD_BYTES = 4_096
 
         /** The load balancer polls every second and removes a gateway after two failures; open connections are served meanwhile. */
-        const val BALANCER_MS = 2_600L
-        const val SHORTEST_DELAY_MS = 1L
-        const val LEAVING_POLL_MS = 50L
+        const val BALANCER_REMOVAL_MS = 2_600L
+        const val MINIMUM_DELAY_MS = 1L
+        const val DRAIN_POLL_MS = 50L
 
         /** Time reserved for the final responses to reach their callers: a few one-way delays between regions. */
-        const val LAST_WORD_MS = 200L
+        const val FINAL_RESPONSE_MS = 200L
 
         /** Time reserved for the exit of the process itself. */
         const val EXIT_MARGIN_MS = 500L
--- a/gateway/src/main/kotlin/KeeperLink.kt
+++ b/gateway/src/main/kotlin/KeeperLink.kt
@@ -27,48 +27,48 @@
     private val demand: () -> List<Demand>,
 ) : AutoCloseable {
     private var channel: MessageChannel? = null
-    private var heardMs = 0L
-    private val job: Job = scope.launchAlways("keeper link") { keep() }
+    private var lastMessageMs = 0L
+    private val job: Job = scope.launchAlways("keeper link") { run() }
 
     /** Sends [message] if the keeper is connected; returns whether it was written to the connection. */
     suspend fun send(message: KeeperMessage): Boolean = channel?.send(message) ?: false
 
-    private suspend fun keep() {
+    private suspend fun run() {
         while (true) {
-            val connection = TcpConnection.dial(loop, address, DIAL_TIMEOUT_MS)
+            val connection = TcpConnection.dial(loop, address, CONNECT_TIMEOUT_MS)
             if (connection != null) {
                 serve(connection)
                 target.update(null)
                 changed.raise()
             }
-            delay(REDIAL_MS)
+            delay(RECONNECT_MS)
         }
     }
 
     private suspend fun serve(connection: TcpConnection) {
         val opened = MessageChannel(connection)
         channel = opened
-        heardMs = loop.clock.nowMs()
+        lastMessageMs = loop.clock.nowMs()
         try {
             coroutineScope {
-                val talking = launch { talk(opened) }
-                if (opened.send(KeeperMessage.Greeting(gateway))) listen(opened)
-                talking.cancelAndJoin()
+                val reporting = launch { sendReports(opened) }
+                if (opened.send(KeeperMessage.Greeting(gateway))) receiveMessages(opened)
+                reporting.cancelAndJoin()
             }
         } finally {
             channel = null
             opened.close()
         }
-        EventLog.info("keeper lost", LogFields(target = target.entry.target))
+        EventLog.info("keeper disconnected", LogFields(target = target.entry.target))
     }
 
-    private suspend fun listen(opened: MessageChannel) {
+    private suspend fun receiveMessages(opened: MessageChannel) {
         while (true) {
             val message = opened.receive() ?: return
-            heardMs = loop.clock.nowMs()
+            lastMessageMs = loop.clock.nowMs()
             when (message) {
                 is KeeperMessage.Status -> {
-                    if (target.status == null) EventLog.info("keeper found", LogFields(target = target.entry.target))
+                    if (target.status == null) EventLog.info("keeper connected", LogFields(target = target.entry.target))
                     target.update(message)
                     changed.raise()
                 }
@@ -78,32 +78,32 @@
         }
     }
 
-    private suspend fun talk(opened: MessageChannel) {
-        var silentRounds = 0
-        while (loop.clock.nowMs() - heardMs < SILENCE_MS) {
+    private suspend fun sendReports(opened: MessageChannel) {
+        var idleRounds = 0
+        while (loop.clock.nowMs() - lastMessageMs < SILENCE_TIMEOUT_MS) {
             delay(USAGE_INTERVAL_MS)
             val uses = target.takeUses()
-            silentRounds = if (uses.isEmpty()) silentRounds + 1 else 0
-            if (silentRounds % ROUNDS_PER_SIGN != 0) continue
+            idleRounds = if (uses.isEmpty()) idleRounds + 1 else 0
+            if (idleRounds % ROUNDS_PER_HEARTBEAT != 0) continue
             if (!opened.send(KeeperMessage.Usage(uses, demand()))) return
         }
-        EventLog.warn("keeper silent", LogFields(target = target.entry.target))
+        EventLog.warn("keeper silent; closing the connection", LogFields(target = target.entry.target))
         opened.close()
     }
 
     override fun close(): Unit = job.cancel()
 
     private companion object {
-        const val DIAL_TIMEOUT_MS = 1_000L
-        const val REDIAL_MS = 500L
+        const val CONNECT_TIMEOUT_MS = 1_000L
+        const val RECONNECT_MS = 500L
 
         /** Interval between usage reports; well below the shortest idle time after which a model may be unloaded. */
         const val USAGE_INTERVAL_MS = 500L
 
         /** A gateway without uses sends an empty report every third interval as a heartbeat. */
-        const val ROUNDS_PER_SIGN = 3
+        const val ROUNDS_PER_HEARTBEAT = 3
 
         /** A keeper answers usage reports with its status at least every 2 s. */
-        const val SILENCE_MS = 5_000L
+        const val SILENCE_TIMEOUT_MS = 5_000L
     }
 }
--- a/gateway/src/main/kotlin/Preparation.kt
+++ b/gateway/src/main/kotlin/ModelPreloader.kt
@@ -11,35 +11,35 @@
  * so that a copy is on the disk of a host when the model is requested. Each model is assigned to one gateway by rendezvous hashing over
  * the gateways connected to keepers.
  */
-internal class Preparation(
-    private val fleet: Fleet,
+internal class ModelPreloader(
+    private val registry: TargetRegistry,
     private val selector: TargetSelector,
     private val state: GatewayState,
     private val gateway: String,
 ) {
     suspend fun run() {
-        delay(SETTLE_MS)
+        delay(STARTUP_DELAY_MS)
         while (true) {
-            prepare()
+            preload()
             delay(INTERVAL_MS)
         }
     }
 
-    private suspend fun prepare() {
+    private suspend fun preload() {
         val services = state.configuration?.services?.values ?: return
-        val gateways = fleet.gateways
+        val gateways = registry.gateways
         services.forEach { service ->
             val plan = service.engine ?: return@forEach
-            val ready = fleet.ready(service.service)
-            val inTouch = ready.count { it.status != null }
-            if (inTouch < ready.size * LEAST_SHARE_IN_TOUCH) return@forEach
+            val ready = registry.ready(service.service)
+            val connected = ready.count { it.status != null }
+            if (connected < ready.size * MINIMUM_CONNECTED_SHARE) return@forEach
             plan.models.values
                 .filter { Rendezvous.order(it.model.value, gateways) { name -> name }.first() == gateway }
-                .forEach { prepare(it, plan, ready) }
+                .forEach { preload(it, plan, ready) }
         }
     }
 
-    private suspend fun prepare(
+    private suspend fun preload(
         model: ModelPlan,
         plan: EnginePlan,
         ready: List<Target>,
@@ -47,24 +47,24 @@
         val name = model.model.value
         val (holders, others) = ready.partition { target -> target.status?.models?.any { it.model == name } ?: (name in target.models) }
         if (holders.isEmpty()) {
-            val near = ready.filter { it.hasAtHand(name) }
-            selector.askForModel(near.ifEmpty { ready }, plan, model, mayEvict = near.isEmpty())
+            val withLocalCopy = ready.filter { it.hasLocalCopy(name) }
+            selector.requestModel(withLocalCopy.ifEmpty { ready }, plan, model, mayEvict = withLocalCopy.isEmpty())
             return
         }
         val load = selector.loadOf(name, holders, plan)
-        val missed = holders.size < CopyPlan.needed(load)
-        if (!missed && holders.size >= CopyPlan.worthHaving(load)) return
-        val near = others.filter { it.hasAtHand(name) }.ifEmpty { others.takeIf { holders.size == 1 }.orEmpty() }
-        if (near.isEmpty() || others.any { it.status?.loading == name }) return
-        selector.askForModel(near, plan, model, mayEvict = missed)
+        val tooFew = holders.size < CopyPlan.needed(load)
+        if (!tooFew && holders.size >= CopyPlan.worthHaving(load)) return
+        val withLocalCopy = others.filter { it.hasLocalCopy(name) }.ifEmpty { others.takeIf { holders.size == 1 }.orEmpty() }
+        if (withLocalCopy.isEmpty() || others.any { it.status?.loading == name }) return
+        selector.requestModel(withLocalCopy, plan, model, mayEvict = tooFew)
     }
 
     private companion object {
         /** Minimum share of targets with a connected keeper; with fewer, this gateway itself is probably disconnected from the network. */
-        const val LEAST_SHARE_IN_TOUCH = 0.5
+        const val MINIMUM_CONNECTED_SHARE = 0.5
 
         /** Time within which gateways and keepers are connected after a start of all hosts. */
-        const val SETTLE_MS = 3_000L
+        const val STARTUP_DELAY_MS = 3_000L
         const val INTERVAL_MS = 500L
     }
 }
--- a/gateway/src/main/kotlin/PromptMemory.kt
+++ b/gateway/src/main/kotlin/PromptCacheEstimate.kt
@@ -7,20 +7,20 @@
 )
 
 /** Estimate of the prompt parts in a target's cache, from the prompts that this gateway sent; drops the least recently used parts. */
-internal class PromptMemory(
+internal class PromptCacheEstimate(
     private val capacityTokens: Long,
 ) {
-    private val kept = LinkedHashMap<String, Long>(INITIAL_PARTS, LOAD_FACTOR, true)
-    private var total = 0L
+    private val cached = LinkedHashMap<String, Long>(INITIAL_PARTS, LOAD_FACTOR, true)
+    private var totalTokens = 0L
 
     /** Returns the number of leading tokens of a prompt for [weights] that are expected in the cache. */
-    fun keptTokens(
+    fun cachedTokens(
         weights: String,
         parts: List<PromptPart>,
     ): Long {
         var tokens = 0L
-        chain(weights, parts) { key, part ->
-            if (kept[key] == null) return tokens
+        forEachPrefix(weights, parts) { key, part ->
+            if (cached[key] == null) return tokens
             tokens += part.tokens
         }
         return tokens
@@ -30,31 +30,31 @@
         weights: String,
         parts: List<PromptPart>,
     ) {
-        chain(weights, parts) { key, part ->
-            val before = kept.put(key, part.tokens)
-            total += part.tokens - (before ?: 0)
+        forEachPrefix(weights, parts) { key, part ->
+            val before = cached.put(key, part.tokens)
+            totalTokens += part.tokens - (before ?: 0)
         }
-        val oldest = kept.entries.iterator()
-        while (total > capacityTokens && oldest.hasNext()) {
-            total -= oldest.next().value
+        val oldest = cached.entries.iterator()
+        while (totalTokens > capacityTokens && oldest.hasNext()) {
+            totalTokens -= oldest.next().value
             oldest.remove()
         }
     }
 
-    fun forget(model: String) {
-        val gone = kept.keys.filter { it.startsWith("$model/") || it.startsWith("$model|") }
-        gone.forEach { total -= kept.remove(it) ?: 0 }
+    fun remove(model: String) {
+        val removed = cached.keys.filter { it.startsWith("$model/") || it.startsWith("$model|") }
+        removed.forEach { totalTokens -= cached.remove(it) ?: 0 }
     }
 
-    private inline fun chain(
+    private inline fun forEachPrefix(
         weights: String,
         parts: List<PromptPart>,
-        use: (String, PromptPart) -> Unit,
+        action: (String, PromptPart) -> Unit,
     ) {
         var key = "$weights|"
         parts.forEach { part ->
             key += part.id + ","
-            use(key, part)
+            action(key, part)
         }
     }
 
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -20,10 +20,10 @@
 
     var entry: TargetEntry = entry
         private set
-    val pool = TargetPool(loop, entry.address)
-    val prompts = PromptMemory(promptMemoryTokens)
-    val inFlight = mutableSetOf<Send>()
-    var gone = false
+    val pool = ConnectionPool(loop, entry.address)
+    val promptCache = PromptCacheEstimate(promptMemoryTokens)
+    val inFlight = mutableSetOf<InFlightRequest>()
+    var closed = false
         private set
 
     /** Last status of its keeper; null while its keeper is not connected. */
@@ -38,17 +38,17 @@
         private set
 
     /** Time of the last activity of the target or its keeper. */
-    var heardMs = clock.nowMs()
+    var lastActivityMs = clock.nowMs()
         private set
 
     private var health: ConnectionHealth? = null
-    private var lastWorkMs = 0L
+    private var lastInFlightMs = 0L
     private var loadingSinceMs = 0L
-    private var failures = 0.0
-    private var sends = 0.0
-    private var weighedMs = clock.nowMs()
+    private var recentFailures = 0.0
+    private var recentRequests = 0.0
+    private var decayedMs = clock.nowMs()
     private val uses = mutableMapOf<Pair<String, String?>, Int>()
-    private val lastAskedMs = mutableMapOf<Pair<String, String?>, Long>()
+    private val lastLoadRequestMs = mutableMapOf<Pair<String, String?>, Long>()
 
     /** Whether its keeper gets answers from it; true if no keeper is connected. */
     val answering: Boolean get() = status?.answering ?: true
@@ -71,10 +71,10 @@
     val loadingForMs: Long get() = clock.nowMs() - loadingSinceMs
 
     /** Whether its host has a copy of the weights of [model] in memory or on disk. */
-    fun hasAtHand(model: String): Boolean = status?.let { model in it.inMemory || model in it.onDisk } ?: false
+    fun hasLocalCopy(model: String): Boolean = status?.let { model in it.inMemory || model in it.onDisk } ?: false
 
     /** Whether it is loading a model from the weight store, according to its keeper. */
-    val loadsFromStore: Boolean get() = status?.loading?.let { !hasAtHand(it) } ?: false
+    val loadsFromStore: Boolean get() = status?.loading?.let { !hasLocalCopy(it) } ?: false
 
     fun update(newStatus: KeeperMessage.Status?) {
         val before = status?.models.orEmpty().map { it.model }
@@ -82,33 +82,33 @@
         val wasAnswering = answering
         status = newStatus?.copy(gateways = newStatus.gateways ?: status?.gateways)
         models = usableModels()
-        if (wasAnswering && !answering) inFlight.toList().forEach { it.leaveIfRepeatable() }
+        if (wasAnswering && !answering) inFlight.toList().forEach { it.cancelIfRetryable() }
         if (newStatus != null) {
-            heard()
+            recordActivity()
             load = newStatus.load
-            (before - newStatus.models.map { it.model }.toSet()).forEach { prompts.forget(it) }
+            (before - newStatus.models.map { it.model }.toSet()).forEach { promptCache.remove(it) }
         }
     }
 
     fun update(newLoad: KeeperMessage.Load) {
-        heard()
+        recordActivity()
         load = newLoad
     }
 
     /** Returns the number of prompt tokens of [request] that are not expected in its prompt cache. */
-    fun unreadTokens(request: ForwardedRequest): Long =
-        (request.promptTokens - prompts.keptTokens(request.weights, request.parts)).coerceAtLeast(0)
+    fun uncachedTokens(request: ForwardedRequest): Long =
+        (request.promptTokens - promptCache.cachedTokens(request.weights, request.parts)).coerceAtLeast(0)
 
     /** Records activity of the target or its keeper. */
-    fun heard() {
-        heardMs = clock.nowMs()
-        health?.heard(heardMs)
-        if (silent) EventLog.info("target heard again", LogFields(target = entry.target))
+    fun recordActivity() {
+        lastActivityMs = clock.nowMs()
+        health?.heard(lastActivityMs)
+        if (silent) EventLog.info("target active again", LogFields(target = entry.target))
         silent = false
     }
 
     /** Resets the silence measured so far, for example after this process was suspended. */
-    fun excuseSilence() {
+    fun resetSilence() {
         health?.heard(clock.nowMs())
         silent = false
     }
@@ -118,15 +118,15 @@
      *
      * Must be called several times within the shortest silence limit. Returns whether [silent] has changed.
      */
-    fun examineSilence(): Boolean {
+    fun checkSilence(): Boolean {
         val nowMs = clock.nowMs()
         val before = silent
-        if (inFlight.isNotEmpty()) lastWorkMs = nowMs
+        if (inFlight.isNotEmpty()) lastInFlightMs = nowMs
         val action = health?.check(nowMs, working = inFlight.isNotEmpty())
         if (action == ConnectionAction.REPLACE) {
             silent = true
-            inFlight.toList().forEach { it.leaveIfHopeless(nowMs) }
-        } else if (nowMs - lastWorkMs >= TRY_SILENT_AGAIN_MS) {
+            inFlight.toList().forEach { it.cancelIfOverdue(nowMs) }
+        } else if (nowMs - lastInFlightMs >= SILENCE_RETRY_MS) {
             silent = false
         }
         if (silent &&
@@ -137,89 +137,89 @@
         return silent != before
     }
 
-    fun begin(send: Send) {
+    fun begin(request: InFlightRequest) {
         val nowMs = clock.nowMs()
-        send.beganMs = nowMs
-        val limitMs = send.silenceLimitMs
-        val examined = health ?: ConnectionHealth(limitMs, limitMs, Long.MAX_VALUE, nowMs).also { health = it }
-        examined.check(nowMs, working = inFlight.isNotEmpty())
-        inFlight += send
-        examined.check(nowMs, working = true)
-        val model = send.model ?: return
+        request.startedMs = nowMs
+        val limitMs = request.silenceLimitMs
+        val currentHealth = health ?: ConnectionHealth(limitMs, limitMs, Long.MAX_VALUE, nowMs).also { health = it }
+        currentHealth.check(nowMs, working = inFlight.isNotEmpty())
+        inFlight += request
+        currentHealth.check(nowMs, working = true)
+        val model = request.model ?: return
         uses.merge(model to null, 1, Int::plus)
-        send.adapter?.let { uses.merge(model to it, 1, Int::plus) }
+        request.adapter?.let { uses.merge(model to it, 1, Int::plus) }
     }
 
-    fun end(send: Send) {
-        inFlight -= send
-        val model = send.model ?: return
+    fun end(request: InFlightRequest) {
+        inFlight -= request
+        val model = request.model ?: return
         uses.putIfAbsent(model to null, 0)
-        send.adapter?.let { uses.putIfAbsent(model to it, 0) }
+        request.adapter?.let { uses.putIfAbsent(model to it, 0) }
     }
 
     /** Returns the uses since the last call with the requests in flight, and clears the uses. */
     fun takeUses(): List<Use> {
-        val flying = mutableMapOf<Pair<String, String?>, Int>()
-        inFlight.forEach { send ->
-            val model = send.model ?: return@forEach
-            flying.merge(model to null, 1, Int::plus)
-            send.adapter?.let { flying.merge(model to it, 1, Int::plus) }
+        val inFlightUses = mutableMapOf<Pair<String, String?>, Int>()
+        inFlight.forEach { request ->
+            val model = request.model ?: return@forEach
+            inFlightUses.merge(model to null, 1, Int::plus)
+            request.adapter?.let { inFlightUses.merge(model to it, 1, Int::plus) }
         }
-        val keys = uses.keys + flying.keys
-        val taken = keys.map { key -> Use(key.first, key.second, uses[key] ?: 0, flying[key] ?: 0) }
+        val keys = uses.keys + inFlightUses.keys
+        val taken = keys.map { key -> Use(key.first, key.second, uses[key] ?: 0, inFlightUses[key] ?: 0) }
         uses.clear()
         return taken
     }
 
     /** Returns whether a load request for [model] and [adapter] may be sent again now; if so, records it as sent. */
-    fun mayAsk(
+    fun mayRequestLoad(
         model: String,
         adapter: String?,
         intervalMs: Long,
     ): Boolean {
         val nowMs = clock.nowMs()
-        val last = lastAskedMs[model to adapter]
+        val last = lastLoadRequestMs[model to adapter]
         if (last != null && nowMs - last < intervalMs) return false
-        lastAskedMs[model to adapter] = nowMs
+        lastLoadRequestMs[model to adapter] = nowMs
         return true
     }
 
     /** Records the result of a request to this target. */
-    fun weigh(failed: Boolean) {
+    fun recordResult(failed: Boolean) {
         decay()
-        sends += 1
-        if (failed) failures += 1
+        recentRequests += 1
+        if (failed) recentFailures += 1
     }
 
     /** Returns the share of recent requests that failed; it decays to 0 without requests. */
     fun failureShare(): Double {
         decay()
-        return failures / (sends + TRUST)
+        return recentFailures / (recentRequests + ASSUMED_SUCCESSES)
     }
 
     private fun decay() {
         val nowMs = clock.nowMs()
-        val factor = exp(-(nowMs - weighedMs) / MEMORY_MS)
-        failures *= factor
-        sends *= factor
-        weighedMs = nowMs
+        val factor = exp(-(nowMs - decayedMs) / DECAY_MS)
+        recentFailures *= factor
+        recentRequests *= factor
+        decayedMs = nowMs
     }
 
     override fun close() {
-        gone = true
+        closed = true
         pool.close()
         keeper?.close()
-        inFlight.toList().forEach { it.leaveIfRepeatable() }
+        inFlight.toList().forEach { it.cancelIfRetryable() }
     }
 
     private companion object {
         /** Time constant of the decay of request counts: the duration of the shortest disturbances that are worth avoiding. */
-        const val MEMORY_MS = 3_000.0
+        const val DECAY_MS = 3_000.0
 
         /** A silent target without requests in flight is tried again after this; a connected keeper reports activity sooner. */
-        const val TRY_SILENT_AGAIN_MS = 2_000L
+        const val SILENCE_RETRY_MS = 2_000L
 
         /** Number of successful requests assumed in advance for a target without history. */
-        const val TRUST = 1.5
+        const val ASSUMED_SUCCESSES = 1.5
     }
 }
--- a/gateway/src/main/kotlin/TargetDirectory.kt
+++ b/gateway/src/main/kotlin/TargetDirectory.kt
@@ -52,8 +52,8 @@
     }
 
     private val entries = mutableMapOf<TargetId, TargetEntry>()
-    private val lapsed = mutableMapOf<TargetId, Long>()
-    private val occupants = mutableMapOf<Address, TargetId>()
+    private val retained = mutableMapOf<TargetId, Long>()
+    private val targetsByAddress = mutableMapOf<Address, TargetId>()
 
     /**
      * Adds or replaces the entry of a target; an entry older than the known one is ignored.
@@ -63,12 +63,12 @@
     public fun put(entry: TargetEntry) {
         val known = entries[entry.target]
         if (known != null && isOlder(entry, known)) return
-        val occupant = occupants[entry.address]?.takeIf { it != entry.target }?.let { entries[it] }
+        val occupant = targetsByAddress[entry.address]?.takeIf { it != entry.target }?.let { entries[it] }
         if (occupant != null && occupant.bornMs > entry.bornMs) return drop(entry.target)
         if (occupant != null && occupant.bornMs < entry.bornMs) drop(occupant.target)
-        if (known != null && known.address != entry.address) occupants.remove(known.address, entry.target)
-        occupants[entry.address] = entry.target
-        lapsed -= entry.target
+        if (known != null && known.address != entry.address) targetsByAddress.remove(known.address, entry.target)
+        targetsByAddress[entry.address] = entry.target
+        retained -= entry.target
         entries[entry.target] = entry
         if (known?.copy(sequence = entry.sequence) == entry) return
         log("target listed", entry.target, mapOf("ready" to entry.ready.toString(), "address" to entry.address.toString()))
@@ -91,7 +91,7 @@
         trusted: Boolean,
     ) {
         val entry = entries[target] ?: return
-        if (trusted || !entry.ready) drop(target) else lapsed.putIfAbsent(target, clock.nowMs() + graceMs)
+        if (trusted || !entry.ready) drop(target) else retained.putIfAbsent(target, clock.nowMs() + graceMs)
     }
 
     /** Replaces the complete list. */
@@ -107,14 +107,14 @@
     /** Drops the entries whose grace time has passed; must be called periodically. */
     public fun expire() {
         val nowMs = clock.nowMs()
-        lapsed.filterValues { it <= nowMs }.keys.forEach { drop(it) }
+        retained.filterValues { it <= nowMs }.keys.forEach { drop(it) }
     }
 
     private fun drop(target: TargetId) {
-        lapsed -= target
+        retained -= target
         val entry = entries.remove(target) ?: return
-        occupants.remove(entry.address, target)
-        log("target gone", target, emptyMap())
+        targetsByAddress.remove(entry.address, target)
+        log("target removed", target, emptyMap())
         onChange(Change.Removed(target))
     }
 
--- a/gateway/src/main/kotlin/Fleet.kt
+++ b/gateway/src/main/kotlin/TargetRegistry.kt
@@ -42,7 +42,7 @@
  *
  * @param keeperPort port of the keeper next to each engine
  */
-internal class Fleet(
+internal class TargetRegistry(
     private val loop: EventLoop,
     private val scope: CoroutineScope,
     private val gateway: String,
@@ -52,51 +52,51 @@
     private val targets = mutableMapOf<TargetId, Target>()
 
     /** Targets that are no longer listed but still have requests in flight. */
-    private val departed = mutableSetOf<Target>()
+    private val removedTargets = mutableSetOf<Target>()
 
-    private var gatewaysSeen = setOf(gateway)
-    private var gatewaysSeenAt = state.changed.count
+    private var knownGateways = setOf(gateway)
+    private var knownGatewaysChange = state.changed.count
 
     /** Names of the gateways that are connected to keepers, including this one. */
     val gateways: Set<String>
         get() {
             val changes = state.changed.count
-            if (changes != gatewaysSeenAt) {
-                gatewaysSeen = targets.values.flatMapTo(mutableSetOf(gateway)) { it.status?.gateways.orEmpty() }
-                gatewaysSeenAt = changes
+            if (changes != knownGatewaysChange) {
+                knownGateways = targets.values.flatMapTo(mutableSetOf(gateway)) { it.status?.gateways.orEmpty() }
+                knownGatewaysChange = changes
             }
-            return gatewaysSeen
+            return knownGateways
         }
 
     fun start() {
-        scope.launchAlways("sweep of kept connections") {
+        scope.launchAlways("sweep of idle connections") {
             while (true) {
-                delay(SWEEP_MS)
+                delay(SWEEP_INTERVAL_MS)
                 targets.values.forEach { it.pool.sweep() }
             }
         }
-        scope.launchAlways("examination of silence") { examineSilence() }
+        scope.launchAlways("silence check") { checkSilence() }
     }
 
-    private suspend fun examineSilence() {
-        var examinedMs = loop.clock.nowMs()
+    private suspend fun checkSilence() {
+        var checkedMs = loop.clock.nowMs()
         while (true) {
-            delay(EXAMINATION_MS)
+            delay(CHECK_INTERVAL_MS)
             val nowMs = loop.clock.nowMs()
             // Activity that arrived while this process was suspended has not been read yet.
-            val stoodStill = nowMs - examinedMs > STOOD_STILL_MS
-            examinedMs = nowMs
-            if (stoodStill) targets.values.forEach { it.excuseSilence() }
-            departed.removeIf { it.inFlight.isEmpty() }
-            departed.toList().forEach { it.examineSilence() }
-            if (targets.values.toList().count { it.examineSilence() } > 0) state.changed.raise()
+            val suspended = nowMs - checkedMs > SUSPENSION_MS
+            checkedMs = nowMs
+            if (suspended) targets.values.forEach { it.resetSilence() }
+            removedTargets.removeIf { it.inFlight.isEmpty() }
+            removedTargets.toList().forEach { it.checkSilence() }
+            if (targets.values.toList().count { it.checkSilence() } > 0) state.changed.raise()
         }
     }
 
     fun apply(change: TargetDirectory.Change) {
         when (change) {
             is TargetDirectory.Change.Put -> put(change.entry)
-            is TargetDirectory.Change.Removed -> targets.remove(change.target)?.let { depart(it) }
+            is TargetDirectory.Change.Removed -> targets.remove(change.target)?.let { drain(it) }
         }
         state.changed.raise()
     }
@@ -107,21 +107,21 @@
         if (known != null && same) {
             known.update(entry)
         } else {
-            known?.let { depart(it) }
-            targets[entry.target] = Target(loop, entry, promptMemoryOf(entry.service))
+            known?.let { drain(it) }
+            targets[entry.target] = Target(loop, entry, promptCacheTokensOf(entry.service))
         }
-        link(targets.getValue(entry.target))
+        connectKeeper(targets.getValue(entry.target))
     }
 
-    private fun depart(target: Target) {
+    private fun drain(target: Target) {
         target.close()
-        if (target.inFlight.isNotEmpty()) departed += target
+        if (target.inFlight.isNotEmpty()) removedTargets += target
     }
 
     /** Connects to the keepers of all engines whose service is configured. */
-    fun linkAll(): Unit = targets.values.forEach { link(it) }
+    fun connectKeepers(): Unit = targets.values.forEach { connectKeeper(it) }
 
-    private fun link(target: Target) {
+    private fun connectKeeper(target: Target) {
         if (target.keeper != null ||
             state.configuration
                 ?.services
@@ -137,41 +137,41 @@
     /** Returns this gateway's demand for the models of [target], divided by the number of engines that hold the same model. */
     private fun demandAt(target: Target): List<Demand> {
         val nowMs = loop.clock.nowMs()
-        val others = othersBeside(target)
+        val others = otherTargets(target)
         return target.models.keys.map { model ->
-            val copies = 1 + others.count { model in it.models }
-            Demand(model, (state.demand.perSecond(model, nowMs) / copies).toFloat(), state.work.answerMs(model).toInt())
+            val replicas = 1 + others.count { model in it.models }
+            Demand(model, (state.demand.perSecond(model, nowMs) / replicas).toFloat(), state.workStatistics.answerMs(model).toInt())
         }
     }
 
-    private fun promptMemoryOf(service: ServiceId): Long =
+    private fun promptCacheTokensOf(service: ServiceId): Long =
         state.configuration
             ?.services
             ?.get(service)
             ?.engine
-            ?.promptMemoryTokens ?: DEFAULT_PROMPT_MEMORY_TOKENS
+            ?.promptMemoryTokens ?: DEFAULT_PROMPT_CACHE_TOKENS
 
     fun ready(service: ServiceId): List<Target> =
         targets.values
             .filter {
                 it.entry.service == service &&
                     it.entry.ready &&
-                    !it.gone &&
+                    !it.closed &&
                     it.answering
-            }.let { possible -> possible.filterNot { it.silent }.ifEmpty { possible } }
+            }.let { accepting -> accepting.filterNot { it.silent }.ifEmpty { accepting } }
 
     /** Returns the other targets that accept requests for the service of [target]. */
-    fun othersBeside(target: Target): List<Target> = ready(target.entry.service).filter { it !== target }
+    fun otherTargets(target: Target): List<Target> = ready(target.entry.service).filter { it !== target }
 
     private companion object {
-        const val SWEEP_MS = 1_000L
-        const val EXAMINATION_MS = 100L
+        const val SWEEP_INTERVAL_MS = 1_000L
+        const val CHECK_INTERVAL_MS = 100L
 
         /** A longer interval between checks shows that this process was suspended; well below the shortest silence limit. */
-        const val STOOD_STILL_MS = 400L
+        const val SUSPENSION_MS = 400L
 
         /** Assumed until a configuration is in force. */
-        const val DEFAULT_PROMPT_MEMORY_TOKENS = 200_000L
+        const val DEFAULT_PROMPT_CACHE_TOKENS = 200_000L
     }
 }
 
@@ -179,27 +179,27 @@
 internal class GatewayState {
     val changed = Signal()
     var configuration: GatewayConfiguration? = null
-    var leaving = false
+    var stopping = false
 
     /** When requests without a begun response get an error response during shutdown; [Long.MAX_VALUE] until shutdown starts. */
-    var lastWordMs = Long.MAX_VALUE
+    var finalResponseMs = Long.MAX_VALUE
 
     /** When this process exits; [Long.MAX_VALUE] until shutdown starts. */
-    var endMs = Long.MAX_VALUE
+    var exitMs = Long.MAX_VALUE
 
     /** Budget for buffered bodies and incomplete events. */
-    val gathered = ByteBudget(Runtime.getRuntime().maxMemory() / SHARE_OF_MEMORY)
+    val buffered = ByteBudget(Runtime.getRuntime().maxMemory() / HEAP_DIVISOR)
 
     /** Statistics of the requests for each model. */
     val demand = DemandBook()
-    val waiting = WaitingCallers()
-    val work = WorkBook()
+    val waitingCallers = WaitingCallers()
+    val workStatistics = WorkBook()
 
     /** Statistics of the response durations of each route. */
-    val durations = AnswerDurations()
+    val answerDurations = AnswerDurations()
 
     private companion object {
         /** Bodies may fill the heap divided by this; joining the parts of a body needs the same amount again. */
-        const val SHARE_OF_MEMORY = 4
+        const val HEAP_DIVISOR = 4
     }
 }
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -16,14 +16,14 @@
 /** Selects the target for a request, and sends load requests to keepers for missing models and adapters. */
 internal class TargetSelector(
     private val clock: Clock,
-    private val fleet: Fleet,
+    private val registry: TargetRegistry,
     var place: Place,
     private val state: GatewayState,
 ) {
     /** Result of the selection for a request. */
     sealed class Choice {
         /** [target] can run the request now. */
-        data class Use(
+        data class Selected(
             val target: Target,
         ) : Choice()
 
@@ -38,57 +38,58 @@
         ) : Choice()
     }
 
-    private class Asked(
+    private class PendingLoad(
         val target: Target,
         val untilMs: Long,
         val expectedMs: Long,
     )
 
-    private val asked = mutableMapOf<String, Asked>()
+    private val pendingLoads = mutableMapOf<String, PendingLoad>()
     private val startedMs = clock.nowMs()
 
     suspend fun choose(
         request: ForwardedRequest,
         tried: Map<Target, Long>,
     ): Choice {
-        val ready = fleet.ready(request.service)
+        val ready = registry.ready(request.service)
         if (ready.isEmpty()) return Choice.None("no target")
         val nowMs = clock.nowMs()
-        val fresh = ready.filter { target -> tried[target]?.let { nowMs >= it + TRY_AGAIN_MS } ?: true }
-        val model = request.model ?: return use(fresh.ifEmpty { ready }.filter { hasRoom(it) }, request) ?: Choice.None("targets full")
+        val eligible = ready.filter { target -> tried[target]?.let { nowMs >= it + RETRY_SAME_TARGET_MS } ?: true }
+        val model =
+            request.model ?: return select(eligible.ifEmpty { ready }.filter { hasRoom(it) }, request) ?: Choice.None("targets full")
         val plan =
             state.configuration
                 ?.services
                 ?.get(request.service)
                 ?.engine
         val modelPlan = plan?.models?.get(ModelId(model))
-        val holders = fresh.filter { model in it.models }
+        val holders = eligible.filter { model in it.models }
         if (holders.isEmpty()) {
             val elsewhere = ready.any { model in it.models }
-            if (plan == null || modelPlan == null) return use(fresh, request) ?: Choice.None("no target")
+            if (plan == null || modelPlan == null) return select(eligible, request) ?: Choice.None("no target")
             return if (elsewhere &&
                 tried.isNotEmpty()
             ) {
                 Choice.None("holders tried")
             } else {
-                val waiting = state.waiting.weight(model, nowMs + modelPlan.loadFromDiskMs)
-                askForModel(ready, plan, modelPlan, mayEvict = true, callers = maxOf(waiting, LoadValue.weightOf(inTime = false)))
+                val waiting = state.waitingCallers.weight(model, nowMs + modelPlan.loadFromDiskMs)
+                requestModel(ready, plan, modelPlan, mayEvict = true, callers = maxOf(waiting, LoadValue.weightOf(inTime = false)))
             }
         }
         val adapter = request.adapter
-        if (adapter == null) return use(holders, request) ?: Choice.None("no target")
-        val equipped = holders.filter { adapter in it.models[model].orEmpty() }
-        if (equipped.isNotEmpty()) return use(equipped, request) ?: Choice.None("no target")
+        if (adapter == null) return select(holders, request) ?: Choice.None("no target")
+        val withAdapter = holders.filter { adapter in it.models[model].orEmpty() }
+        if (withAdapter.isNotEmpty()) return select(withAdapter, request) ?: Choice.None("no target")
         if (plan == null || modelPlan == null) return Choice.None("adapter not loaded")
-        return askForAdapter(holders, plan, model, adapter)
+        return requestAdapter(holders, plan, model, adapter)
     }
 
-    private fun use(
+    private fun select(
         targets: List<Target>,
         request: ForwardedRequest,
     ): Choice? {
         val candidates = targets.associateBy({ candidate(it, request) }, { it })
-        return TargetChoice.choose(candidates.keys.toList())?.let { Choice.Use(candidates.getValue(it)) }
+        return TargetChoice.choose(candidates.keys.toList())?.let { Choice.Selected(candidates.getValue(it)) }
     }
 
     private fun hasRoom(target: Target) = target.inFlight.size < target.entry.slots * PLAIN_QUEUE_FACTOR
@@ -99,43 +100,44 @@
     ): TargetCandidate {
         val model = request.model
         val key = if (model == null) request.id else request.weights + request.parts.take(SHARED_PARTS).joinToString { it.id }
-        val ownReading = target.inFlight.filter { !it.answering }.sumOf { it.promptTokens }
+        val ownPromptTokens = target.inFlight.filter { !it.answering }.sumOf { it.promptTokens }
         val others = (target.load.active + target.load.queued - target.inFlight.size).coerceAtLeast(0)
-        val wait =
+        val waitMs =
             if (model == null) {
-                val beyond = (target.inFlight.size + 1 - target.entry.slots).coerceAtLeast(0)
-                target.inFlight.size * PLAIN_SHARE_MS + beyond * PLAIN_WORK_MS / target.entry.slots.coerceAtLeast(1)
+                val excess = (target.inFlight.size + 1 - target.entry.slots).coerceAtLeast(0)
+                target.inFlight.size * PLAIN_IN_FLIGHT_COST_MS + excess * PLAIN_REQUEST_MS / target.entry.slots.coerceAtLeast(1)
             } else {
-                ownReading / TOKENS_READ_PER_MS + others * OTHERS_READING_MS + target.load.queued * QUEUED_MS
+                ownPromptTokens / PROMPT_TOKENS_PER_MS + others * OTHERS_PROMPT_MS + target.load.queued * QUEUED_PROMPT_MS
             }
         return TargetCandidate(
             target = target.entry.target,
             distanceMs = place.distanceMs(target.entry.zone),
-            waitMs = wait,
-            workMs = if (model == null) 0.0 else target.unreadTokens(request) / TOKENS_READ_PER_MS,
+            waitMs = waitMs,
+            workMs = if (model == null) 0.0 else target.uncachedTokens(request) / PROMPT_TOKENS_PER_MS,
             failureShare = target.failureShare(),
             affinity = Rendezvous.share(key, target.entry.target.value),
         )
     }
 
-    private suspend fun askForAdapter(
+    private suspend fun requestAdapter(
         holders: List<Target>,
         plan: EnginePlan,
         model: String,
         adapter: String,
     ): Choice {
-        val inTouch = holders.filter { it.status != null }
-        val free = inTouch.filter { it.status?.busy == false && it.status?.loading == null }
-        val chosen = free.ifEmpty { inTouch }.maxByOrNull { Rendezvous.share("$model/$adapter", it.entry.target.value) - it.failureShare() }
+        val connected = holders.filter { it.status != null }
+        val free = connected.filter { it.status?.busy == false && it.status?.loading == null }
+        val chosen =
+            free.ifEmpty { connected }.maxByOrNull { Rendezvous.share("$model/$adapter", it.entry.target.value) - it.failureShare() }
         if (chosen == null) return Choice.None("no keeper in touch")
-        if (chosen.mayAsk(model, adapter, ADAPTER_ASK_INTERVAL_MS)) {
-            wish(chosen, plan, model, adapter, ADAPTER_PATIENCE_MS, mayEvict = true)
+        if (chosen.mayRequestLoad(model, adapter, ADAPTER_REQUEST_INTERVAL_MS)) {
+            requestLoad(chosen, plan, model, adapter, ADAPTER_TIMEOUT_MS, mayEvict = true)
         }
-        return Choice.Later(if (free.isEmpty()) ADAPTER_BEHIND_LOAD_MS else ADAPTER_EXPECTED_MS)
+        return Choice.Later(if (free.isEmpty()) ADAPTER_BEHIND_LOAD_MS else ADAPTER_LOAD_MS)
     }
 
     /** Requests that one of [ready] loads [model] for [callers], the number of waiting callers weighted by [LoadValue]. */
-    suspend fun askForModel(
+    suspend fun requestModel(
         ready: List<Target>,
         plan: EnginePlan,
         model: ModelPlan,
@@ -144,20 +146,22 @@
     ): Choice {
         val name = model.model.value
         val nowMs = clock.nowMs()
-        val inTouch = ready.filter { it.status != null }
-        val near = inTouch.filter { it.hasAtHand(name) }
-        val loading = inTouch.filter { it.status?.loading == name }.minByOrNull { remainingLoadMs(it, plan) }
-        if (loading != null && (near.isEmpty() || loading in near)) return Choice.Later(currentLoadMs(loading, plan))
-        asked[name]?.takeIf { it.untilMs > nowMs && it.target in inTouch }?.let { return Choice.Later(it.expectedMs) }
-        if (inTouch.isEmpty()) return Choice.None("no keeper in touch")
-        if (near.isEmpty() && inTouch.size < ready.size && nowMs - startedMs < MEETING_MS) return Choice.Later(MEETING_MS)
-        val demand = state.demand.perSecond(name, nowMs) * fleet.gateways.size
-        val mostLoads = if (demand >= BUSY_REQUESTS_PER_SECOND) MOST_STORE_LOADS_WITH_BUSY_MODELS else MOST_STORE_LOADS
-        if (near.isEmpty() && inTouch.count { it.loadsFromStore } >= mostLoads) return Choice.Later(model.loadMs * 2)
+        val connected = ready.filter { it.status != null }
+        val withLocalCopy = connected.filter { it.hasLocalCopy(name) }
+        val loading = connected.filter { it.status?.loading == name }.minByOrNull { remainingLoadMs(it, plan) }
+        if (loading != null && (withLocalCopy.isEmpty() || loading in withLocalCopy)) return Choice.Later(currentLoadMs(loading, plan))
+        pendingLoads[name]?.takeIf { it.untilMs > nowMs && it.target in connected }?.let { return Choice.Later(it.expectedMs) }
+        if (connected.isEmpty()) return Choice.None("no keeper in touch")
+        if (withLocalCopy.isEmpty() && connected.size < ready.size && nowMs - startedMs < KEEPER_DISCOVERY_MS) {
+            return Choice.Later(KEEPER_DISCOVERY_MS)
+        }
+        val demand = state.demand.perSecond(name, nowMs) * registry.gateways.size
+        val maximumLoads = if (demand >= BUSY_REQUESTS_PER_SECOND) MAXIMUM_STORE_LOADS_FOR_BUSY_MODELS else MAXIMUM_STORE_LOADS
+        if (withLocalCopy.isEmpty() && connected.count { it.loadsFromStore } >= maximumLoads) return Choice.Later(model.loadMs * 2)
         val valueMs = LoadValue.ofMs(callers, demand)
-        val possible = near.ifEmpty { inTouch }
+        val candidates = withLocalCopy.ifEmpty { connected }
         val best =
-            possible
+            candidates
                 .mapNotNull { target ->
                     costOfLoad(target, plan, model, mayEvict, valueMs)?.let { target to it }
                 }.minByOrNull { it.second }
@@ -165,8 +169,8 @@
         // A model with high demand is loaded before other pending load requests.
         val beforeMs = if (demand >= BUSY_REQUESTS_PER_SECOND) currentLoadMs(target, plan) else remainingLoadMs(target, plan)
         val expectedMs = beforeMs + loadMs(target, model)
-        asked[name] = Asked(target, nowMs + MODEL_ASK_INTERVAL_MS, expectedMs)
-        wish(target, plan, name, null, model.loadMs * 2, mayEvict, callers)
+        pendingLoads[name] = PendingLoad(target, nowMs + MODEL_REQUEST_INTERVAL_MS, expectedMs)
+        requestLoad(target, plan, name, null, model.loadMs * 2, mayEvict, callers)
         return Choice.Later(expectedMs)
     }
 
@@ -189,7 +193,7 @@
     ): Long {
         val name = target.status?.loading ?: return 0
         val model = plan.models[ModelId(name)] ?: return 0
-        return (loadMs(target, model) - target.loadingForMs).coerceAtLeast(SHORTEST_LOAD_MS)
+        return (loadMs(target, model) - target.loadingForMs).coerceAtLeast(MINIMUM_REMAINING_LOAD_MS)
     }
 
     private fun loadMs(
@@ -219,12 +223,12 @@
         if (missingMb > 0 && !mayEvict) return null
         val eviction = EvictionPlan.choose(evictionCandidates(target, status, plan), missingMb, LoadValue.callersOf(valueMs)) ?: return null
         if (eviction.costMs > valueMs) return null
-        val storeMs = if (target.hasAtHand(model.model.value)) 0 else STORE_LOAD_MS
-        val tie = Rendezvous.share(model.model.value, target.entry.target.value)
+        val storeMs = if (target.hasLocalCopy(model.model.value)) 0 else STORE_LOAD_COST_MS
+        val tieBreak = Rendezvous.share(model.model.value, target.entry.target.value)
         val failures = target.failureShare() * model.loadMs
-        val othersMs = loadMs(target, model) * status.models.sumOf { it.requestsPerSecond.toDouble() } * SHARE_HELD_UP
-        return remainingLoadMs(target, plan) + loadMs(target, model) + storeMs + eviction.costMs + eviction.waitMs + tie + failures +
-            othersMs
+        val delayOfOthersMs = loadMs(target, model) * status.models.sumOf { it.requestsPerSecond.toDouble() } * DELAYED_SHARE
+        return remainingLoadMs(target, plan) + loadMs(target, model) + storeMs + eviction.costMs + eviction.waitMs + tieBreak + failures +
+            delayOfOthersMs
     }
 
     private fun evictionCandidates(
@@ -232,26 +236,26 @@
         status: KeeperMessage.Status,
         plan: EnginePlan,
     ): List<EvictionCandidate> {
-        val others = fleet.othersBeside(target)
+        val others = registry.otherTargets(target)
         return status.models.map { held ->
-            val copies = copiesBeside(target, others, held.model, plan)
+            val replicas = otherReplicas(target, others, held.model, plan)
             val heldPlan = plan.models[ModelId(held.model)]
-            val atHand = held.model in status.inMemory || held.model in status.onDisk
+            val hasLocalCopy = held.model in status.inMemory || held.model in status.onDisk
             EvictionCandidate(
                 model = ModelId(held.model),
                 memoryMb = heldPlan?.weightsMb ?: 0,
                 requestsPerSecond = held.requestsPerSecond.toDouble(),
                 idleMs = held.idleMs,
                 inFlight = held.inFlight,
-                otherCopies = copies.count,
-                answerMs = state.work.answerMs(held.model).toLong(),
-                surplus = copies.suffice,
-                reloadMs = (if (atHand) heldPlan?.loadFromDiskMs else heldPlan?.loadMs) ?: 0,
+                otherCopies = replicas.count,
+                answerMs = state.workStatistics.answerMs(held.model).toLong(),
+                surplus = replicas.suffice,
+                reloadMs = (if (hasLocalCopy) heldPlan?.loadFromDiskMs else heldPlan?.loadMs) ?: 0,
             )
         }
     }
 
-    private suspend fun wish(
+    private suspend fun requestLoad(
         target: Target,
         plan: EnginePlan,
         model: String,
@@ -269,8 +273,8 @@
                         .map { it.model } + model
             ).distinct()
         val sizes = held.mapNotNull { plan.models[ModelId(it)] }.map { ModelSize(it.model.value, it.weightsMb, it.adapterMb) }
-        val others = fleet.othersBeside(target)
-        val copies = held.associateWith { copiesBeside(target, others, it, plan) }
+        val others = registry.otherTargets(target)
+        val replicas = held.associateWith { otherReplicas(target, others, it, plan) }
         target.keeper?.send(
             KeeperMessage.Wish(
                 target = target.entry.target.value,
@@ -281,8 +285,8 @@
                 memoryMb = plan.weightsMb,
                 adapterSlots = plan.adapterSlots,
                 sizes = sizes,
-                copiesElsewhere = copies.flatMap { (name, copies) -> List(copies.count) { name } },
-                surplus = copies.filterValues { it.suffice }.keys.toList(),
+                copiesElsewhere = replicas.flatMap { (name, replicas) -> List(replicas.count) { name } },
+                surplus = replicas.filterValues { it.suffice }.keys.toList(),
                 callers = callers.toFloat(),
                 requestsPerSecond = state.demand.perSecond(model, clock.nowMs()).toFloat(),
             ),
@@ -294,7 +298,7 @@
      *
      * @property suffice whether they can serve all callers of the model without it
      */
-    private class Copies(
+    private class Replicas(
         val count: Int,
         val suffice: Boolean,
     )
@@ -304,17 +308,17 @@
      *
      * All gateways select the same single replica as evictable, so that concurrent decisions never evict all replicas.
      */
-    private fun copiesBeside(
+    private fun otherReplicas(
         target: Target,
         others: List<Target>,
         model: String,
         plan: EnginePlan,
-    ): Copies {
+    ): Replicas {
         val holders = others.filter { model in it.models }
         val share = { holder: Target -> Rendezvous.share(model, holder.entry.target.value) }
-        if (holders.isEmpty() || holders.any { share(it) < share(target) }) return Copies(0, suffice = false)
+        if (holders.isEmpty() || holders.any { share(it) < share(target) }) return Replicas(0, suffice = false)
         val suffice = holders.size >= CopyPlan.needed(loadOf(model, holders + target, plan))
-        return Copies(holders.size.coerceAtMost(MOST_COPIES_TOLD), suffice)
+        return Replicas(holders.size.coerceAtMost(MAXIMUM_REPORTED_REPLICAS), suffice)
     }
 
     /** Returns the load on [model] from all gateways, as reported by the keepers of its [holders]. */
@@ -328,7 +332,7 @@
                 val held = holder.status?.models?.firstOrNull { it.model == model }
                 held?.requestsPerSecond?.toDouble() ?: 0.0
             }
-        return state.work.load(model, requestsPerSecond, TOKENS_READ_PER_MS, plan.batch)
+        return state.workStatistics.load(model, requestsPerSecond, PROMPT_TOKENS_PER_MS, plan.batch)
     }
 
     private companion object {
@@ -336,56 +340,56 @@
         const val PLAIN_QUEUE_FACTOR = 3
 
         /** Duration of a short request, from the users' requirements. */
-        const val PLAIN_WORK_MS = 40.0
+        const val PLAIN_REQUEST_MS = 40.0
 
         /** Cost of each request in flight; prefers the less busy of two targets with free slots. */
-        const val PLAIN_SHARE_MS = 4.0
+        const val PLAIN_IN_FLIGHT_COST_MS = 4.0
 
         /** Rate at which engines process prompts, from the users' requirements. */
-        const val TOKENS_READ_PER_MS = 38.7
+        const val PROMPT_TOKENS_PER_MS = 38.7
 
         /** Expected prompt processing left for each request of another gateway, most of which are past that stage. */
-        const val OTHERS_READING_MS = 12.0
+        const val OTHERS_PROMPT_MS = 12.0
 
         /** Expected prompt processing for each request that is queued in an engine. */
-        const val QUEUED_MS = 120.0
+        const val QUEUED_PROMPT_MS = 120.0
 
         /** Number of leading prompt parts that requests have in common; later parts belong to one session. */
         const val SHARED_PARTS = 2
 
-        const val ADAPTER_ASK_INTERVAL_MS = 150L
-        const val ADAPTER_PATIENCE_MS = 2_000L
-        const val ADAPTER_EXPECTED_MS = 40L
+        const val ADAPTER_REQUEST_INTERVAL_MS = 150L
+        const val ADAPTER_TIMEOUT_MS = 2_000L
+        const val ADAPTER_LOAD_MS = 40L
 
         /** An adapter waits for a model load on the same engine; most of these use a copy on the engine's host. */
         const val ADAPTER_BEHIND_LOAD_MS = 600L
 
         /** Time after which a request may be sent again to a target that refused it because of a load order or a full queue. */
-        const val TRY_AGAIN_MS = 150L
-        const val MODEL_ASK_INTERVAL_MS = 400L
+        const val RETRY_SAME_TARGET_MS = 150L
+        const val MODEL_REQUEST_INTERVAL_MS = 400L
 
         /** Share of a target's requests that are delayed by a model load, since they need an adapter that is not loaded. */
-        const val SHARE_HELD_UP = 0.15
+        const val DELAYED_SHARE = 0.15
 
         /** Minimum of the expected remaining time of a load in progress. */
-        const val SHORTEST_LOAD_MS = 100L
+        const val MINIMUM_REMAINING_LOAD_MS = 100L
 
         /** Time after a start in which the gateway connects to keepers, some of which may have local copies of the weights. */
-        const val MEETING_MS = 2_000L
+        const val KEEPER_DISCOVERY_MS = 2_000L
 
         /** Concurrent loads from the weight store over all engines: the fewest that any of the users' stores supports at full speed. */
-        const val MOST_STORE_LOADS = 2
+        const val MAXIMUM_STORE_LOADS = 2
 
         /** The same limit for models with high demand, so that rarely requested models never delay them. */
-        const val MOST_STORE_LOADS_WITH_BUSY_MODELS = 4
+        const val MAXIMUM_STORE_LOADS_FOR_BUSY_MODELS = 4
 
         /** Demand over all gateways from which a model counts as busy: above that of any rarely requested model. */
         const val BUSY_REQUESTS_PER_SECOND = 1.0
 
         /** Maximum number of replicas reported to a keeper; more make no difference to its decisions. */
-        const val MOST_COPIES_TOLD = 3
+        const val MAXIMUM_REPORTED_REPLICAS = 3
 
         /** Cost of a load from the weight store beyond its duration: it occupies the engine's order queue and the store. */
-        const val STORE_LOAD_MS = 8_000L
+        const val STORE_LOAD_COST_MS = 8_000L
     }
 }
--- a/gateway/src/main/kotlin/WaitingCallers.kt
+++ b/gateway/src/main/kotlin/WaitingCallers.kt
@@ -7,14 +7,14 @@
     private val objectivesMs = mutableMapOf<String, MutableList<Long>>()
 
     /** Adds a caller whose latency objective is met if its response begins by [objectiveMs]. */
-    fun enter(
+    fun add(
         model: String,
         objectiveMs: Long,
     ) {
         objectivesMs.getOrPut(model) { mutableListOf() } += objectiveMs
     }
 
-    fun leave(
+    fun remove(
         model: String,
         objectiveMs: Long,
     ) {
--- a/gateway/src/test/kotlin/EventSplitterTest.kt
+++ b/gateway/src/test/kotlin/EventSplitterTest.kt
@@ -29,7 +29,7 @@
                     position = end
                 }
                 assertEquals(events.joinToString(""), out.toString(), "seed $seed")
-                assertEquals(torn.isNotEmpty(), splitter.unfinished, "seed $seed")
+                assertEquals(torn.isNotEmpty(), splitter.hasIncompleteEvent, "seed $seed")
                 assertEquals(events.indices.lastOrNull()?.toString(), splitter.lastEvent, "seed $seed")
             }
         }
@@ -38,9 +38,9 @@
     fun `after a break the unfinished event is dropped and the next source begins with a whole one`() {
         val splitter = EventSplitter()
         splitter.feed("id: 1\ndata: a\n\nid: 2\nda".toByteArray())
-        splitter.dropUnfinished()
+        splitter.discardIncompleteEvent()
         assertEquals("id: 2\ndata: b\n\n", splitter.feed("id: 2\ndata: b\n\n".toByteArray()).decodeToString())
         assertEquals("2", splitter.lastEvent)
-        assertTrue(!splitter.unfinished)
+        assertTrue(!splitter.hasIncompleteEvent)
     }
 }
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -435,7 +435,7 @@
         start(RepeatKind.ONCE, streaming = true)
         val left = CountDownLatch(1)
         scope.launch {
-            gateway.state.durations.record("r", firstPartMs = 0, wholeMs = 15_000, size = 1_000)
+            gateway.state.answerDurations.record("r", firstPartMs = 0, wholeMs = 15_000, size = 1_000)
             launch { gateway.leave() }
             left.countDown()
         }
--- a/gateway/src/test/kotlin/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/TargetSelectorTest.kt
@@ -103,17 +103,17 @@
     private val loop = EventLoop(Clock { 1_000L })
     private val place = Place(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r")))
 
-    private fun fleet(
+    private fun registry(
         statuses: List<KeeperMessage.Status?>,
         state: GatewayState,
-    ): Fleet {
-        val fleet = Fleet(loop, CoroutineScope(SupervisorJob()), "g", 1, state)
+    ): TargetRegistry {
+        val registry = TargetRegistry(loop, CoroutineScope(SupervisorJob()), "g", 1, state)
         statuses.indices.forEach { index ->
             val address = Address("127.0.0.1", 1 + index)
             val entry = TargetEntry(TargetId("t$index"), service, address, ZoneId("z"), true, 4, 1, 1, emptyMap())
-            fleet.apply(TargetDirectory.Change.Put(entry))
+            registry.apply(TargetDirectory.Change.Put(entry))
         }
-        fleet.ready(service).forEach {
+        registry.ready(service).forEach {
             it.update(
                 statuses[
                     it.entry.target.value
@@ -122,19 +122,19 @@
                 ],
             )
         }
-        return fleet
+        return registry
     }
 
     private fun check(case: Case) {
         val state = GatewayState()
-        val fleet = fleet(case.targets, state)
+        val registry = registry(case.targets, state)
         state.configuration = GatewayConfiguration(1, listOf(route), mapOf(service to ServicePlan(service, 9, plan)))
         val head = RequestHead("POST", "/", HttpHeaders(listOf(HttpHeader(names.model, case.model))))
         val request = ForwardedRequest.of(head, ByteArray(0), route, loop.clock.nowMs(), names)
-        val choice = runBlocking { TargetSelector(loop.clock, fleet, place, state).choose(request, emptyMap()) }
+        val choice = runBlocking { TargetSelector(loop.clock, registry, place, state).choose(request, emptyMap()) }
         val actual =
             when (choice) {
-                is TargetSelector.Choice.Use -> choice.target.entry.target.value
+                is TargetSelector.Choice.Selected -> choice.target.entry.target.value
                 is TargetSelector.Choice.Later -> "in ${choice.expectedMs} ms"
                 is TargetSelector.Choice.None -> choice.reason
             }
--- a/gateway/src/test/kotlin/TargetSilenceTest.kt
+++ b/gateway/src/test/kotlin/TargetSilenceTest.kt
@@ -36,7 +36,7 @@
         val steps: List<Step>,
         val silentChangesMs: List<Long>,
         val givenUpMs: List<Long>,
-        val repeatable: Boolean = true,
+        val retryable: Boolean = true,
     )
 
     private val send = Step(0, What.SEND)
@@ -88,28 +88,29 @@
 
     private fun check(case: Case) {
         val target = target()
-        val begun = mutableListOf<Send>()
-        val givenUpMs = mutableMapOf<Send, Long>()
+        val begun = mutableListOf<InFlightRequest>()
+        val givenUpMs = mutableMapOf<InFlightRequest, Long>()
         val changesMs = mutableListOf<Long>()
         val startMs = clock.nowMs()
-        for (atMs in 0..LENGTH_MS step EXAMINATION_MS) {
+        for (atMs in 0..LENGTH_MS step CHECK_INTERVAL_MS) {
             val before = target.silent
             case.steps.filter { it.atMs == atMs }.forEach { step ->
                 when (step.what) {
                     What.SEND -> {
-                        val send = Send(case.model, null, 1, case.repeatable, patienceMs = 3_200, lastSignMs = clock.nowMs())
-                        send.leave = { givenUpMs.putIfAbsent(send, clock.nowMs() - startMs) }
+                        val send =
+                            InFlightRequest(case.model, null, 1, case.retryable, callerTimeoutMs = 3_200, lastProgressMs = clock.nowMs())
+                        send.cancel = { givenUpMs.putIfAbsent(send, clock.nowMs() - startMs) }
                         begun += send
                         target.begin(send)
                     }
                     What.END -> target.end(begun.removeFirst())
-                    What.TOKEN -> target.heard()
+                    What.TOKEN -> target.recordActivity()
                     What.KEEPER_ANSWER -> target.update(KeeperMessage.Load())
                 }
             }
-            target.examineSilence()
+            target.checkSilence()
             if (target.silent != before) changesMs += atMs
-            clock.advanceBy(EXAMINATION_MS)
+            clock.advanceBy(CHECK_INTERVAL_MS)
         }
         assertEquals(case.silentChangesMs, changesMs, case.pattern)
         assertEquals(case.givenUpMs, givenUpMs.values.toList(), case.pattern)
@@ -117,23 +118,23 @@
 
     @Test
     fun `a silent target gets no requests unless all are silent`() {
-        val fleet = Fleet(EventLoop(clock), CoroutineScope(SupervisorJob()), "g", 1, GatewayState())
+        val registry = TargetRegistry(EventLoop(clock), CoroutineScope(SupervisorJob()), "g", 1, GatewayState())
         val service = ServiceId("s")
-        listOf("t0", "t1").forEach { fleet.apply(TargetDirectory.Change.Put(entry(it))) }
-        val (first, second) = fleet.ready(service)
+        listOf("t0", "t1").forEach { registry.apply(TargetDirectory.Change.Put(entry(it))) }
+        val (first, second) = registry.ready(service)
         val expected = listOf(listOf(first, second), listOf(second), listOf(first, second))
         val actual =
             listOf(null, first, second).map { darkened ->
-                darkened?.begin(Send("m", null, promptTokens = 1))
-                clock.advanceBy(Send.ENGINE_SILENCE_MS)
-                darkened?.examineSilence()
-                fleet.ready(service)
+                darkened?.begin(InFlightRequest("m", null, promptTokens = 1))
+                clock.advanceBy(InFlightRequest.ENGINE_SILENCE_MS)
+                darkened?.checkSilence()
+                registry.ready(service)
             }
         assertEquals(expected, actual)
     }
 
     private companion object {
         const val LENGTH_MS = 12_000L
-        const val EXAMINATION_MS = 50L
+        const val CHECK_INTERVAL_MS = 50L
     }
 }
--- a/gateway/src/test/kotlin/TroubledTargetTest.kt
+++ b/gateway/src/test/kotlin/TroubledTargetTest.kt
@@ -78,7 +78,7 @@
         ).forEach { (pattern, flood) ->
             script += flood
             assertEquals("HTTP/1.1 502", ask().take("HTTP/1.1 502".length), pattern)
-            assertEquals(0, gateway.state.gathered.takenBytes, pattern)
+            assertEquals(0, gateway.state.buffered.takenBytes, pattern)
         }
     }
 
@@ -87,13 +87,13 @@
         start(RepeatKind.ONCE, streaming = true)
         script += endless(streamHead + chunk(events(1) + "data: "), chunk("x".repeat(999)))
         assertEquals(events(1) + "|cut", unchunk(ask()))
-        assertEquals(0, gateway.state.gathered.takenBytes)
+        assertEquals(0, gateway.state.buffered.takenBytes)
     }
 
     @Test
     fun `answers that together are too much for this process are given up, not gathered`() {
         start(RepeatKind.IDEMPOTENT, streaming = false)
-        val others = gateway.state.gathered.reserve()
+        val others = gateway.state.buffered.reserve()
         val room = (Runtime.getRuntime().maxMemory() / 4).toInt()
         assertTrue(others.take(room - 10))
         val answer = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\nContent-Length: 20\r\n\r\n" + "x".repeat(20)
--- a/gateway/src/test/kotlin/WaitingCallersTest.kt
+++ b/gateway/src/test/kotlin/WaitingCallersTest.kt
@@ -7,14 +7,14 @@
     @Test
     fun `callers count while they wait, and more while they can be answered in time`() {
         val waiting = WaitingCallers()
-        waiting.enter("m", objectiveMs = 1_000)
-        waiting.enter("m", objectiveMs = 3_000)
-        waiting.enter("n", objectiveMs = 3_000)
+        waiting.add("m", objectiveMs = 1_000)
+        waiting.add("m", objectiveMs = 3_000)
+        waiting.add("n", objectiveMs = 3_000)
         assertEquals(2.0, waiting.weight("m", expectedMs = 900))
         assertEquals(1.25, waiting.weight("m", expectedMs = 1_100))
-        waiting.leave("m", objectiveMs = 3_000)
+        waiting.remove("m", objectiveMs = 3_000)
         assertEquals(0.25, waiting.weight("m", expectedMs = 1_100))
-        waiting.leave("m", objectiveMs = 1_000)
+        waiting.remove("m", objectiveMs = 1_000)
         assertEquals(0.0, waiting.weight("m", expectedMs = 900))
     }
 }
