Gateway: renames of names that platform uses

EnginePlan.promptMemoryTokens -> EngineConfiguration.promptCacheTokens (named argument) EnginePlan -> EngineConfiguration Gateway.accept -> Gateway.applyConfiguration Gateway.apply -> Gateway.applySettings Gateway.leave -> Gateway.shutDown Gateway.targetsListed -> Gateway.markTargetsListed GatewaySettings.callers -> GatewaySettings.callerAddress (named argument) GatewaySettings.lapseMs -> GatewaySettings.entryRetentionMs (not used elsewhere) GatewaySettings.place -> GatewaySettings.topology (named argument) GatewaySettings.readiness -> GatewaySettings.readinessAddress (named argument) GatewaySettings.repeats -> GatewaySettings.retryLimits (named argument) ModelPlan -> ModelConfiguration Place -> Topology Place.distanceMs -> Topology.delayMs (not used elsewhere) Route.callerPatienceMs -> Route.callerIdleTimeoutMs (named argument) Route.repeat -> Route.retryKind (named argument) ServicePlan -> ServiceConfiguration TargetDirectory.graceMs -> TargetDirectory.retentionMs (not used elsewhere) TargetEntry.bornMs -> TargetEntry.startedMs (named argument)

--- a/gateway/src/main/kotlin/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/ForwardedRequest.kt
@@ -31,7 +31,7 @@
     val responseDeadlineMs: Long get() = minOf(arrivedMs + route.timeoutMs, deadlineMs ?: Long.MAX_VALUE)
 
     /** When the caller has probably disconnected if it has received nothing. */
-    val callerDisconnectMs: Long get() = minOf(responseDeadlineMs, arrivedMs + route.callerPatienceMs)
+    val callerDisconnectMs: Long get() = minOf(responseDeadlineMs, arrivedMs + route.callerIdleTimeoutMs)
 
     companion object {
         fun of(
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -164,7 +164,7 @@
         context.sends++
         try {
             target.promptCache.add(request.weights, request.parts)
-            val maximumIdleMs = if (request.route.repeat == RepeatKind.ONCE) MAXIMUM_IDLE_FOR_ONCE_MS else MAXIMUM_IDLE_MS
+            val maximumIdleMs = if (request.route.retryKind == RepeatKind.ONCE) MAXIMUM_IDLE_FOR_ONCE_MS else MAXIMUM_IDLE_MS
             val answer = exchange.send(request, headersFor(target, context), maximumIdleMs, context.timeLeftMs)
             return when (answer) {
                 is ExchangeResult.Unusable -> handleUnusable(target, exchange, context, answer)
@@ -185,8 +185,8 @@
         model = request.model,
         adapter = request.adapter,
         promptTokens = target.uncachedTokens(request),
-        retryable = request.route.repeat != RepeatKind.ONCE,
-        callerTimeoutMs = request.route.callerPatienceMs,
+        retryable = request.route.retryKind != RepeatKind.ONCE,
+        callerTimeoutMs = request.route.callerIdleTimeoutMs,
         lastProgressMs = context.lastProgressMs,
     )
 
@@ -241,7 +241,7 @@
         if (result.knownNotRun) context.refusals++ else context.runs++
         val forwarding =
             ForwardingState(
-                kind = context.request.route.repeat,
+                kind = context.request.route.retryKind,
                 mayHaveRun = context.mayHaveRun,
                 runsLeft = context.request.route.maximumTargets - context.runs,
                 refusalsLeft = MAXIMUM_REFUSALS - context.refusals,
@@ -357,7 +357,7 @@
             if (inFlight.answering && mayRetryElsewhere(context)) {
                 maxOf(route.pauseObjectiveMs * PAUSES_UNTIL_SILENT, MINIMUM_SILENCE_MS)
             } else {
-                route.callerPatienceMs + CALLER_DISCONNECT_MARGIN_MS
+                route.callerIdleTimeoutMs + CALLER_DISCONNECT_MARGIN_MS
             }
         val leftMs = (context.lastProgressMs + limitMs - clock.nowMs()).coerceAtLeast(0)
         return withTimeoutOrNull(leftMs) { answer.body.next() } ?: BodyPart.Broken("no event came for $limitMs ms")
@@ -366,7 +366,7 @@
     /** Whether another target may continue the stream; if not, a slow stream is awaited for as long as its caller waits. */
     private fun mayRetryElsewhere(context: ForwardingContext): Boolean {
         val route = context.request.route
-        return route.repeat == RepeatKind.RESUMABLE &&
+        return route.retryKind == RepeatKind.RESUMABLE &&
             context.runs + 1 < route.maximumTargets &&
             retryBudget.allows(clock.nowMs(), registry.gateways.size)
     }
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -21,7 +21,7 @@
 /**
  * HTTP reverse proxy between callers and targets.
  *
- * The embedding program passes the accepted configuration to [accept] and the platform's list of targets to [directory].
+ * The embedding program passes the accepted configuration to [applyConfiguration] and the platform's list of targets to [directory].
  */
 public class Gateway(
     private var settings: GatewaySettings,
@@ -33,24 +33,24 @@
     private val clock = loop.clock
     internal val state = GatewayState()
     private val registry = TargetRegistry(loop, scope, settings.name, settings.keeperPort, state)
-    private val selector = TargetSelector(clock, registry, settings.place, state)
+    private val selector = TargetSelector(clock, registry, settings.topology, state)
     private val preloader = ModelPreloader(registry, selector, state, settings.name)
-    private val retryBudget = RepeatAllowance(settings.repeats)
+    private val retryBudget = RepeatAllowance(settings.retryLimits)
     private val forwarder = Forwarder(clock, selector, registry, state, names, retryBudget, metrics)
     private val connections = mutableSetOf<CallerConnection>()
     private var targetsKnown = false
     private val stopped = CompletableDeferred<Unit>()
 
     /** Targets known to this gateway. */
-    public val directory: TargetDirectory = TargetDirectory(clock, settings.lapseMs) { registry.apply(it) }
+    public val directory: TargetDirectory = TargetDirectory(clock, settings.entryRetentionMs) { registry.apply(it) }
 
     /** Whether this gateway accepts requests of callers. */
     public val ready: Boolean get() = state.configuration != null && targetsKnown && !state.stopping
 
     /** Starts listening and starts the background tasks. */
     public fun start() {
-        TcpListener(loop, settings.callers) { serve(it) }
-        TcpListener(loop, settings.readiness) { connection -> scope.launch { answerReadiness(connection) } }
+        TcpListener(loop, settings.callerAddress) { serve(it) }
+        TcpListener(loop, settings.readinessAddress) { connection -> scope.launch { answerReadiness(connection) } }
         registry.start()
         scope.launchAlways("expiry of entries") {
             while (true) {
@@ -62,7 +62,7 @@
     }
 
     /** Puts [configuration] into force, unless the same or a later version is in force. */
-    public fun accept(configuration: GatewayConfiguration) {
+    public fun applyConfiguration(configuration: GatewayConfiguration) {
         val current = state.configuration
         if (current != null && current.version >= configuration.version) return
         state.configuration = configuration
@@ -72,14 +72,14 @@
     }
 
     /** Applies those settings of [changed] that may change at run time: the grace time, the retry limits and the regions of zones. */
-    public fun apply(changed: GatewaySettings) {
-        settings = settings.copy(graceMs = changed.graceMs, repeats = changed.repeats, place = changed.place)
-        retryBudget.limits = changed.repeats
-        selector.place = changed.place
+    public fun applySettings(changed: GatewaySettings) {
+        settings = settings.copy(graceMs = changed.graceMs, retryLimits = changed.retryLimits, topology = changed.topology)
+        retryBudget.limits = changed.retryLimits
+        selector.topology = changed.topology
     }
 
     /** Records that [directory] has received the complete list of targets at least once. */
-    public fun targetsListed() {
+    public fun markTargetsListed() {
         if (!targetsKnown) EventLog.info("target list received")
         targetsKnown = true
     }
@@ -118,7 +118,7 @@
      * Requests without a response by then get an error response that states whether they may have run; only responses that have begun
      * are cut off. A further call returns when the first does.
      */
-    public suspend fun leave() {
+    public suspend fun shutDown() {
         if (state.stopping) return stopped.await()
         state.stopping = true
         try {
--- a/gateway/src/main/kotlin/GatewayConfiguration.kt
+++ b/gateway/src/main/kotlin/GatewayConfiguration.kt
@@ -9,7 +9,7 @@
 public data class GatewayConfiguration(
     val version: Long,
     val routes: List<Route>,
-    val services: Map<ServiceId, ServicePlan>,
+    val services: Map<ServiceId, ServiceConfiguration>,
     val limits: CallerLimits = CallerLimits(),
 ) {
     private val routesByHost by lazy {
@@ -33,13 +33,13 @@
  * @property maximumTargets largest number of targets that may run one request
  * @property streaming whether the response is a stream of events
  * @property pauseObjectiveMs longest pause between events that still meets the objective
- * @property callerPatienceMs time after which callers disconnect if they have received nothing
+ * @property callerIdleTimeoutMs time after which callers disconnect if they have received nothing
  */
 public data class Route(
     val name: String,
     val host: String,
     val pathPrefix: String,
-    val repeat: RepeatKind,
+    val retryKind: RepeatKind,
     val streaming: Boolean,
     val destinations: List<Destination>,
     val timeoutMs: Long,
@@ -47,7 +47,7 @@
     val priority: Int,
     val maximumTargets: Int,
     val pauseObjectiveMs: Long = 0,
-    val callerPatienceMs: Long = Long.MAX_VALUE / 2,
+    val callerIdleTimeoutMs: Long = Long.MAX_VALUE / 2,
 ) {
     /** Returns the service that handles the request [requestId]. */
     public fun serviceFor(requestId: String): ServiceId {
@@ -73,24 +73,24 @@
  *
  * @property engine capacity of its engines; null for a plain service
  */
-public data class ServicePlan(
+public data class ServiceConfiguration(
     val service: ServiceId,
     val maximumConnections: Int,
-    val engine: EnginePlan? = null,
+    val engine: EngineConfiguration? = null,
 )
 
 /**
  * Capacity of each engine of a service.
  *
  * @property batch number of requests that it processes at once
- * @property promptMemoryTokens capacity of its prompt cache, in tokens
+ * @property promptCacheTokens capacity of its prompt cache, in tokens
  */
-public data class EnginePlan(
+public data class EngineConfiguration(
     val batch: Int,
-    val promptMemoryTokens: Long,
+    val promptCacheTokens: Long,
     val weightsMb: Long,
     val adapterSlots: Int,
-    val models: Map<ModelId, ModelPlan>,
+    val models: Map<ModelId, ModelConfiguration>,
 )
 
 /**
@@ -100,7 +100,7 @@
  * @property loadFromMemoryMs load time from a copy in the memory of the engine's host
  * @property loadFromDiskMs load time from a copy on the disk of the engine's host
  */
-public data class ModelPlan(
+public data class ModelConfiguration(
     val model: ModelId,
     val weightsMb: Long,
     val adapterMb: Long,
--- a/gateway/src/main/kotlin/ModelPreloader.kt
+++ b/gateway/src/main/kotlin/ModelPreloader.kt
@@ -40,8 +40,8 @@
     }
 
     private suspend fun preload(
-        model: ModelPlan,
-        plan: EnginePlan,
+        model: ModelConfiguration,
+        plan: EngineConfiguration,
         ready: List<Target>,
     ) {
         val name = model.model.value
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -14,14 +14,14 @@
 internal class Target(
     loop: EventLoop,
     entry: TargetEntry,
-    promptMemoryTokens: Long,
+    promptCacheTokens: Long,
 ) : AutoCloseable {
     private val clock: Clock = loop.clock
 
     var entry: TargetEntry = entry
         private set
     val pool = ConnectionPool(loop, entry.address)
-    val promptCache = PromptCacheEstimate(promptMemoryTokens)
+    val promptCache = PromptCacheEstimate(promptCacheTokens)
     val inFlight = mutableSetOf<InFlightRequest>()
     var closed = false
         private set
--- a/gateway/src/main/kotlin/TargetDirectory.kt
+++ b/gateway/src/main/kotlin/TargetDirectory.kt
@@ -12,7 +12,7 @@
  * Entry of a target in the platform's list.
  *
  * @property ready whether it accepts requests; false while it is draining
- * @property bornMs calendar time of its start, in milliseconds; distinguishes incarnations with the same identity
+ * @property startedMs calendar time of its start, in milliseconds; distinguishes incarnations with the same identity
  * @property sequence increases with each report of one incarnation
  * @property models models that it held at its last report, with their adapters
  */
@@ -23,7 +23,7 @@
     val zone: ZoneId,
     val ready: Boolean,
     val slots: Int,
-    val bornMs: Long,
+    val startedMs: Long,
     val sequence: Long,
     val models: Map<String, Set<String>>,
 )
@@ -31,11 +31,11 @@
 /**
  * Targets listed by the platform.
  *
- * An entry that disappears while the list is not trusted is kept for [graceMs].
+ * An entry that disappears while the list is not trusted is kept for [retentionMs].
  */
 public class TargetDirectory(
     private val clock: Clock,
-    private val graceMs: Long,
+    private val retentionMs: Long,
     private val onChange: (Change) -> Unit,
 ) {
     /** Change of the directory. */
@@ -64,8 +64,8 @@
         val known = entries[entry.target]
         if (known != null && isOlder(entry, known)) return
         val occupant = targetsByAddress[entry.address]?.takeIf { it != entry.target }?.let { entries[it] }
-        if (occupant != null && occupant.bornMs > entry.bornMs) return drop(entry.target)
-        if (occupant != null && occupant.bornMs < entry.bornMs) drop(occupant.target)
+        if (occupant != null && occupant.startedMs > entry.startedMs) return drop(entry.target)
+        if (occupant != null && occupant.startedMs < entry.startedMs) drop(occupant.target)
         if (known != null && known.address != entry.address) targetsByAddress.remove(known.address, entry.target)
         targetsByAddress[entry.address] = entry.target
         retained -= entry.target
@@ -80,7 +80,7 @@
         known: TargetEntry,
     ): Boolean =
         when {
-            entry.bornMs != known.bornMs -> entry.bornMs < known.bornMs
+            entry.startedMs != known.startedMs -> entry.startedMs < known.startedMs
             entry.sequence != known.sequence -> entry.sequence < known.sequence
             else -> entry.ready && !known.ready
         }
@@ -91,7 +91,7 @@
         trusted: Boolean,
     ) {
         val entry = entries[target] ?: return
-        if (trusted || !entry.ready) drop(target) else retained.putIfAbsent(target, clock.nowMs() + graceMs)
+        if (trusted || !entry.ready) drop(target) else retained.putIfAbsent(target, clock.nowMs() + retentionMs)
     }
 
     /** Replaces the complete list. */
--- a/gateway/src/main/kotlin/TargetRegistry.kt
+++ b/gateway/src/main/kotlin/TargetRegistry.kt
@@ -17,12 +17,12 @@
 import org.almondjunction.network.launchAlways
 
 /** Location of a gateway, and the region of each zone. */
-public data class Place(
+public data class Topology(
     val location: Location,
     val regionOfZone: Map<ZoneId, RegionId>,
 ) {
     /** Returns the expected one-way delay to [zone], in milliseconds. */
-    public fun distanceMs(zone: ZoneId): Double =
+    public fun delayMs(zone: ZoneId): Double =
         when {
             zone == location.zone -> IN_ZONE_MS
             regionOfZone[zone] == location.region -> BETWEEN_ZONES_MS
@@ -103,7 +103,7 @@
 
     private fun put(entry: TargetEntry) {
         val known = targets[entry.target]
-        val same = known != null && known.entry.bornMs == entry.bornMs && known.entry.address == entry.address
+        val same = known != null && known.entry.startedMs == entry.startedMs && known.entry.address == entry.address
         if (known != null && same) {
             known.update(entry)
         } else {
@@ -149,7 +149,7 @@
             ?.services
             ?.get(service)
             ?.engine
-            ?.promptMemoryTokens ?: DEFAULT_PROMPT_CACHE_TOKENS
+            ?.promptCacheTokens ?: DEFAULT_PROMPT_CACHE_TOKENS
 
     fun ready(service: ServiceId): List<Target> =
         targets.values
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -17,7 +17,7 @@
 internal class TargetSelector(
     private val clock: Clock,
     private val registry: TargetRegistry,
-    var place: Place,
+    var topology: Topology,
     private val state: GatewayState,
 ) {
     /** Result of the selection for a request. */
@@ -111,7 +111,7 @@
             }
         return TargetCandidate(
             target = target.entry.target,
-            distanceMs = place.distanceMs(target.entry.zone),
+            distanceMs = topology.delayMs(target.entry.zone),
             waitMs = waitMs,
             workMs = if (model == null) 0.0 else target.uncachedTokens(request) / PROMPT_TOKENS_PER_MS,
             failureShare = target.failureShare(),
@@ -121,7 +121,7 @@
 
     private suspend fun requestAdapter(
         holders: List<Target>,
-        plan: EnginePlan,
+        plan: EngineConfiguration,
         model: String,
         adapter: String,
     ): Choice {
@@ -139,8 +139,8 @@
     /** Requests that one of [ready] loads [model] for [callers], the number of waiting callers weighted by [LoadValue]. */
     suspend fun requestModel(
         ready: List<Target>,
-        plan: EnginePlan,
-        model: ModelPlan,
+        plan: EngineConfiguration,
+        model: ModelConfiguration,
         mayEvict: Boolean,
         callers: Double = 0.0,
     ): Choice {
@@ -177,7 +177,7 @@
     /** Returns the expected time until the load in progress and the pending loads of [target] are complete; 0 if there are none. */
     private fun remainingLoadMs(
         target: Target,
-        plan: EnginePlan,
+        plan: EngineConfiguration,
     ): Long {
         val queuedMs =
             target.status
@@ -189,7 +189,7 @@
 
     private fun currentLoadMs(
         target: Target,
-        plan: EnginePlan,
+        plan: EngineConfiguration,
     ): Long {
         val name = target.status?.loading ?: return 0
         val model = plan.models[ModelId(name)] ?: return 0
@@ -198,7 +198,7 @@
 
     private fun loadMs(
         target: Target,
-        model: ModelPlan,
+        model: ModelConfiguration,
     ): Long {
         val status = target.status
         return when {
@@ -211,8 +211,8 @@
     /** Returns the expected time until [target] holds [model] plus the cost to other requests; null if it cannot load the model. */
     private fun costOfLoad(
         target: Target,
-        plan: EnginePlan,
-        model: ModelPlan,
+        plan: EngineConfiguration,
+        model: ModelConfiguration,
         mayEvict: Boolean,
         valueMs: Double,
     ): Double? {
@@ -234,7 +234,7 @@
     private fun evictionCandidates(
         target: Target,
         status: KeeperMessage.Status,
-        plan: EnginePlan,
+        plan: EngineConfiguration,
     ): List<EvictionCandidate> {
         val others = registry.otherTargets(target)
         return status.models.map { held ->
@@ -257,7 +257,7 @@
 
     private suspend fun requestLoad(
         target: Target,
-        plan: EnginePlan,
+        plan: EngineConfiguration,
         model: String,
         adapter: String?,
         patienceMs: Long,
@@ -312,7 +312,7 @@
         target: Target,
         others: List<Target>,
         model: String,
-        plan: EnginePlan,
+        plan: EngineConfiguration,
     ): Replicas {
         val holders = others.filter { model in it.models }
         val share = { holder: Target -> Rendezvous.share(model, holder.entry.target.value) }
@@ -325,7 +325,7 @@
     fun loadOf(
         model: String,
         holders: List<Target>,
-        plan: EnginePlan,
+        plan: EngineConfiguration,
     ): ModelLoad {
         val requestsPerSecond =
             holders.sumOf { holder ->
--- a/gateway/src/test/kotlin/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/GatewayFixture.kt
@@ -28,9 +28,9 @@
     val settings =
         GatewaySettings(
             name = "g",
-            place = Place(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r"))),
-            callers = Address(LOOPBACK, callersPort),
-            readiness = Address(LOOPBACK, freePort()),
+            topology = Topology(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r"))),
+            callerAddress = Address(LOOPBACK, callersPort),
+            readinessAddress = Address(LOOPBACK, freePort()),
             readinessPath = "/ready",
             keeperPort = freePort(),
             graceMs = graceMs,
@@ -43,7 +43,7 @@
     /** Starts the gateway with the one [route] and a target on each of [hosts], whose connections [target] serves. */
     fun start(
         route: Route,
-        engine: EnginePlan? = null,
+        engine: EngineConfiguration? = null,
         hosts: List<String> = List(TARGETS) { LOOPBACK },
         target: suspend (TcpConnection) -> Unit,
     ): Unit = start(listOf(route), engine, hosts, target)
@@ -51,14 +51,14 @@
     /** Starts the gateway with [routes] and a target on each of [hosts], whose connections [target] serves. */
     fun start(
         routes: List<Route>,
-        engine: EnginePlan? = null,
+        engine: EngineConfiguration? = null,
         hosts: List<String> = List(TARGETS) { LOOPBACK },
         target: suspend (TcpConnection) -> Unit,
     ) {
         val started = CountDownLatch(1)
         scope.launch {
             gateway.start()
-            gateway.accept(GatewayConfiguration(1, routes, mapOf(SERVICE to ServicePlan(SERVICE, 9, engine))))
+            gateway.applyConfiguration(GatewayConfiguration(1, routes, mapOf(SERVICE to ServiceConfiguration(SERVICE, 9, engine))))
             hosts.forEachIndexed { index, host ->
                 val listener = TcpListener(loop, Address(host, 0)) { connection -> scope.launch { target(connection) } }
                 val address = Address(host, listener.port)
@@ -105,20 +105,20 @@
 
         /** A route to everything, which a test changes where it needs to. */
         fun route(
-            repeat: RepeatKind,
+            retryKind: RepeatKind,
             streaming: Boolean,
         ) = Route(
             name = "r",
             host = "h",
             pathPrefix = "/",
-            repeat = repeat,
+            retryKind = retryKind,
             streaming = streaming,
             destinations = listOf(Destination(SERVICE, 1.0)),
             timeoutMs = 20_000,
             latencyObjectiveMs = 10_000,
             priority = 0,
             maximumTargets = 2,
-            callerPatienceMs = 60_000,
+            callerIdleTimeoutMs = 60_000,
         )
     }
 }
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -41,12 +41,16 @@
     private val seen = mutableListOf<RequestHead>()
 
     private fun start(
-        repeat: RepeatKind,
+        retryKind: RepeatKind,
         streaming: Boolean,
-        engine: EnginePlan? = null,
+        engine: EngineConfiguration? = null,
         hosts: List<String> = List(GatewayFixture.TARGETS) { LOOPBACK },
-        callerPatienceMs: Long = 60_000,
-    ): Unit = fixture.start(GatewayFixture.route(repeat, streaming).copy(callerPatienceMs = callerPatienceMs), engine, hosts) { target(it) }
+        callerIdleTimeoutMs: Long = 60_000,
+    ): Unit =
+        GatewayFixture
+            .route(retryKind, streaming)
+            .copy(callerIdleTimeoutMs = callerIdleTimeoutMs)
+            .let { route -> fixture.start(route, engine, hosts) { target(it) } }
 
     private suspend fun target(connection: TcpConnection) {
         val reader = HttpReader(connection)
@@ -185,7 +189,7 @@
 
     @Test
     fun `the caller of a silent target is told before it leaves`() {
-        start(RepeatKind.ONCE, streaming = true, callerPatienceMs = 100)
+        start(RepeatKind.ONCE, streaming = true, callerIdleTimeoutMs = 100)
         script += { _, _ -> }
         assertEquals("HTTP/1.1 502", ask().take("HTTP/1.1 502".length))
         assertEquals(1, seen.size)
@@ -227,10 +231,17 @@
     @Test
     fun `a model that no target holds is prepared though a keeper is out of touch`() {
         val plan =
-            ModelPlan(ModelId("m"), weightsMb = 1, adapterMb = 0, loadMs = 10_000, loadFromMemoryMs = 10_000, loadFromDiskMs = 10_000)
+            ModelConfiguration(
+                ModelId("m"),
+                weightsMb = 1,
+                adapterMb = 0,
+                loadMs = 10_000,
+                loadFromMemoryMs = 10_000,
+                loadFromDiskMs = 10_000,
+            )
         val wished = CountDownLatch(1)
         TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { idleKeeper(it, CountDownLatch(0), wished) } }
-        val engine = EnginePlan(1, 1, weightsMb = 1, adapterSlots = 0, mapOf(plan.model to plan))
+        val engine = EngineConfiguration(1, 1, weightsMb = 1, adapterSlots = 0, mapOf(plan.model to plan))
         start(RepeatKind.ONCE, streaming = true, engine, listOf(LOOPBACK, HOST_WITHOUT_KEEPER))
         assertTrue(wished.await(NEVER_S, TimeUnit.SECONDS))
     }
@@ -238,11 +249,18 @@
     @Test
     fun `who still waits for weights when the gateway goes is told that nothing ran`() {
         val plan =
-            ModelPlan(ModelId("m"), weightsMb = 1, adapterMb = 0, loadMs = 10_000, loadFromMemoryMs = 10_000, loadFromDiskMs = 10_000)
+            ModelConfiguration(
+                ModelId("m"),
+                weightsMb = 1,
+                adapterMb = 0,
+                loadMs = 10_000,
+                loadFromMemoryMs = 10_000,
+                loadFromDiskMs = 10_000,
+            )
         val touch = CountDownLatch(GatewayFixture.TARGETS)
         val wished = CountDownLatch(1)
         TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { idleKeeper(it, touch, wished) } }
-        start(RepeatKind.ONCE, streaming = true, EnginePlan(1, 1, weightsMb = 1, adapterSlots = 0, mapOf(plan.model to plan)))
+        start(RepeatKind.ONCE, streaming = true, EngineConfiguration(1, 1, weightsMb = 1, adapterSlots = 0, mapOf(plan.model to plan)))
         touch.await()
         fixture.connect().use { socket ->
             val head = "POST /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\nModel: m\r\nContent-Length: 0\r\n\r\n"
@@ -258,7 +276,7 @@
     /** A request that a target has not answered when the gateway goes; [beginning] is what came of its answer. */
     private data class HeldCase(
         val pattern: String,
-        val repeat: RepeatKind,
+        val retryKind: RepeatKind,
         val streaming: Boolean,
         val beginning: String = "",
     )
@@ -301,14 +319,14 @@
     // Guards against a planned stop that closes connections whose requests a target still holds, so that their callers hear nothing.
     @Test
     fun `whoever a target has not answered when the gateway goes hears that the outcome is unknown`() {
-        val plan = ModelPlan(ModelId("m"), weightsMb = 1, adapterMb = 0, loadMs = 1, loadFromMemoryMs = 1, loadFromDiskMs = 1)
-        val engine = EnginePlan(9, 9_999, weightsMb = 1, adapterSlots = 0, mapOf(plan.model to plan))
+        val plan = ModelConfiguration(ModelId("m"), weightsMb = 1, adapterMb = 0, loadMs = 1, loadFromMemoryMs = 1, loadFromDiskMs = 1)
+        val engine = EngineConfiguration(9, 9_999, weightsMb = 1, adapterSlots = 0, mapOf(plan.model to plan))
         val touch = CountDownLatch(GatewayFixture.TARGETS)
         val reached = CountDownLatch(heldCases.size)
         TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { attentiveKeeper(it, touch) } }
         val routes =
             heldCases.mapIndexed { index, case ->
-                GatewayFixture.route(case.repeat, case.streaming).copy(name = "r$index", pathPrefix = "/$index/")
+                GatewayFixture.route(case.retryKind, case.streaming).copy(name = "r$index", pathPrefix = "/$index/")
             }
         fixture.start(routes, engine) { connection ->
             val head = (HttpReader(connection).requestHead(9_999) as HeadResult.Read).head
@@ -340,7 +358,7 @@
                 reached.await()
                 gateways.scope.launch {
                     repeat(GatewayFixture.TARGETS) { gateways.gateway.directory.remove(TargetId("t$it"), trusted = true) }
-                    gateways.gateway.leave()
+                    gateways.gateway.shutDown()
                 }
                 val answer = ByteArray("HTTP/1.1 502".length).also { socket.getInputStream().readNBytes(it, 0, it.size) }
                 assertEquals("HTTP/1.1 502", answer.decodeToString())
@@ -388,7 +406,7 @@
     fun `an answer that begins while the gateway goes tells its caller to use another connection`() {
         start(RepeatKind.ONCE, streaming = false)
         script += { connection, _ ->
-            scope.launch { gateway.leave() }
+            scope.launch { gateway.shutDown() }
             repeat(ROUNDS_OF_THE_LOOP) { yield() }
             connection.write(served.toByteArray())
         }
@@ -407,9 +425,9 @@
         val secondReturned = AtomicBoolean()
         val returnedBeforeAnswer = CompletableFuture<Boolean>()
         script += { connection, _ ->
-            scope.launch { gateway.leave() }
+            scope.launch { gateway.shutDown() }
             scope.launch {
-                gateway.leave()
+                gateway.shutDown()
                 secondReturned.set(true)
             }
             repeat(ROUNDS_OF_THE_LOOP) { yield() }
@@ -424,7 +442,7 @@
     private fun runLeave() {
         val left = CountDownLatch(1)
         scope.launch {
-            gateway.leave()
+            gateway.shutDown()
             left.countDown()
         }
         left.await()
@@ -436,7 +454,7 @@
         val left = CountDownLatch(1)
         scope.launch {
             gateway.state.answerDurations.record("r", firstPartMs = 0, wholeMs = 15_000, size = 1_000)
-            launch { gateway.leave() }
+            launch { gateway.shutDown() }
             left.countDown()
         }
         left.await()
--- a/gateway/src/test/kotlin/TargetDirectoryTest.kt
+++ b/gateway/src/test/kotlin/TargetDirectoryTest.kt
@@ -12,7 +12,7 @@
     private val clock = VirtualClock()
     private val ready = mutableMapOf<String, Boolean>()
     private val directory =
-        TargetDirectory(clock, graceMs = 2_000) { change ->
+        TargetDirectory(clock, retentionMs = 2_000) { change ->
             when (change) {
                 is TargetDirectory.Change.Put -> ready[change.entry.target.value] = change.entry.ready
                 is TargetDirectory.Change.Removed -> ready -= change.target.value
@@ -22,10 +22,10 @@
     private fun entry(
         name: String,
         ready: Boolean = true,
-        bornMs: Long = 1,
+        startedMs: Long = 1,
         sequence: Long = 1,
         port: Int = 80,
-    ) = TargetEntry(TargetId(name), ServiceId("s"), Address("10.0.0.1", port), ZoneId("z"), ready, 4, bornMs, sequence, emptyMap())
+    ) = TargetEntry(TargetId(name), ServiceId("s"), Address("10.0.0.1", port), ZoneId("z"), ready, 4, startedMs, sequence, emptyMap())
 
     @Test
     fun `an older telling never brings a leaving target back`() {
@@ -33,23 +33,23 @@
         directory.put(entry("a", ready = true, sequence = 4))
         directory.put(entry("a", ready = true, sequence = 5))
         assertEquals(mapOf("a" to false), ready)
-        directory.put(entry("a", ready = true, bornMs = 2, sequence = 1))
+        directory.put(entry("a", ready = true, startedMs = 2, sequence = 1))
         assertEquals(mapOf("a" to true), ready)
-        directory.put(entry("a", ready = false, bornMs = 1, sequence = 9))
+        directory.put(entry("a", ready = false, startedMs = 1, sequence = 9))
         assertEquals(mapOf("a" to true), ready)
     }
 
     @Test
     fun `of two targets at one address the one that started later is alive`() {
-        directory.put(entry("a", bornMs = 1))
-        directory.put(entry("b", bornMs = 2))
+        directory.put(entry("a", startedMs = 1))
+        directory.put(entry("b", startedMs = 2))
         assertEquals(mapOf("b" to true), ready)
-        directory.put(entry("a", bornMs = 1, sequence = 9))
-        directory.put(entry("c", bornMs = 1, port = 81))
+        directory.put(entry("a", startedMs = 1, sequence = 9))
+        directory.put(entry("c", startedMs = 1, port = 81))
         assertEquals(mapOf("b" to true, "c" to true), ready)
-        directory.put(entry("c", bornMs = 3))
+        directory.put(entry("c", startedMs = 3))
         assertEquals(mapOf("c" to true), ready)
-        directory.put(entry("d", bornMs = 1, port = 81))
+        directory.put(entry("d", startedMs = 1, port = 81))
         assertEquals(mapOf("c" to true, "d" to true), ready)
     }
 
--- a/gateway/src/test/kotlin/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/TargetSelectorTest.kt
@@ -26,11 +26,11 @@
     private val names =
         HeaderNames("Id", "Deadline", "Model", "Tokens", "Parts", "Last", "Signature", "Target", "Answering", "Not", "Urgency", emptySet())
     private val service = ServiceId("s")
-    private val small = ModelPlan(ModelId("m"), 60, 0, loadMs = 6_000, loadFromMemoryMs = 300, loadFromDiskMs = 500)
+    private val small = ModelConfiguration(ModelId("m"), 60, 0, loadMs = 6_000, loadFromMemoryMs = 300, loadFromDiskMs = 500)
     private val plan =
-        EnginePlan(
+        EngineConfiguration(
             batch = 64,
-            promptMemoryTokens = 100,
+            promptCacheTokens = 100,
             weightsMb = 100,
             adapterSlots = 2,
             models = listOf("m", "a", "b", "c").associate { ModelId(it) to small.copy(model = ModelId(it)) },
@@ -101,7 +101,7 @@
     fun `a request goes to the weights, or the weights come from where they are nearest`() = cases.forEach { check(it) }
 
     private val loop = EventLoop(Clock { 1_000L })
-    private val place = Place(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r")))
+    private val topology = Topology(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r")))
 
     private fun registry(
         statuses: List<KeeperMessage.Status?>,
@@ -128,10 +128,10 @@
     private fun check(case: Case) {
         val state = GatewayState()
         val registry = registry(case.targets, state)
-        state.configuration = GatewayConfiguration(1, listOf(route), mapOf(service to ServicePlan(service, 9, plan)))
+        state.configuration = GatewayConfiguration(1, listOf(route), mapOf(service to ServiceConfiguration(service, 9, plan)))
         val head = RequestHead("POST", "/", HttpHeaders(listOf(HttpHeader(names.model, case.model))))
         val request = ForwardedRequest.of(head, ByteArray(0), route, loop.clock.nowMs(), names)
-        val choice = runBlocking { TargetSelector(loop.clock, registry, place, state).choose(request, emptyMap()) }
+        val choice = runBlocking { TargetSelector(loop.clock, registry, topology, state).choose(request, emptyMap()) }
         val actual =
             when (choice) {
                 is TargetSelector.Choice.Selected -> choice.target.entry.target.value
--- a/gateway/src/test/kotlin/TargetSilenceTest.kt
+++ b/gateway/src/test/kotlin/TargetSilenceTest.kt
@@ -19,7 +19,7 @@
     private fun entry(name: String) =
         TargetEntry(TargetId(name), ServiceId("s"), Address("127.0.0.1", 1), ZoneId("z"), true, 4, 1, 1, emptyMap())
 
-    private fun target() = Target(EventLoop(clock), entry("t"), promptMemoryTokens = 1)
+    private fun target() = Target(EventLoop(clock), entry("t"), promptCacheTokens = 1)
 
     /** What happens at one moment, in milliseconds. */
     private data class Step(
--- a/gateway/src/test/kotlin/TroubledTargetTest.kt
+++ b/gateway/src/test/kotlin/TroubledTargetTest.kt
@@ -21,13 +21,14 @@
     fun stop(): Unit = fixture.close()
 
     private fun start(
-        repeat: RepeatKind,
+        retryKind: RepeatKind,
         streaming: Boolean,
         maximumTargets: Int = 2,
-        callerPatienceMs: Long = 60_000,
+        callerIdleTimeoutMs: Long = 60_000,
     ) {
-        val route = GatewayFixture.route(repeat, streaming)
-        fixture.start(route.copy(timeoutMs = 60_000, maximumTargets = maximumTargets, callerPatienceMs = callerPatienceMs)) { target(it) }
+        val route = GatewayFixture.route(retryKind, streaming)
+        val changed = route.copy(timeoutMs = 60_000, maximumTargets = maximumTargets, callerIdleTimeoutMs = callerIdleTimeoutMs)
+        fixture.start(changed) { target(it) }
     }
 
     private suspend fun target(connection: TcpConnection) {
@@ -119,7 +120,7 @@
 
     @Test
     fun `a stalled stream that drips ends when its caller's patience does`() {
-        start(RepeatKind.ONCE, streaming = true, callerPatienceMs = 300)
+        start(RepeatKind.ONCE, streaming = true, callerIdleTimeoutMs = 300)
         script += drips
         assertEquals(events(1) + "|cut", unchunk(ask()))
     }
