--- /dev/null
+++ b/gateway/src/main/kotlin/GatewayState.kt
@@ -0,0 +1,35 @@
+package org.almondjunction.gateway
+
+import org.almondjunction.decisions.AnswerDurations
+import org.almondjunction.decisions.DemandBook
+import org.almondjunction.decisions.WorkBook
+import org.almondjunction.network.ByteBudget
+
+/** Mutable state shared by the components of a gateway. */
+internal class GatewayState {
+    val changed = Signal()
+    var configuration: GatewayConfiguration? = null
+    var stopping = false
+
+    /** When requests without a begun response get an error response during shutdown; [Long.MAX_VALUE] until shutdown starts. */
+    var finalResponseMs = Long.MAX_VALUE
+
+    /** When this process exits; [Long.MAX_VALUE] until shutdown starts. */
+    var exitMs = Long.MAX_VALUE
+
+    /** Budget for buffered bodies and incomplete events. */
+    val buffered = ByteBudget(Runtime.getRuntime().maxMemory() / HEAP_DIVISOR)
+
+    /** Statistics of the requests for each model. */
+    val demand = DemandBook()
+    val waitingCallers = WaitingCallers()
+    val workStatistics = WorkBook()
+
+    /** Statistics of the response durations of each route. */
+    val answerDurations = AnswerDurations()
+
+    private companion object {
+        /** Bodies may fill the heap divided by this; joining the parts of a body needs the same amount again. */
+        const val HEAP_DIVISOR = 4
+    }
+}
--- a/gateway/src/main/kotlin/TargetRegistry.kt
+++ b/gateway/src/main/kotlin/TargetRegistry.kt
@@ -3,40 +3,12 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import org.almondjunction.common.Address
-import org.almondjunction.common.Location
-import org.almondjunction.common.RegionId
 import org.almondjunction.common.ServiceId
 import org.almondjunction.common.TargetId
-import org.almondjunction.common.ZoneId
-import org.almondjunction.decisions.AnswerDurations
-import org.almondjunction.decisions.DemandBook
-import org.almondjunction.decisions.WorkBook
 import org.almondjunction.keeper.Demand
-import org.almondjunction.network.ByteBudget
 import org.almondjunction.network.EventLoop
 import org.almondjunction.network.launchAlways
 
-/** Location of a gateway, and the region of each zone. */
-public data class Topology(
-    val location: Location,
-    val regionOfZone: Map<ZoneId, RegionId>,
-) {
-    /** Returns the expected one-way delay to [zone], in milliseconds. */
-    public fun delayMs(zone: ZoneId): Double =
-        when {
-            zone == location.zone -> IN_ZONE_MS
-            regionOfZone[zone] == location.region -> BETWEEN_ZONES_MS
-            else -> BETWEEN_REGIONS_MS
-        }
-
-    private companion object {
-        /** Typical one-way delays in the users' networks. */
-        const val IN_ZONE_MS = 0.1
-        const val BETWEEN_ZONES_MS = 1.0
-        const val BETWEEN_REGIONS_MS = 12.0
-    }
-}
-
 /**
  * Registry of the targets that this gateway may use.
  *
@@ -174,32 +146,3 @@
         const val DEFAULT_PROMPT_CACHE_TOKENS = 200_000L
     }
 }
-
-/** Mutable state shared by the components of a gateway. */
-internal class GatewayState {
-    val changed = Signal()
-    var configuration: GatewayConfiguration? = null
-    var stopping = false
-
-    /** When requests without a begun response get an error response during shutdown; [Long.MAX_VALUE] until shutdown starts. */
-    var finalResponseMs = Long.MAX_VALUE
-
-    /** When this process exits; [Long.MAX_VALUE] until shutdown starts. */
-    var exitMs = Long.MAX_VALUE
-
-    /** Budget for buffered bodies and incomplete events. */
-    val buffered = ByteBudget(Runtime.getRuntime().maxMemory() / HEAP_DIVISOR)
-
-    /** Statistics of the requests for each model. */
-    val demand = DemandBook()
-    val waitingCallers = WaitingCallers()
-    val workStatistics = WorkBook()
-
-    /** Statistics of the response durations of each route. */
-    val answerDurations = AnswerDurations()
-
-    private companion object {
-        /** Bodies may fill the heap divided by this; joining the parts of a body needs the same amount again. */
-        const val HEAP_DIVISOR = 4
-    }
-}
