--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -186,7 +186,7 @@
         adapter = request.adapter,
         promptTokens = target.uncachedTokens(request),
         retryable = request.route.retryKind != RepeatKind.ONCE,
-        callerTimeoutMs = request.route.callerIdleTimeoutMs,
+        callerIdleTimeoutMs = request.route.callerIdleTimeoutMs,
         lastProgressMs = context.lastProgressMs,
     )
 
--- a/gateway/src/main/kotlin/InFlightRequest.kt
+++ b/gateway/src/main/kotlin/InFlightRequest.kt
@@ -4,7 +4,7 @@
  * A request in flight at a target.
  *
  * @property retryable whether it may be retried at another target as long as no part of its response has arrived
- * @property callerTimeoutMs time after which its caller disconnects if it receives nothing
+ * @property callerIdleTimeoutMs time after which its caller disconnects if it receives nothing
  * @property lastProgressMs when the request arrived, or its caller last received a part of the response
  */
 internal class InFlightRequest(
@@ -12,7 +12,7 @@
     val adapter: String?,
     val promptTokens: Long,
     val retryable: Boolean = false,
-    private val callerTimeoutMs: Long = Long.MAX_VALUE / 2,
+    private val callerIdleTimeoutMs: Long = Long.MAX_VALUE / 2,
     var lastProgressMs: Long = 0,
 ) {
     var startedMs = 0L
@@ -31,7 +31,7 @@
 
     /** Cancels the request at a silent target: to retry it elsewhere, or to send an error response before its caller disconnects. */
     fun cancelIfOverdue(nowMs: Long) {
-        if (nowMs - lastProgressMs >= callerTimeoutMs - FINAL_RESPONSE_MS) return cancel()
+        if (nowMs - lastProgressMs >= callerIdleTimeoutMs - FINAL_RESPONSE_MS) return cancel()
         if (nowMs - startedMs >= silenceLimitMs) cancelIfRetryable()
     }
 
--- a/gateway/src/main/kotlin/ModelPreloader.kt
+++ b/gateway/src/main/kotlin/ModelPreloader.kt
@@ -29,34 +29,34 @@
         val services = state.configuration?.services?.values ?: return
         val gateways = registry.gateways
         services.forEach { service ->
-            val plan = service.engine ?: return@forEach
+            val engine = service.engine ?: return@forEach
             val ready = registry.ready(service.service)
             val connected = ready.count { it.status != null }
             if (connected < ready.size * MINIMUM_CONNECTED_SHARE) return@forEach
-            plan.models.values
+            engine.models.values
                 .filter { Rendezvous.order(it.model.value, gateways) { name -> name }.first() == gateway }
-                .forEach { preload(it, plan, ready) }
+                .forEach { preload(it, engine, ready) }
         }
     }
 
     private suspend fun preload(
         model: ModelConfiguration,
-        plan: EngineConfiguration,
+        engine: EngineConfiguration,
         ready: List<Target>,
     ) {
         val name = model.model.value
         val (holders, others) = ready.partition { target -> target.status?.models?.any { it.model == name } ?: (name in target.models) }
         if (holders.isEmpty()) {
             val withLocalCopy = ready.filter { it.hasLocalCopy(name) }
-            selector.requestModel(withLocalCopy.ifEmpty { ready }, plan, model, mayEvict = withLocalCopy.isEmpty())
+            selector.requestModel(withLocalCopy.ifEmpty { ready }, engine, model, mayEvict = withLocalCopy.isEmpty())
             return
         }
-        val load = selector.loadOf(name, holders, plan)
+        val load = selector.loadOf(name, holders, engine)
         val tooFew = holders.size < CopyPlan.needed(load)
         if (!tooFew && holders.size >= CopyPlan.worthHaving(load)) return
         val withLocalCopy = others.filter { it.hasLocalCopy(name) }.ifEmpty { others.takeIf { holders.size == 1 }.orEmpty() }
         if (withLocalCopy.isEmpty() || others.any { it.status?.loading == name }) return
-        selector.requestModel(withLocalCopy, plan, model, mayEvict = tooFew)
+        selector.requestModel(withLocalCopy, engine, model, mayEvict = tooFew)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -57,31 +57,32 @@
         val eligible = ready.filter { target -> tried[target]?.let { nowMs >= it + RETRY_SAME_TARGET_MS } ?: true }
         val model =
             request.model ?: return select(eligible.ifEmpty { ready }.filter { hasRoom(it) }, request) ?: Choice.None("targets full")
-        val plan =
+        val engine =
             state.configuration
                 ?.services
                 ?.get(request.service)
                 ?.engine
-        val modelPlan = plan?.models?.get(ModelId(model))
+        val modelConfiguration = engine?.models?.get(ModelId(model))
         val holders = eligible.filter { model in it.models }
         if (holders.isEmpty()) {
             val elsewhere = ready.any { model in it.models }
-            if (plan == null || modelPlan == null) return select(eligible, request) ?: Choice.None("no target")
+            if (engine == null || modelConfiguration == null) return select(eligible, request) ?: Choice.None("no target")
             return if (elsewhere &&
                 tried.isNotEmpty()
             ) {
                 Choice.None("holders tried")
             } else {
-                val waiting = state.waitingCallers.weight(model, nowMs + modelPlan.loadFromDiskMs)
-                requestModel(ready, plan, modelPlan, mayEvict = true, callers = maxOf(waiting, LoadValue.weightOf(inTime = false)))
+                val waiting = state.waitingCallers.weight(model, nowMs + modelConfiguration.loadFromDiskMs)
+                val callers = maxOf(waiting, LoadValue.weightOf(inTime = false))
+                requestModel(ready, engine, modelConfiguration, mayEvict = true, callers = callers)
             }
         }
         val adapter = request.adapter
         if (adapter == null) return select(holders, request) ?: Choice.None("no target")
         val withAdapter = holders.filter { adapter in it.models[model].orEmpty() }
         if (withAdapter.isNotEmpty()) return select(withAdapter, request) ?: Choice.None("no target")
-        if (plan == null || modelPlan == null) return Choice.None("adapter not loaded")
-        return requestAdapter(holders, plan, model, adapter)
+        if (engine == null || modelConfiguration == null) return Choice.None("adapter not loaded")
+        return requestAdapter(holders, engine, model, adapter)
     }
 
     private fun select(
@@ -121,7 +122,7 @@
 
     private suspend fun requestAdapter(
         holders: List<Target>,
-        plan: EngineConfiguration,
+        engine: EngineConfiguration,
         model: String,
         adapter: String,
     ): Choice {
@@ -131,7 +132,7 @@
             free.ifEmpty { connected }.maxByOrNull { Rendezvous.share("$model/$adapter", it.entry.target.value) - it.failureShare() }
         if (chosen == null) return Choice.None("no keeper in touch")
         if (chosen.mayRequestLoad(model, adapter, ADAPTER_REQUEST_INTERVAL_MS)) {
-            requestLoad(chosen, plan, model, adapter, ADAPTER_TIMEOUT_MS, mayEvict = true)
+            requestLoad(chosen, engine, model, adapter, ADAPTER_TIMEOUT_MS, mayEvict = true)
         }
         return Choice.Later(if (free.isEmpty()) ADAPTER_BEHIND_LOAD_MS else ADAPTER_LOAD_MS)
     }
@@ -139,7 +140,7 @@
     /** Requests that one of [ready] loads [model] for [callers], the number of waiting callers weighted by [LoadValue]. */
     suspend fun requestModel(
         ready: List<Target>,
-        plan: EngineConfiguration,
+        engine: EngineConfiguration,
         model: ModelConfiguration,
         mayEvict: Boolean,
         callers: Double = 0.0,
@@ -148,8 +149,8 @@
         val nowMs = clock.nowMs()
         val connected = ready.filter { it.status != null }
         val withLocalCopy = connected.filter { it.hasLocalCopy(name) }
-        val loading = connected.filter { it.status?.loading == name }.minByOrNull { remainingLoadMs(it, plan) }
-        if (loading != null && (withLocalCopy.isEmpty() || loading in withLocalCopy)) return Choice.Later(currentLoadMs(loading, plan))
+        val loading = connected.filter { it.status?.loading == name }.minByOrNull { remainingLoadMs(it, engine) }
+        if (loading != null && (withLocalCopy.isEmpty() || loading in withLocalCopy)) return Choice.Later(currentLoadMs(loading, engine))
         pendingLoads[name]?.takeIf { it.untilMs > nowMs && it.target in connected }?.let { return Choice.Later(it.expectedMs) }
         if (connected.isEmpty()) return Choice.None("no keeper in touch")
         if (withLocalCopy.isEmpty() && connected.size < ready.size && nowMs - startedMs < KEEPER_DISCOVERY_MS) {
@@ -163,36 +164,36 @@
         val best =
             candidates
                 .mapNotNull { target ->
-                    costOfLoad(target, plan, model, mayEvict, valueMs)?.let { target to it }
+                    costOfLoad(target, engine, model, mayEvict, valueMs)?.let { target to it }
                 }.minByOrNull { it.second }
         val target = best?.first ?: return if (mayEvict) Choice.Later(model.loadFromDiskMs) else Choice.None("no room")
         // A model with high demand is loaded before other pending load requests.
-        val beforeMs = if (demand >= BUSY_REQUESTS_PER_SECOND) currentLoadMs(target, plan) else remainingLoadMs(target, plan)
+        val beforeMs = if (demand >= BUSY_REQUESTS_PER_SECOND) currentLoadMs(target, engine) else remainingLoadMs(target, engine)
         val expectedMs = beforeMs + loadMs(target, model)
         pendingLoads[name] = PendingLoad(target, nowMs + MODEL_REQUEST_INTERVAL_MS, expectedMs)
-        requestLoad(target, plan, name, null, model.loadMs * 2, mayEvict, callers)
+        requestLoad(target, engine, name, null, model.loadMs * 2, mayEvict, callers)
         return Choice.Later(expectedMs)
     }
 
     /** Returns the expected time until the load in progress and the pending loads of [target] are complete; 0 if there are none. */
     private fun remainingLoadMs(
         target: Target,
-        plan: EngineConfiguration,
+        engine: EngineConfiguration,
     ): Long {
         val queuedMs =
             target.status
                 ?.wished
                 .orEmpty()
-                .sumOf { wished -> plan.models[ModelId(wished)]?.let { loadMs(target, it) } ?: 0 }
-        return currentLoadMs(target, plan) + queuedMs
+                .sumOf { wished -> engine.models[ModelId(wished)]?.let { loadMs(target, it) } ?: 0 }
+        return currentLoadMs(target, engine) + queuedMs
     }
 
     private fun currentLoadMs(
         target: Target,
-        plan: EngineConfiguration,
+        engine: EngineConfiguration,
     ): Long {
         val name = target.status?.loading ?: return 0
-        val model = plan.models[ModelId(name)] ?: return 0
+        val model = engine.models[ModelId(name)] ?: return 0
         return (loadMs(target, model) - target.loadingForMs).coerceAtLeast(MINIMUM_REMAINING_LOAD_MS)
     }
 
@@ -211,56 +212,57 @@
     /** Returns the expected time until [target] holds [model] plus the cost to other requests; null if it cannot load the model. */
     private fun costOfLoad(
         target: Target,
-        plan: EngineConfiguration,
+        engine: EngineConfiguration,
         model: ModelConfiguration,
         mayEvict: Boolean,
         valueMs: Double,
     ): Double? {
         val status = target.status ?: return null
-        val usedMb = status.models.sumOf { held -> plan.models[ModelId(held.model)]?.weightsMb ?: plan.weightsMb }
-        val reserveMb = plan.adapterSlots * (plan.models.values.maxOfOrNull { it.adapterMb } ?: 0)
-        val missingMb = usedMb + model.weightsMb + reserveMb - plan.weightsMb
+        val usedMb = status.models.sumOf { held -> engine.models[ModelId(held.model)]?.weightsMb ?: engine.weightsMb }
+        val reserveMb = engine.adapterSlots * (engine.models.values.maxOfOrNull { it.adapterMb } ?: 0)
+        val missingMb = usedMb + model.weightsMb + reserveMb - engine.weightsMb
         if (missingMb > 0 && !mayEvict) return null
-        val eviction = EvictionPlan.choose(evictionCandidates(target, status, plan), missingMb, LoadValue.callersOf(valueMs)) ?: return null
+        val eviction =
+            EvictionPlan.choose(evictionCandidates(target, status, engine), missingMb, LoadValue.callersOf(valueMs)) ?: return null
         if (eviction.costMs > valueMs) return null
         val storeMs = if (target.hasLocalCopy(model.model.value)) 0 else STORE_LOAD_COST_MS
         val tieBreak = Rendezvous.share(model.model.value, target.entry.target.value)
         val failures = target.failureShare() * model.loadMs
         val delayOfOthersMs = loadMs(target, model) * status.models.sumOf { it.requestsPerSecond.toDouble() } * DELAYED_SHARE
-        return remainingLoadMs(target, plan) + loadMs(target, model) + storeMs + eviction.costMs + eviction.waitMs + tieBreak + failures +
+        return remainingLoadMs(target, engine) + loadMs(target, model) + storeMs + eviction.costMs + eviction.waitMs + tieBreak + failures +
             delayOfOthersMs
     }
 
     private fun evictionCandidates(
         target: Target,
         status: KeeperMessage.Status,
-        plan: EngineConfiguration,
+        engine: EngineConfiguration,
     ): List<EvictionCandidate> {
         val others = registry.otherTargets(target)
         return status.models.map { held ->
-            val replicas = otherReplicas(target, others, held.model, plan)
-            val heldPlan = plan.models[ModelId(held.model)]
+            val replicas = otherReplicas(target, others, held.model, engine)
+            val heldConfiguration = engine.models[ModelId(held.model)]
             val hasLocalCopy = held.model in status.inMemory || held.model in status.onDisk
             EvictionCandidate(
                 model = ModelId(held.model),
-                memoryMb = heldPlan?.weightsMb ?: 0,
+                memoryMb = heldConfiguration?.weightsMb ?: 0,
                 requestsPerSecond = held.requestsPerSecond.toDouble(),
                 idleMs = held.idleMs,
                 inFlight = held.inFlight,
                 otherCopies = replicas.count,
                 answerMs = state.workStatistics.answerMs(held.model).toLong(),
                 surplus = replicas.suffice,
-                reloadMs = (if (hasLocalCopy) heldPlan?.loadFromDiskMs else heldPlan?.loadMs) ?: 0,
+                reloadMs = (if (hasLocalCopy) heldConfiguration?.loadFromDiskMs else heldConfiguration?.loadMs) ?: 0,
             )
         }
     }
 
     private suspend fun requestLoad(
         target: Target,
-        plan: EngineConfiguration,
+        engine: EngineConfiguration,
         model: String,
         adapter: String?,
-        patienceMs: Long,
+        timeoutMs: Long,
         mayEvict: Boolean,
         callers: Double = 1.0,
     ) {
@@ -272,18 +274,18 @@
                         .orEmpty()
                         .map { it.model } + model
             ).distinct()
-        val sizes = held.mapNotNull { plan.models[ModelId(it)] }.map { ModelSize(it.model.value, it.weightsMb, it.adapterMb) }
+        val sizes = held.mapNotNull { engine.models[ModelId(it)] }.map { ModelSize(it.model.value, it.weightsMb, it.adapterMb) }
         val others = registry.otherTargets(target)
-        val replicas = held.associateWith { otherReplicas(target, others, it, plan) }
+        val replicas = held.associateWith { otherReplicas(target, others, it, engine) }
         target.keeper?.send(
             KeeperMessage.Wish(
                 target = target.entry.target.value,
                 model = model,
                 adapter = adapter,
-                patienceMs = patienceMs,
+                patienceMs = timeoutMs,
                 mayEvict = mayEvict,
-                memoryMb = plan.weightsMb,
-                adapterSlots = plan.adapterSlots,
+                memoryMb = engine.weightsMb,
+                adapterSlots = engine.adapterSlots,
                 sizes = sizes,
                 copiesElsewhere = replicas.flatMap { (name, replicas) -> List(replicas.count) { name } },
                 surplus = replicas.filterValues { it.suffice }.keys.toList(),
@@ -312,12 +314,12 @@
         target: Target,
         others: List<Target>,
         model: String,
-        plan: EngineConfiguration,
+        engine: EngineConfiguration,
     ): Replicas {
         val holders = others.filter { model in it.models }
         val share = { holder: Target -> Rendezvous.share(model, holder.entry.target.value) }
         if (holders.isEmpty() || holders.any { share(it) < share(target) }) return Replicas(0, suffice = false)
-        val suffice = holders.size >= CopyPlan.needed(loadOf(model, holders + target, plan))
+        val suffice = holders.size >= CopyPlan.needed(loadOf(model, holders + target, engine))
         return Replicas(holders.size.coerceAtMost(MAXIMUM_REPORTED_REPLICAS), suffice)
     }
 
@@ -325,14 +327,14 @@
     fun loadOf(
         model: String,
         holders: List<Target>,
-        plan: EngineConfiguration,
+        engine: EngineConfiguration,
     ): ModelLoad {
         val requestsPerSecond =
             holders.sumOf { holder ->
                 val held = holder.status?.models?.firstOrNull { it.model == model }
                 held?.requestsPerSecond?.toDouble() ?: 0.0
             }
-        return state.workStatistics.load(model, requestsPerSecond, PROMPT_TOKENS_PER_MS, plan.batch)
+        return state.workStatistics.load(model, requestsPerSecond, PROMPT_TOKENS_PER_MS, engine.batch)
     }
 
     private companion object {
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -230,7 +230,7 @@
 
     @Test
     fun `a model that no target holds is prepared though a keeper is out of touch`() {
-        val plan =
+        val model =
             ModelConfiguration(
                 ModelId("m"),
                 weightsMb = 1,
@@ -241,14 +241,14 @@
             )
         val wished = CountDownLatch(1)
         TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { idleKeeper(it, CountDownLatch(0), wished) } }
-        val engine = EngineConfiguration(1, 1, weightsMb = 1, adapterSlots = 0, mapOf(plan.model to plan))
+        val engine = EngineConfiguration(1, 1, weightsMb = 1, adapterSlots = 0, mapOf(model.model to model))
         start(RepeatKind.ONCE, streaming = true, engine, listOf(LOOPBACK, HOST_WITHOUT_KEEPER))
         assertTrue(wished.await(NEVER_S, TimeUnit.SECONDS))
     }
 
     @Test
     fun `who still waits for weights when the gateway goes is told that nothing ran`() {
-        val plan =
+        val model =
             ModelConfiguration(
                 ModelId("m"),
                 weightsMb = 1,
@@ -260,7 +260,7 @@
         val touch = CountDownLatch(GatewayFixture.TARGETS)
         val wished = CountDownLatch(1)
         TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { idleKeeper(it, touch, wished) } }
-        start(RepeatKind.ONCE, streaming = true, EngineConfiguration(1, 1, weightsMb = 1, adapterSlots = 0, mapOf(plan.model to plan)))
+        start(RepeatKind.ONCE, streaming = true, EngineConfiguration(1, 1, weightsMb = 1, adapterSlots = 0, mapOf(model.model to model)))
         touch.await()
         fixture.connect().use { socket ->
             val head = "POST /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\nModel: m\r\nContent-Length: 0\r\n\r\n"
@@ -319,8 +319,8 @@
     // Guards against a planned stop that closes connections whose requests a target still holds, so that their callers hear nothing.
     @Test
     fun `whoever a target has not answered when the gateway goes hears that the outcome is unknown`() {
-        val plan = ModelConfiguration(ModelId("m"), weightsMb = 1, adapterMb = 0, loadMs = 1, loadFromMemoryMs = 1, loadFromDiskMs = 1)
-        val engine = EngineConfiguration(9, 9_999, weightsMb = 1, adapterSlots = 0, mapOf(plan.model to plan))
+        val model = ModelConfiguration(ModelId("m"), weightsMb = 1, adapterMb = 0, loadMs = 1, loadFromMemoryMs = 1, loadFromDiskMs = 1)
+        val engine = EngineConfiguration(9, 9_999, weightsMb = 1, adapterSlots = 0, mapOf(model.model to model))
         val touch = CountDownLatch(GatewayFixture.TARGETS)
         val reached = CountDownLatch(heldCases.size)
         TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { attentiveKeeper(it, touch) } }
--- a/gateway/src/test/kotlin/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/TargetSelectorTest.kt
@@ -27,7 +27,7 @@
         HeaderNames("Id", "Deadline", "Model", "Tokens", "Parts", "Last", "Signature", "Target", "Answering", "Not", "Urgency", emptySet())
     private val service = ServiceId("s")
     private val small = ModelConfiguration(ModelId("m"), 60, 0, loadMs = 6_000, loadFromMemoryMs = 300, loadFromDiskMs = 500)
-    private val plan =
+    private val engine =
         EngineConfiguration(
             batch = 64,
             promptCacheTokens = 100,
@@ -128,7 +128,7 @@
     private fun check(case: Case) {
         val state = GatewayState()
         val registry = registry(case.targets, state)
-        state.configuration = GatewayConfiguration(1, listOf(route), mapOf(service to ServiceConfiguration(service, 9, plan)))
+        state.configuration = GatewayConfiguration(1, listOf(route), mapOf(service to ServiceConfiguration(service, 9, engine)))
         val head = RequestHead("POST", "/", HttpHeaders(listOf(HttpHeader(names.model, case.model))))
         val request = ForwardedRequest.of(head, ByteArray(0), route, loop.clock.nowMs(), names)
         val choice = runBlocking { TargetSelector(loop.clock, registry, topology, state).choose(request, emptyMap()) }
--- a/gateway/src/test/kotlin/TargetSilenceTest.kt
+++ b/gateway/src/test/kotlin/TargetSilenceTest.kt
@@ -98,7 +98,14 @@
                 when (step.what) {
                     What.SEND -> {
                         val send =
-                            InFlightRequest(case.model, null, 1, case.retryable, callerTimeoutMs = 3_200, lastProgressMs = clock.nowMs())
+                            InFlightRequest(
+                                model = case.model,
+                                adapter = null,
+                                promptTokens = 1,
+                                retryable = case.retryable,
+                                callerIdleTimeoutMs = 3_200,
+                                lastProgressMs = clock.nowMs(),
+                            )
                         send.cancel = { givenUpMs.putIfAbsent(send, clock.nowMs() - startMs) }
                         begun += send
                         target.begin(send)
