--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -73,8 +73,13 @@
                 Choice.None("holders tried")
             } else {
                 val waiting = state.waitingCallers.weight(model, nowMs + modelConfiguration.loadFromDiskMs)
-                val callers = maxOf(waiting, LoadValue.weightOf(inTime = false))
-                requestModel(ready, engine, modelConfiguration, mayEvict = true, callers = callers)
+                requestModel(
+                    ready,
+                    engine,
+                    modelConfiguration,
+                    mayEvict = true,
+                    callers = maxOf(waiting, LoadValue.weightOf(inTime = false)),
+                )
             }
         }
         val adapter = request.adapter
--- a/gateway/src/test/kotlin/Chunks.kt
+++ b/gateway/src/test/kotlin/Chunks.kt
@@ -1,6 +1,6 @@
 package org.almondjunction.gateway
 
-/** Returns the body of a chunked [answer], and whether it was whole or cut. */
+/** Returns the decoded body of a chunked [answer], followed by "|end" if it is complete and by "|cut" if not. */
 internal fun unchunk(answer: String): String {
     val out = StringBuilder()
     var rest = answer.substringAfter("\r\n\r\n")
--- a/gateway/src/test/kotlin/EventSplitterTest.kt
+++ b/gateway/src/test/kotlin/EventSplitterTest.kt
@@ -12,14 +12,14 @@
 
 class EventSplitterTest {
     @Test
-    fun `only whole events leave, however the bytes are cut`() =
+    fun `only complete events are returned, however the bytes are split`() =
         runBlocking<Unit> {
             checkAll(PropTestConfig(seed = 12, iterations = 300), Arb.long()) { seed ->
                 val random = Random(seed)
                 val lineEnd = if (random.nextBoolean()) "\n" else "\r\n"
                 val events = List(random.nextInt(0, 8)) { "id: $it${lineEnd}data: ${"x".repeat(random.nextInt(0, 40))}$lineEnd$lineEnd" }
-                val torn = if (random.nextBoolean()) "id: 99${lineEnd}data: torn" else ""
-                val bytes = (events.joinToString("") + torn).toByteArray()
+                val incomplete = if (random.nextBoolean()) "id: 99${lineEnd}data: part" else ""
+                val bytes = (events.joinToString("") + incomplete).toByteArray()
                 val splitter = EventSplitter()
                 val out = StringBuilder()
                 var position = 0
@@ -29,13 +29,13 @@
                     position = end
                 }
                 assertEquals(events.joinToString(""), out.toString(), "seed $seed")
-                assertEquals(torn.isNotEmpty(), splitter.hasIncompleteEvent, "seed $seed")
+                assertEquals(incomplete.isNotEmpty(), splitter.hasIncompleteEvent, "seed $seed")
                 assertEquals(events.indices.lastOrNull()?.toString(), splitter.lastEvent, "seed $seed")
             }
         }
 
     @Test
-    fun `after a break the unfinished event is dropped and the next source begins with a whole one`() {
+    fun `an incomplete event is discarded, and the next event is returned as a complete one`() {
         val splitter = EventSplitter()
         splitter.feed("id: 1\ndata: a\n\nid: 2\nda".toByteArray())
         splitter.discardIncompleteEvent()
--- a/gateway/src/test/kotlin/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/GatewayFixture.kt
@@ -18,7 +18,7 @@
 import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
 
-/** A gateway on loopback before targets that a test plays. */
+/** A gateway on loopback with targets whose connections are served by the test. */
 internal class GatewayFixture(
     graceMs: Long = 8_000,
 ) : AutoCloseable {
@@ -40,7 +40,7 @@
 
     private fun freePort() = ServerSocket(0).use { it.localPort }
 
-    /** Starts the gateway with the one [route] and a target on each of [hosts], whose connections [target] serves. */
+    /** Starts the gateway with a single [route] and a target on each of [hosts]; [target] serves their connections. */
     fun start(
         route: Route,
         engine: EngineConfiguration? = null,
@@ -48,7 +48,7 @@
         target: suspend (TcpConnection) -> Unit,
     ): Unit = start(listOf(route), engine, hosts, target)
 
-    /** Starts the gateway with [routes] and a target on each of [hosts], whose connections [target] serves. */
+    /** Starts the gateway with [routes] and a target on each of [hosts]; [target] serves their connections. */
     fun start(
         routes: List<Route>,
         engine: EngineConfiguration? = null,
@@ -71,7 +71,7 @@
 
     fun connect(): Socket = Socket(LOOPBACK, callersPort)
 
-    /** Sends [request] on a connection of its own and returns all that comes back. */
+    /** Sends [request] on a new connection and returns all received bytes as text. */
     fun ask(request: String): String =
         connect().use { socket ->
             socket.getOutputStream().write(request.toByteArray())
@@ -103,7 +103,7 @@
                 setOf("target"),
             )
 
-        /** A route to everything, which a test changes where it needs to. */
+        /** Returns a route for all paths with defaults for the other properties. */
         fun route(
             retryKind: RepeatKind,
             streaming: Boolean,
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -30,7 +30,7 @@
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
-/** A gateway before two targets on loopback whose answers are scripted, one for each request that reaches either of them. */
+/** Tests a gateway with two targets on loopback; the script holds one response for each request, whichever target receives it. */
 class GatewayTest {
     private val fixture = GatewayFixture(graceMs = 3_900)
     private val loop get() = fixture.loop
@@ -47,10 +47,11 @@
         hosts: List<String> = List(GatewayFixture.TARGETS) { LOOPBACK },
         callerIdleTimeoutMs: Long = 60_000,
     ): Unit =
-        GatewayFixture
-            .route(retryKind, streaming)
-            .copy(callerIdleTimeoutMs = callerIdleTimeoutMs)
-            .let { route -> fixture.start(route, engine, hosts) { target(it) } }
+        fixture.start(
+            GatewayFixture.route(retryKind, streaming).copy(callerIdleTimeoutMs = callerIdleTimeoutMs),
+            engine,
+            hosts,
+        ) { target(it) }
 
     private suspend fun target(connection: TcpConnection) {
         val reader = HttpReader(connection)
@@ -84,9 +85,9 @@
     private val served = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok"
     private val refused = "HTTP/1.1 503 X\r\nId: 7\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
     private val failed = "HTTP/1.1 500 X\r\nId: 7\r\nSignature: f\r\nContent-Length: 3\r\n\r\nbad"
-    private val torn = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\nContent-Length: 9\r\n\r\nok"
+    private val truncated = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\nContent-Length: 9\r\n\r\nok"
     private val unsigned = "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nok"
-    private val alien = "HTTP/1.1 200 OK\r\nId: 6\r\nSignature: o\r\nContent-Length: 5\r\n\r\nalien"
+    private val otherRequest = "HTTP/1.1 200 OK\r\nId: 6\r\nSignature: o\r\nContent-Length: 5\r\n\r\nother"
     private val another = "HTTP/1.1 421 X\r\nId: 7\r\nAnswering: t9\r\nContent-Length: 0\r\n\r\n"
 
     private data class Case(
@@ -99,7 +100,7 @@
     private fun check(case: Case) {
         script.clear()
         seen.clear()
-        case.answers.forEach { script += if (it === torn || it.isEmpty()) thenClose(it) else raw(it) }
+        case.answers.forEach { script += if (it === truncated || it.isEmpty()) thenClose(it) else raw(it) }
         val answer = ask(body = "abc")
         assertEquals(case.expectedStatus, answer.substringAfter(' ').take(3).toInt(), "$case: $answer")
         case.expectedBody?.let { assertEquals(it, answer.substringAfter("\r\n\r\n"), "$case") }
@@ -108,28 +109,28 @@
     }
 
     @Test
-    fun `a request that may run once is sent again only where it is known not to have run`() {
+    fun `a request that may run only once is retried only if it is known not to have run`() {
         start(RepeatKind.ONCE, streaming = false)
         listOf(
             Case(RepeatKind.ONCE, listOf(served), 200, "ok"),
             Case(RepeatKind.ONCE, listOf(refused, served), 200, "ok"),
             Case(RepeatKind.ONCE, listOf(another, served), 200, "ok"),
             Case(RepeatKind.ONCE, listOf(failed), 500, "bad"),
-            Case(RepeatKind.ONCE, listOf(torn), 502),
+            Case(RepeatKind.ONCE, listOf(truncated), 502),
             Case(RepeatKind.ONCE, listOf(unsigned), 502),
             Case(RepeatKind.ONCE, listOf(""), 502),
-            Case(RepeatKind.ONCE, listOf(alien + served), 200, "ok"),
+            Case(RepeatKind.ONCE, listOf(otherRequest + served), 200, "ok"),
             Case(RepeatKind.ONCE, listOf("nonsense\r\n\r\n"), 502),
         ).forEach { check(it) }
     }
 
     @Test
-    fun `a request that may be repeated is sent to another target within its limit`() {
+    fun `a request that may be retried is sent to another target within its limit`() {
         start(RepeatKind.IDEMPOTENT, streaming = false)
         listOf(
             Case(RepeatKind.IDEMPOTENT, listOf(failed, served), 200, "ok"),
             Case(RepeatKind.IDEMPOTENT, listOf(failed, failed), 500, "bad"),
-            Case(RepeatKind.IDEMPOTENT, listOf(torn, served), 200, "ok"),
+            Case(RepeatKind.IDEMPOTENT, listOf(truncated, served), 200, "ok"),
             Case(RepeatKind.IDEMPOTENT, listOf("", unsigned), 502),
         ).forEach { check(it) }
     }
@@ -141,7 +142,7 @@
     private fun events(vararg ids: Int) = ids.joinToString("") { "id: $it\ndata: e$it\n\n" }
 
     @Test
-    fun `a stream that broke off goes on at another target after its last whole event`() {
+    fun `a truncated stream is resumed at another target after its last complete event`() {
         start(RepeatKind.RESUMABLE, streaming = true)
         script += thenClose(streamHead + chunk(events(1, 2) + "id: 3\nda"))
         script += raw(streamHead.replace("s1", "s2") + chunk(events(3, 4)) + "0\r\n\r\n")
@@ -152,7 +153,7 @@
     }
 
     @Test
-    fun `a stream that may run once is cut where its target cut it, and never looks complete`() {
+    fun `a stream that may run only once is truncated where its target truncated it, and never looks complete`() {
         start(RepeatKind.ONCE, streaming = true)
         script += thenClose(streamHead + chunk(events(1) + "id: 2\nda"))
         assertEquals(events(1) + "|cut", unchunk(ask()))
@@ -160,7 +161,7 @@
     }
 
     @Test
-    fun `a caller's close resets the connection to the target, so that bytes held up on the way never arrive`() {
+    fun `a caller's disconnect resets the connection to the target, so that delayed bytes never arrive`() {
         start(RepeatKind.ONCE, streaming = false)
         val working = CountDownLatch(1)
         val left = CountDownLatch(1)
@@ -179,7 +180,7 @@
     }
 
     @Test
-    fun `a request that may be repeated leaves a silent target for another one`() {
+    fun `a request that may be retried is moved from a silent target to another one`() {
         start(RepeatKind.RESUMABLE, streaming = true)
         script += { _, _ -> }
         script += raw(streamHead + chunk(events(1)) + "0\r\n\r\n")
@@ -188,7 +189,7 @@
     }
 
     @Test
-    fun `the caller of a silent target is told before it leaves`() {
+    fun `the caller of a silent target gets an error response before it disconnects`() {
         start(RepeatKind.ONCE, streaming = true, callerIdleTimeoutMs = 100)
         script += { _, _ -> }
         assertEquals("HTTP/1.1 502", ask().take("HTTP/1.1 502".length))
@@ -196,7 +197,7 @@
     }
 
     @Test
-    fun `what only the system sets is not taken from callers, and the deadline shrinks`() {
+    fun `reserved headers of callers are dropped, and the deadline is reduced`() {
         start(RepeatKind.ONCE, streaming = false)
         script += raw(served)
         ask(extra = "Target: forged\r\nX-Other: kept\r\n")
@@ -212,24 +213,24 @@
         )
     }
 
-    /** A keeper whose engine holds nothing, and that notes when it is in [touch] and what is [wished] for instead of loading it. */
+    /** A keeper whose engine holds no models and loads none; counts usage reports on [reported] and load requests on [requested]. */
     private suspend fun idleKeeper(
         connection: TcpConnection,
-        touch: CountDownLatch,
-        wished: CountDownLatch,
+        reported: CountDownLatch,
+        requested: CountDownLatch,
     ) {
         val channel = MessageChannel(connection)
         while (true) {
             when (channel.receive() ?: break) {
                 is KeeperMessage.Greeting -> channel.send(KeeperMessage.Status(models = emptyList()))
-                is KeeperMessage.Usage -> touch.countDown()
-                else -> wished.countDown()
+                is KeeperMessage.Usage -> reported.countDown()
+                else -> requested.countDown()
             }
         }
     }
 
     @Test
-    fun `a model that no target holds is prepared though a keeper is out of touch`() {
+    fun `a model that no target holds is preloaded although one keeper is unreachable`() {
         val model =
             ModelConfiguration(
                 ModelId("m"),
@@ -239,15 +240,15 @@
                 loadFromMemoryMs = 10_000,
                 loadFromDiskMs = 10_000,
             )
-        val wished = CountDownLatch(1)
-        TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { idleKeeper(it, CountDownLatch(0), wished) } }
+        val requested = CountDownLatch(1)
+        TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { idleKeeper(it, CountDownLatch(0), requested) } }
         val engine = EngineConfiguration(1, 1, weightsMb = 1, adapterSlots = 0, mapOf(model.model to model))
         start(RepeatKind.ONCE, streaming = true, engine, listOf(LOOPBACK, HOST_WITHOUT_KEEPER))
-        assertTrue(wished.await(NEVER_S, TimeUnit.SECONDS))
+        assertTrue(requested.await(TEST_TIMEOUT_S, TimeUnit.SECONDS))
     }
 
     @Test
-    fun `who still waits for weights when the gateway goes is told that nothing ran`() {
+    fun `a caller that waits for weights at shutdown gets the response that its request did not run`() {
         val model =
             ModelConfiguration(
                 ModelId("m"),
@@ -257,105 +258,105 @@
                 loadFromMemoryMs = 10_000,
                 loadFromDiskMs = 10_000,
             )
-        val touch = CountDownLatch(GatewayFixture.TARGETS)
-        val wished = CountDownLatch(1)
-        TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { idleKeeper(it, touch, wished) } }
+        val reported = CountDownLatch(GatewayFixture.TARGETS)
+        val requested = CountDownLatch(1)
+        TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { idleKeeper(it, reported, requested) } }
         start(RepeatKind.ONCE, streaming = true, EngineConfiguration(1, 1, weightsMb = 1, adapterSlots = 0, mapOf(model.model to model)))
-        touch.await()
+        reported.await()
         fixture.connect().use { socket ->
             val head = "POST /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\nModel: m\r\nContent-Length: 0\r\n\r\n"
             socket.getOutputStream().write(head.toByteArray())
-            wished.await()
-            runLeave()
+            requested.await()
+            runShutDown()
             val answer = socket.getInputStream().run { readNBytes(available()) }.decodeToString()
             assertEquals("HTTP/1.1 503", answer.take("HTTP/1.1 503".length))
         }
         assertEquals(emptyList(), seen)
     }
 
-    /** A request that a target has not answered when the gateway goes; [beginning] is what came of its answer. */
-    private data class HeldCase(
+    /** A request that a target has not answered completely at shutdown; [beginning] is the part of the response that has arrived. */
+    private data class PendingCase(
         val pattern: String,
         val retryKind: RepeatKind,
         val streaming: Boolean,
         val beginning: String = "",
     )
 
-    private val heldCases =
+    private val pendingCases =
         listOf(
-            HeldCase("a stream that may run once waits in the queue of its engine", RepeatKind.ONCE, streaming = true),
-            HeldCase("a resumable stream waits in the queue of its engine", RepeatKind.RESUMABLE, streaming = true),
-            HeldCase("a charge is worked on", RepeatKind.ONCE, streaming = false),
-            HeldCase("the head of a stream came, and no event", RepeatKind.RESUMABLE, streaming = true, streamHead),
-            HeldCase("an answer came in part", RepeatKind.ONCE, streaming = false, torn),
+            PendingCase("a stream that may run only once is queued in its engine", RepeatKind.ONCE, streaming = true),
+            PendingCase("a resumable stream is queued in its engine", RepeatKind.RESUMABLE, streaming = true),
+            PendingCase("a request that may run only once is being processed", RepeatKind.ONCE, streaming = false),
+            PendingCase("the head of a stream has arrived, and no event", RepeatKind.RESUMABLE, streaming = true, streamHead),
+            PendingCase("a part of a response has arrived", RepeatKind.ONCE, streaming = false, truncated),
         )
 
-    /** A keeper whose engine holds the model "m" and that answers each telling of uses, so that its target never counts as silent. */
-    private suspend fun attentiveKeeper(
+    /** A keeper whose engine holds the model "m"; answers each usage report, so that its target never counts as silent. */
+    private suspend fun activeKeeper(
         connection: TcpConnection,
-        touch: CountDownLatch,
+        reported: CountDownLatch,
     ) {
         val channel = MessageChannel(connection)
         while (true) {
             when (channel.receive() ?: break) {
                 is KeeperMessage.Greeting -> channel.send(KeeperMessage.Status(models = listOf(HeldModel("m", emptyList()))))
-                is KeeperMessage.Usage -> channel.send(KeeperMessage.Load()).also { touch.countDown() }
+                is KeeperMessage.Usage -> channel.send(KeeperMessage.Load()).also { reported.countDown() }
                 else -> continue
             }
         }
     }
 
-    /** Sends one request for each held case on a connection of its own, each on the route that bears its index. */
-    private fun sendHeld(): List<Socket> =
-        heldCases.mapIndexed { index, case ->
+    /** Sends the request of each pending case on a new connection, on the route with the index of the case. */
+    private fun sendPending(): List<Socket> =
+        pendingCases.mapIndexed { index, case ->
             val model = if (case.streaming) "Model: m\r\n" else ""
             val head = "POST /$index/ HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\n${model}Content-Length: 0\r\n\r\n"
             fixture.connect().apply {
-                soTimeout = TimeUnit.SECONDS.toMillis(NEVER_S).toInt()
+                soTimeout = TimeUnit.SECONDS.toMillis(TEST_TIMEOUT_S).toInt()
                 getOutputStream().write(head.toByteArray())
             }
         }
 
-    // Guards against a planned stop that closes connections whose requests a target still holds, so that their callers hear nothing.
+    // Guards against a shutdown that closes connections of callers without a response while targets still process their requests.
     @Test
-    fun `whoever a target has not answered when the gateway goes hears that the outcome is unknown`() {
+    fun `callers of requests that are pending at targets get the response that the outcome is unknown at shutdown`() {
         val model = ModelConfiguration(ModelId("m"), weightsMb = 1, adapterMb = 0, loadMs = 1, loadFromMemoryMs = 1, loadFromDiskMs = 1)
         val engine = EngineConfiguration(9, 9_999, weightsMb = 1, adapterSlots = 0, mapOf(model.model to model))
-        val touch = CountDownLatch(GatewayFixture.TARGETS)
-        val reached = CountDownLatch(heldCases.size)
-        TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { attentiveKeeper(it, touch) } }
+        val reported = CountDownLatch(GatewayFixture.TARGETS)
+        val received = CountDownLatch(pendingCases.size)
+        TcpListener(loop, Address(LOOPBACK, settings.keeperPort)) { scope.launch { activeKeeper(it, reported) } }
         val routes =
-            heldCases.mapIndexed { index, case ->
+            pendingCases.mapIndexed { index, case ->
                 GatewayFixture.route(case.retryKind, case.streaming).copy(name = "r$index", pathPrefix = "/$index/")
             }
         fixture.start(routes, engine) { connection ->
             val head = (HttpReader(connection).requestHead(9_999) as HeadResult.Read).head
-            connection.write(heldCases[head.target.trim('/').toInt()].beginning.toByteArray())
-            reached.countDown()
+            connection.write(pendingCases[head.target.trim('/').toInt()].beginning.toByteArray())
+            received.countDown()
         }
-        touch.await()
-        val callers = sendHeld()
-        reached.await()
-        runLeave()
-        heldCases.zip(callers).forEach { (case, caller) ->
+        reported.await()
+        val callers = sendPending()
+        received.await()
+        runShutDown()
+        pendingCases.zip(callers).forEach { (case, caller) ->
             val answer = caller.use { socket -> socket.getInputStream().readAllBytes().decodeToString() }
             assertEquals("HTTP/1.1 502", answer.take("HTTP/1.1 502".length), case.pattern)
             assertTrue(answer.endsWith("}\n"), "${case.pattern}: $answer")
         }
     }
 
-    // Guards against a promise that nothing ran for a request that its target had read when the target was removed as the gateway went.
+    // Guards against the response "not run" for a request that its target had read before the target was removed during shutdown.
     @Test
-    fun `a request that was left at its target in the last moment is not called not run`() {
+    fun `a request that is cancelled at its target during shutdown is not reported as not run`() {
         GatewayFixture(graceMs = 0).use { gateways ->
-            val reached = CountDownLatch(1)
+            val received = CountDownLatch(1)
             gateways.start(GatewayFixture.route(RepeatKind.IDEMPOTENT, streaming = false)) { connection ->
                 HttpReader(connection).requestHead(9_999)
-                reached.countDown()
+                received.countDown()
             }
             gateways.connect().use { socket ->
                 socket.getOutputStream().write("GET /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\n\r\n".toByteArray())
-                reached.await()
+                received.await()
                 gateways.scope.launch {
                     repeat(GatewayFixture.TARGETS) { gateways.gateway.directory.remove(TargetId("t$it"), trusted = true) }
                     gateways.gateway.shutDown()
@@ -366,18 +367,18 @@
         }
     }
 
-    // Guards against an unexpected error that closes its caller's connection without an answer.
+    // Guards against an unexpected error that closes the caller's connection without a response.
     @Test
-    fun `an unexpected error about a request is answered`() {
+    fun `an unexpected error while handling a request gets an error response`() {
         val routeWithoutService = GatewayFixture.route(RepeatKind.ONCE, streaming = false).copy(destinations = emptyList())
         fixture.start(routeWithoutService) { target(it) }
         val answer = ask()
         assertEquals("HTTP/1.1 502", answer.take("HTTP/1.1 502".length))
     }
 
-    // Guards against a stream to a caller of HTTP/1.0, whose end is that of its connection, that looks whole though it broke off.
+    // Guards against a truncated stream over HTTP/1.0 that looks complete, since there the end of the connection ends the body.
     @Test
-    fun `a stream to a caller of an old version that broke off ends with a failure of its connection`() {
+    fun `a truncated stream to a caller without chunked encoding ends with a connection reset`() {
         start(RepeatKind.ONCE, streaming = true)
         script += thenClose(streamHead + chunk(events(1) + "id: 2\nda"))
         fixture.connect().use { socket ->
@@ -386,24 +387,24 @@
         }
     }
 
-    // Guards against a begun answer that the end of a stop leaves open.
+    // Guards against a shutdown that leaves a response that has begun open.
     @Test
-    fun `a stream that has begun is broken off when the gateway goes`() {
+    fun `a stream that has begun is truncated at shutdown`() {
         start(RepeatKind.ONCE, streaming = true)
         script += raw(streamHead + chunk(events(1)))
         fixture.connect().use { socket ->
-            socket.soTimeout = TimeUnit.SECONDS.toMillis(NEVER_S).toInt()
+            socket.soTimeout = TimeUnit.SECONDS.toMillis(TEST_TIMEOUT_S).toInt()
             socket.getOutputStream().write("GET /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\n\r\n".toByteArray())
             val begun = ByteArray("HTTP/1.1 200".length).also { socket.getInputStream().readNBytes(it, 0, it.size) }
-            runLeave()
+            runShutDown()
             val rest = socket.getInputStream().readAllBytes()
             assertEquals(events(1) + "|cut", unchunk((begun + rest).decodeToString()))
         }
     }
 
-    // Guards against callers that keep using a connection to a gateway that goes, since nothing in its answers tells them.
+    // Guards against callers that keep using a connection to a gateway that shuts down, since its responses do not close the connection.
     @Test
-    fun `an answer that begins while the gateway goes tells its caller to use another connection`() {
+    fun `a response that begins during shutdown closes the connection`() {
         start(RepeatKind.ONCE, streaming = false)
         script += { connection, _ ->
             scope.launch { gateway.shutDown() }
@@ -420,7 +421,7 @@
 
     // Guards against a second SIGTERM that ends the process while the first still waits for accepted requests.
     @Test
-    fun `a second call to leave does not return before accepted requests are answered`() {
+    fun `a second call to shutDown does not return before accepted requests are answered`() {
         start(RepeatKind.ONCE, streaming = false)
         val secondReturned = AtomicBoolean()
         val returnedBeforeAnswer = CompletableFuture<Boolean>()
@@ -438,26 +439,26 @@
         assertFalse(returnedBeforeAnswer.get())
     }
 
-    /** Lets the gateway leave, and returns when it has. */
-    private fun runLeave() {
-        val left = CountDownLatch(1)
+    /** Shuts the gateway down, and returns when it has stopped. */
+    private fun runShutDown() {
+        val stopped = CountDownLatch(1)
         scope.launch {
             gateway.shutDown()
-            left.countDown()
+            stopped.countDown()
         }
-        left.await()
+        stopped.await()
     }
 
     @Test
-    fun `a gateway that goes begins no answer that it could not finish, and still gives short ones`() {
+    fun `during shutdown a gateway begins no response that it could not finish, and still serves short ones`() {
         start(RepeatKind.ONCE, streaming = true)
-        val left = CountDownLatch(1)
+        val stopping = CountDownLatch(1)
         scope.launch {
             gateway.state.answerDurations.record("r", firstPartMs = 0, wholeMs = 15_000, size = 1_000)
             launch { gateway.shutDown() }
-            left.countDown()
+            stopping.countDown()
         }
-        left.await()
+        stopping.await()
         script += raw(streamHead + chunk(events(1)) + "0\r\n\r\n")
         val refused = ask(extra = "Tokens: 10,1000\r\n")
         assertEquals("HTTP/1.1 503", refused.take("HTTP/1.1 503".length))
@@ -470,10 +471,10 @@
         const val LOOPBACK = GatewayFixture.LOOPBACK
         const val HOST_WITHOUT_KEEPER = "127.0.0.2"
 
-        /** Enough for a coroutine that was launched before to run until it waits. */
+        /** Enough for a previously launched coroutine to run until it suspends. */
         const val ROUNDS_OF_THE_LOOP = 9
 
-        /** Ends a test that would hang; far beyond what any machine needs. */
-        const val NEVER_S = 300L
+        /** Ends a test that would hang; far longer than any machine needs. */
+        const val TEST_TIMEOUT_S = 300L
     }
 }
--- a/gateway/src/test/kotlin/TargetDirectoryTest.kt
+++ b/gateway/src/test/kotlin/TargetDirectoryTest.kt
@@ -28,7 +28,7 @@
     ) = TargetEntry(TargetId(name), ServiceId("s"), Address("10.0.0.1", port), ZoneId("z"), ready, 4, startedMs, sequence, emptyMap())
 
     @Test
-    fun `an older telling never brings a leaving target back`() {
+    fun `a stale report never makes a draining target ready again`() {
         directory.put(entry("a", ready = false, sequence = 5))
         directory.put(entry("a", ready = true, sequence = 4))
         directory.put(entry("a", ready = true, sequence = 5))
@@ -40,7 +40,7 @@
     }
 
     @Test
-    fun `of two targets at one address the one that started later is alive`() {
+    fun `of two targets at one address the one that started later is kept`() {
         directory.put(entry("a", startedMs = 1))
         directory.put(entry("b", startedMs = 2))
         assertEquals(mapOf("b" to true), ready)
@@ -54,7 +54,7 @@
     }
 
     @Test
-    fun `entries that lapsed with the store are kept until they had time to return`() {
+    fun `entries that disappear while the list is not trusted are kept for the retention time`() {
         directory.replaceAll(listOf(entry("a"), entry("b"), entry("leaving", ready = false)), trusted = true)
         directory.replaceAll(emptyList(), trusted = false)
         assertEquals(setOf("a", "b"), ready.keys)
@@ -66,7 +66,7 @@
     }
 
     @Test
-    fun `what vanishes from a trusted list is gone at once`() {
+    fun `entries that disappear from a trusted list are removed immediately`() {
         directory.replaceAll(listOf(entry("a"), entry("b")), trusted = true)
         directory.replaceAll(listOf(entry("b")), trusted = true)
         directory.remove(TargetId("b"), trusted = true)
--- a/gateway/src/test/kotlin/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/TargetSelectorTest.kt
@@ -21,7 +21,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
-/** Rare models at once, model shift and a busy weight store, as a gateway meets them. Nothing is sent; keepers are out of reach. */
+/** Tests the selection for rarely requested models, changes of demand and a busy weight store, without connections to keepers. */
 class TargetSelectorTest {
     private val names =
         HeaderNames("Id", "Deadline", "Model", "Tokens", "Parts", "Last", "Signature", "Target", "Answering", "Not", "Urgency", emptySet())
@@ -61,20 +61,20 @@
         listOf(
             Case("the model is held", listOf(status(held("a")), status(held("m"))), "m", "t1"),
             Case(
-                "rare model, one host has its weights",
+                "rarely requested model, one host has its weights",
                 listOf(status(held("a")), status(held("b"), onDisk = listOf("m"))),
                 "m",
                 "in 500 ms",
             ),
             Case(
-                "rare models at once: the host that has the weights is in use, and still faster than the weight store",
+                "concurrent rare models: the host that has the weights is in use, and still faster than the weight store",
                 listOf(status(held("a")), status(held("b", inFlight = 1), onDisk = listOf("m"))),
                 "m",
                 "in 500 ms",
             ),
-            Case("model shift: nobody has the weights", listOf(status(held("a")), status(held("b"))), "m", "in 6000 ms"),
+            Case("change of demand: no host has the weights", listOf(status(held("a")), status(held("b"))), "m", "in 6000 ms"),
             Case(
-                "model shift: nobody has the weights, and the weight store is busy for others",
+                "change of demand: no host has the weights, and the weight store is busy with other models",
                 listOf(status(held("a"), loading = "b"), status(held("b"), loading = "c"), status()),
                 "m",
                 "in 12000 ms",
@@ -86,19 +86,20 @@
                 "in 500 ms",
             ),
             Case(
-                "all hosts back after a loss of power: begun from the weight store, but a host that was met later has the weights",
+                "restart of all hosts: loading from the weight store, but a host connected later has the weights",
                 listOf(status(loading = "m"), status(onDisk = listOf("m"))),
                 "m",
                 "in 500 ms",
             ),
-            Case("all hosts back after a loss of power: one is not met yet", listOf(status(), null), "m", "in 2000 ms"),
-            Case("the model is on its way", listOf(status(held("a"), loading = "m", onDisk = listOf("m")), status()), "m", "in 500 ms"),
+            Case("restart of all hosts: one is not connected yet", listOf(status(), null), "m", "in 2000 ms"),
+            Case("the model is being loaded", listOf(status(held("a"), loading = "m", onDisk = listOf("m")), status()), "m", "in 500 ms"),
             Case("an adapter that is loaded", listOf(status(held("m", adapters = listOf("a1"))), status(held("m"))), "m/a1", "t0"),
             Case("an adapter that is not loaded", listOf(status(held("m")), status()), "m/a1", "in 40 ms"),
         )
 
     @Test
-    fun `a request goes to the weights, or the weights come from where they are nearest`() = cases.forEach { check(it) }
+    fun `a request is sent to a holder of the model, or the model is loaded from the nearest copy of its weights`() =
+        cases.forEach { check(it) }
 
     private val loop = EventLoop(Clock { 1_000L })
     private val topology = Topology(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r")))
--- a/gateway/src/test/kotlin/TargetSilenceTest.kt
+++ b/gateway/src/test/kotlin/TargetSilenceTest.kt
@@ -12,7 +12,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
-/** An engine that is dark, cut off or gone with its host, as a gateway with requests at it sees it. */
+/** Tests the detection of engines that hang, are disconnected or lost with their host while requests are in flight. */
 class TargetSilenceTest {
     private val clock = VirtualClock()
 
@@ -21,7 +21,7 @@
 
     private fun target() = Target(EventLoop(clock), entry("t"), promptCacheTokens = 1)
 
-    /** What happens at one moment, in milliseconds. */
+    /** An event at [atMs], in milliseconds. */
     private data class Step(
         val atMs: Long,
         val what: What,
@@ -29,7 +29,7 @@
 
     private enum class What { SEND, END, TOKEN, KEEPER_ANSWER }
 
-    /** @property silentChangesMs when the target becomes silent, then sound, then silent again, and so on */
+    /** @property silentChangesMs when [Target.silent] changes, beginning with the first change to true */
     private data class Case(
         val pattern: String,
         val model: String?,
@@ -44,31 +44,31 @@
     private val cases =
         listOf(
             Case("nothing in flight", "m", emptyList(), emptyList(), emptyList()),
-            Case("an engine that goes dark with a request", "m", listOf(send), listOf(1_300), listOf(1_300)),
-            Case("a plain target that goes dark with a request", null, listOf(send), listOf(600), listOf(600)),
+            Case("an engine that becomes silent with a request", "m", listOf(send), listOf(1_300), listOf(1_300)),
+            Case("a plain target that becomes silent with a request", null, listOf(send), listOf(600), listOf(600)),
             Case(
-                "an engine that generates, until it goes dark",
+                "an engine that generates until it becomes silent",
                 "m",
                 listOf(send) + (1..20L).map { Step(it * 250, What.TOKEN) },
                 listOf(6_300),
                 listOf(6_300),
             ),
             Case(
-                "a long prompt is being read, and the keeper answers until its host is gone",
+                "a long prompt is being processed, and the keeper answers until its host is lost",
                 "m",
                 listOf(send) + (1..10L).map { Step(it * 500, What.KEEPER_ANSWER) },
                 listOf(6_300),
                 listOf(6_300),
             ),
             Case(
-                "an engine that comes back",
+                "an engine that recovers",
                 "m",
                 listOf(send, Step(5_000, What.KEEPER_ANSWER), Step(5_050, What.END)),
                 listOf(1_300, 5_000),
                 listOf(1_300),
             ),
             Case(
-                "a request that came just now is not given up yet",
+                "a request that arrived recently is not cancelled yet",
                 "m",
                 listOf(send, Step(1_250, What.SEND)),
                 listOf(1_300),
@@ -84,7 +84,7 @@
         )
 
     @Test
-    fun `a target with requests in flight is left when neither it nor its keeper gives a sign`() = cases.forEach { check(it) }
+    fun `requests in flight are cancelled when neither the target nor its keeper shows activity`() = cases.forEach { check(it) }
 
     private fun check(case: Case) {
         val target = target()
@@ -131,10 +131,10 @@
         val (first, second) = registry.ready(service)
         val expected = listOf(listOf(first, second), listOf(second), listOf(first, second))
         val actual =
-            listOf(null, first, second).map { darkened ->
-                darkened?.begin(InFlightRequest("m", null, promptTokens = 1))
+            listOf(null, first, second).map { silenced ->
+                silenced?.begin(InFlightRequest("m", null, promptTokens = 1))
                 clock.advanceBy(InFlightRequest.ENGINE_SILENCE_MS)
-                darkened?.checkSilence()
+                silenced?.checkSilence()
                 registry.ready(service)
             }
         assertEquals(expected, actual)
--- a/gateway/src/test/kotlin/TroubledTargetTest.kt
+++ b/gateway/src/test/kotlin/TroubledTargetTest.kt
@@ -10,7 +10,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** Targets in trouble: bytes that are no answer and never end, streams that drip, streams that are slow but sound. */
+/** Tests faulty targets: endless bytes that are no response, stalled streams that send single bytes, and slow but intact streams. */
 class TroubledTargetTest {
     private val fixture = GatewayFixture()
     private val gateway get() = fixture.gateway
@@ -27,8 +27,9 @@
         callerIdleTimeoutMs: Long = 60_000,
     ) {
         val route = GatewayFixture.route(retryKind, streaming)
-        val changed = route.copy(timeoutMs = 60_000, maximumTargets = maximumTargets, callerIdleTimeoutMs = callerIdleTimeoutMs)
-        fixture.start(changed) { target(it) }
+        fixture.start(
+            route.copy(timeoutMs = 60_000, maximumTargets = maximumTargets, callerIdleTimeoutMs = callerIdleTimeoutMs),
+        ) { target(it) }
     }
 
     private suspend fun target(connection: TcpConnection) {
@@ -40,7 +41,7 @@
 
     private fun ask(): String = fixture.ask("GET /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nConnection: close\r\n\r\n")
 
-    /** Sends [begin], and then [part] again and again until the gateway closes the connection. */
+    /** Sends [begin], and then [part] repeatedly until the gateway closes the connection. */
     private fun endless(
         begin: String,
         part: String,
@@ -59,7 +60,7 @@
     private val end = "0\r\n\r\n"
 
     @Test
-    fun `bytes without end that are no answer end the request, and nothing of them is kept`() {
+    fun `endless bytes that are no response end the request, and none of them stay buffered`() {
         start(RepeatKind.ONCE, streaming = false)
         val whole = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\n"
         mapOf(
@@ -84,7 +85,7 @@
     }
 
     @Test
-    fun `an event without end cuts the stream`() {
+    fun `an endless event truncates the stream`() {
         start(RepeatKind.ONCE, streaming = true)
         script += endless(streamHead + chunk(events(1) + "data: "), chunk("x".repeat(999)))
         assertEquals(events(1) + "|cut", unchunk(ask()))
@@ -92,7 +93,7 @@
     }
 
     @Test
-    fun `answers that together are too much for this process are given up, not gathered`() {
+    fun `responses that together exceed the memory budget are discarded instead of buffered`() {
         start(RepeatKind.IDEMPOTENT, streaming = false)
         val others = gateway.state.buffered.reserve()
         val room = (Runtime.getRuntime().maxMemory() / 4).toInt()
@@ -105,13 +106,13 @@
         assertEquals("HTTP/1.1 200", ask().take("HTTP/1.1 200".length))
     }
 
-    /** A stream that sends an event, and then a byte of the next one now and then. */
-    private val drips: suspend (TcpConnection) -> Unit = { connection ->
+    /** A stream that sends one event, and then single bytes of the next one. */
+    private val stalled: suspend (TcpConnection) -> Unit = { connection ->
         connection.write((streamHead + chunk(events(1))).toByteArray())
-        while (connection.write(chunk("x").toByteArray())) delay(DRIP_MS)
+        while (connection.write(chunk("x").toByteArray())) delay(BYTE_INTERVAL_MS)
     }
 
-    /** A stream whose events come further apart than those of a sound target usually do. */
+    /** A stream with a longer pause between events than a healthy target usually has. */
     private val slow: suspend (TcpConnection) -> Unit = { connection ->
         connection.write((streamHead + chunk(events(1))).toByteArray())
         delay(LONG_PAUSE_MS)
@@ -119,29 +120,29 @@
     }
 
     @Test
-    fun `a stalled stream that drips ends when its caller's patience does`() {
+    fun `a stalled stream that sends single bytes ends at the caller's idle timeout`() {
         start(RepeatKind.ONCE, streaming = true, callerIdleTimeoutMs = 300)
-        script += drips
+        script += stalled
         assertEquals(events(1) + "|cut", unchunk(ask()))
     }
 
     @Test
-    fun `a stalled stream that drips goes on elsewhere where that is allowed`() {
+    fun `a stalled stream that sends single bytes is resumed at another target if that is allowed`() {
         start(RepeatKind.RESUMABLE, streaming = true)
-        script += drips
+        script += stalled
         script += { connection -> connection.write((streamHead + chunk(events(2)) + end).toByteArray()) }
         assertEquals(events(1, 2) + "|end", unchunk(ask()))
     }
 
     @Test
-    fun `a slow but sound stream that may run once is whole`() {
+    fun `a slow but intact stream that may run only once is complete`() {
         start(RepeatKind.ONCE, streaming = true)
         script += slow
         assertEquals(events(1, 2) + "|end", unchunk(ask()))
     }
 
     @Test
-    fun `a slow but sound stream that no other target may continue is whole`() {
+    fun `a slow but intact stream that no other target may continue is complete`() {
         start(RepeatKind.RESUMABLE, streaming = true, maximumTargets = 1)
         script += slow
         assertEquals(events(1, 2) + "|end", unchunk(ask()))
@@ -150,7 +151,7 @@
 
     private companion object {
         const val BLOCK_BYTES = 16_384
-        const val DRIP_MS = 20L
+        const val BYTE_INTERVAL_MS = 20L
         const val LONG_PAUSE_MS = 1_300L
     }
 }
--- a/gateway/src/test/kotlin/WaitingCallersTest.kt
+++ b/gateway/src/test/kotlin/WaitingCallersTest.kt
@@ -5,7 +5,7 @@
 
 class WaitingCallersTest {
     @Test
-    fun `callers count while they wait, and more while they can be answered in time`() {
+    fun `callers count while they wait, with a higher weight if they can be served in time`() {
         val waiting = WaitingCallers()
         waiting.add("m", objectiveMs = 1_000)
         waiting.add("m", objectiveMs = 3_000)
