--- a/gateway/src/main/kotlin/TargetDirectory.kt
+++ b/gateway/src/main/kotlin/TargetDirectory.kt
@@ -104,7 +104,7 @@
         entries.keys.filter { it !in listed }.forEach { remove(it, trusted) }
     }
 
-    /** Drops the entries whose grace time has passed; must be called periodically. */
+    /** Drops the entries whose retention time has passed; must be called periodically. */
     public fun expire() {
         val nowMs = clock.nowMs()
         retained.filterValues { it <= nowMs }.keys.forEach { drop(it) }
--- a/gateway/src/test/kotlin/TroubledTargetTest.kt
+++ b/gateway/src/test/kotlin/TroubledTargetTest.kt
@@ -62,7 +62,7 @@
     @Test
     fun `endless bytes that are no response end the request, and none of them stay buffered`() {
         start(RepeatKind.ONCE, streaming = false)
-        val whole = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\n"
+        val signedHead = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\n"
         mapOf(
             "a status line" to endless("HTTP/1.1 200 ", "x"),
             "no line at all" to endless("", "x"),
@@ -72,11 +72,11 @@
             "interim answers" to endless("", "HTTP/1.1 100 Continue\r\n\r\n"),
             "answers to other requests" to endless("", "HTTP/1.1 200 OK\r\nId: 6\r\nContent-Length: 1\r\n\r\nx"),
             "an answer to another request" to endless("HTTP/1.1 200 OK\r\nId: 6\r\n\r\n", "x"),
-            "a body without length" to endless("$whole\r\n", "x"),
-            "a chunked body" to endless("${whole}Transfer-Encoding: chunked\r\n\r\n", chunk("x".repeat(999))),
-            "the size of a chunk" to endless("${whole}Transfer-Encoding: chunked\r\n\r\n", "0"),
-            "an extension of a chunk" to endless("${whole}Transfer-Encoding: chunked\r\n\r\n1;", "x"),
-            "trailers" to endless("${whole}Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"),
+            "a body without length" to endless("$signedHead\r\n", "x"),
+            "a chunked body" to endless("${signedHead}Transfer-Encoding: chunked\r\n\r\n", chunk("x".repeat(999))),
+            "the size of a chunk" to endless("${signedHead}Transfer-Encoding: chunked\r\n\r\n", "0"),
+            "an extension of a chunk" to endless("${signedHead}Transfer-Encoding: chunked\r\n\r\n1;", "x"),
+            "trailers" to endless("${signedHead}Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"),
         ).forEach { (pattern, flood) ->
             script += flood
             assertEquals("HTTP/1.1 502", ask().take("HTTP/1.1 502".length), pattern)
