--- a/gateway/src/main/kotlin/CallerAnswer.kt
+++ b/gateway/src/main/kotlin/CallerAnswer.kt
@@ -7,24 +7,24 @@
 import org.almondjunction.network.ResponseHead
 import org.almondjunction.network.TcpConnection
 
-/** The answer to one request of a caller, written in order and once only. */
+/** Response to one request of a caller; can be written only once. */
 internal class CallerAnswer(
     private val connection: TcpConnection,
     private val request: RequestHead?,
-    private val leaving: () -> Boolean = { false },
+    private val stopping: () -> Boolean = { false },
 ) {
-    /** Whether the head was written; from then on a failure can only be shown by ending the connection. */
+    /** Whether the head was written; after that a failure can only be signalled by closing the connection. */
     var begun = false
         private set
 
-    /** Whether the answer is complete. */
+    /** Whether the response is complete. */
     var complete = false
         private set
 
-    /** Whether the connection must end after this answer. */
-    var closes = request == null || request.version == HttpVersion.HTTP_1_0 || request.headers.hasToken("Connection", "close")
+    /** Whether the connection must be closed after this response. */
+    var closesConnection = request == null || request.version == HttpVersion.HTTP_1_0 || request.headers.hasToken("Connection", "close")
 
-    /** Answers with a status of our own. */
+    /** Writes an error response of the gateway itself. */
     suspend fun refuse(
         status: Int,
         reason: String,
@@ -33,53 +33,53 @@
         val body = "{\"status\":$status,\"reason\":\"$reason\"}\n".toByteArray()
         val headers = mutableListOf(HttpHeader("Content-Type", "application/problem+json"))
         if (retryAfterMs != null) headers += HttpHeader("Retry-After", seconds(retryAfterMs))
-        whole(status, headers, body)
+        writeComplete(status, headers, body)
     }
 
-    /** Hands on a target's answer with its whole [body]. */
-    suspend fun pass(
+    /** Writes the response of a target with its complete [body]. */
+    suspend fun relay(
         head: ResponseHead,
         body: ByteArray,
-    ): Unit = whole(head.status, head.headers.endToEnd(), body)
+    ): Unit = writeComplete(head.status, head.headers.endToEnd(), body)
 
-    private suspend fun whole(
+    private suspend fun writeComplete(
         status: Int,
         headers: List<HttpHeader>,
         body: ByteArray,
     ) {
-        check(!begun) { "An answer was begun twice." }
+        check(!begun) { "The response has already begun." }
         begun = true
         val all = headers + HttpHeader("Content-Length", body.size.toString()) + connectionHeaders()
-        val shown = if (request?.method == "HEAD") EMPTY else body
-        complete = connection.write(HttpWriter.response(status, all), shown)
+        val written = if (request?.method == "HEAD") EMPTY else body
+        complete = connection.write(HttpWriter.response(status, all), written)
     }
 
-    /** Begins an answer whose length is not known. */
+    /** Writes the head of a response of unknown length. */
     suspend fun begin(head: ResponseHead) {
-        check(!begun) { "An answer was begun twice." }
+        check(!begun) { "The response has already begun." }
         begun = true
         val framing = if (closesWithBody) emptyList() else listOf(HttpHeader("Transfer-Encoding", "chunked"))
         connection.write(HttpWriter.response(head.status, head.headers.endToEnd() + framing + connectionHeaders()))
     }
 
-    /** Adds [bytes] to the answer; returns false when the caller is gone. */
+    /** Writes [bytes] of the body; returns false if the caller has disconnected. */
     suspend fun add(bytes: ByteArray): Boolean = bytes.isEmpty() || connection.write(if (closesWithBody) bytes else HttpWriter.chunk(bytes))
 
-    /** Ends the answer as complete. */
+    /** Ends the body as complete. */
     suspend fun end() {
         complete = closesWithBody || connection.write(HttpWriter.LAST_CHUNK)
     }
 
-    /** Shows an answer that ends before it is complete as broken off where its end would look like that of a whole one. */
-    fun endIncomplete() {
+    /** Resets the connection of an incomplete response if a regular close would make it look complete. */
+    fun abortIfIncomplete() {
         if (begun && !complete && closesWithBody) connection.abort()
     }
 
     private val closesWithBody get() = request?.version == HttpVersion.HTTP_1_0
 
     private fun connectionHeaders(): List<HttpHeader> {
-        closes = closes || leaving()
-        return if (closes) listOf(HttpHeader("Connection", "close")) else emptyList()
+        closesConnection = closesConnection || stopping()
+        return if (closesConnection) listOf(HttpHeader("Connection", "close")) else emptyList()
     }
 
     private companion object {
--- /dev/null
+++ b/gateway/src/main/kotlin/TargetRegistry.kt
@@ -0,0 +1,148 @@
+package org.almondjunction.gateway
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import org.almondjunction.common.Address
+import org.almondjunction.common.ServiceId
+import org.almondjunction.common.TargetId
+import org.almondjunction.keeper.Demand
+import org.almondjunction.network.EventLoop
+import org.almondjunction.network.launchAlways
+
+/**
+ * Registry of the targets that this gateway may use.
+ *
+ * @param keeperPort port of the keeper next to each engine
+ */
+internal class TargetRegistry(
+    private val loop: EventLoop,
+    private val scope: CoroutineScope,
+    private val gateway: String,
+    private val keeperPort: Int,
+    private val state: GatewayState,
+) {
+    private val targets = mutableMapOf<TargetId, Target>()
+
+    /** Targets that are no longer listed but still have requests in flight. */
+    private val removedTargets = mutableSetOf<Target>()
+
+    private var knownGateways = setOf(gateway)
+    private var knownGatewaysChange = state.changed.count
+
+    /** Names of the gateways that are connected to keepers, including this one. */
+    val gateways: Set<String>
+        get() {
+            val changes = state.changed.count
+            if (changes != knownGatewaysChange) {
+                knownGateways = targets.values.flatMapTo(mutableSetOf(gateway)) { it.status?.gateways.orEmpty() }
+                knownGatewaysChange = changes
+            }
+            return knownGateways
+        }
+
+    fun start() {
+        scope.launchAlways("sweep of idle connections") {
+            while (true) {
+                delay(SWEEP_INTERVAL_MS)
+                targets.values.forEach { it.pool.sweep() }
+            }
+        }
+        scope.launchAlways("silence check") { checkSilence() }
+    }
+
+    private suspend fun checkSilence() {
+        var checkedMs = loop.clock.nowMs()
+        while (true) {
+            delay(CHECK_INTERVAL_MS)
+            val nowMs = loop.clock.nowMs()
+            // Activity that arrived while this process was suspended has not been read yet.
+            val suspended = nowMs - checkedMs > SUSPENSION_MS
+            checkedMs = nowMs
+            if (suspended) targets.values.forEach { it.resetSilence() }
+            removedTargets.removeIf { it.inFlight.isEmpty() }
+            removedTargets.toList().forEach { it.checkSilence() }
+            if (targets.values.toList().count { it.checkSilence() } > 0) state.changed.raise()
+        }
+    }
+
+    fun apply(change: TargetDirectory.Change) {
+        when (change) {
+            is TargetDirectory.Change.Put -> put(change.entry)
+            is TargetDirectory.Change.Removed -> targets.remove(change.target)?.let { drain(it) }
+        }
+        state.changed.raise()
+    }
+
+    private fun put(entry: TargetEntry) {
+        val known = targets[entry.target]
+        val same = known != null && known.entry.startedMs == entry.startedMs && known.entry.address == entry.address
+        if (known != null && same) {
+            known.update(entry)
+        } else {
+            known?.let { drain(it) }
+            targets[entry.target] = Target(loop, entry, promptCacheTokensOf(entry.service))
+        }
+        connectKeeper(targets.getValue(entry.target))
+    }
+
+    private fun drain(target: Target) {
+        target.close()
+        if (target.inFlight.isNotEmpty()) removedTargets += target
+    }
+
+    /** Connects to the keepers of all engines whose service is configured. */
+    fun connectKeepers(): Unit = targets.values.forEach { connectKeeper(it) }
+
+    private fun connectKeeper(target: Target) {
+        if (target.keeper != null ||
+            state.configuration
+                ?.services
+                ?.get(target.entry.service)
+                ?.engine == null
+        ) {
+            return
+        }
+        val address = Address(target.entry.address.ip, keeperPort)
+        target.keeper = KeeperLink(loop, scope, gateway, address, target, state.changed) { demandAt(target) }
+    }
+
+    /** Returns this gateway's demand for the models of [target], divided by the number of engines that hold the same model. */
+    private fun demandAt(target: Target): List<Demand> {
+        val nowMs = loop.clock.nowMs()
+        val others = otherTargets(target)
+        return target.models.keys.map { model ->
+            val replicas = 1 + others.count { model in it.models }
+            Demand(model, (state.demand.perSecond(model, nowMs) / replicas).toFloat(), state.workStatistics.answerMs(model).toInt())
+        }
+    }
+
+    private fun promptCacheTokensOf(service: ServiceId): Long =
+        state.configuration
+            ?.services
+            ?.get(service)
+            ?.engine
+            ?.promptCacheTokens ?: DEFAULT_PROMPT_CACHE_TOKENS
+
+    fun ready(service: ServiceId): List<Target> =
+        targets.values
+            .filter {
+                it.entry.service == service &&
+                    it.entry.ready &&
+                    !it.closed &&
+                    it.answering
+            }.let { accepting -> accepting.filterNot { it.silent }.ifEmpty { accepting } }
+
+    /** Returns the other targets that accept requests for the service of [target]. */
+    fun otherTargets(target: Target): List<Target> = ready(target.entry.service).filter { it !== target }
+
+    private companion object {
+        const val SWEEP_INTERVAL_MS = 1_000L
+        const val CHECK_INTERVAL_MS = 100L
+
+        /** A longer interval between checks shows that this process was suspended; well below the shortest silence limit. */
+        const val SUSPENSION_MS = 400L
+
+        /** Assumed until a configuration is in force. */
+        const val DEFAULT_PROMPT_CACHE_TOKENS = 200_000L
+    }
+}
--- a/gateway/src/test/kotlin/TargetDirectoryTest.kt
+++ b/gateway/src/test/kotlin/TargetDirectoryTest.kt
@@ -12,7 +12,7 @@
     private val clock = VirtualClock()
     private val ready = mutableMapOf<String, Boolean>()
     private val directory =
-        TargetDirectory(clock, graceMs = 2_000) { change ->
+        TargetDirectory(clock, retentionMs = 2_000) { change ->
             when (change) {
                 is TargetDirectory.Change.Put -> ready[change.entry.target.value] = change.entry.ready
                 is TargetDirectory.Change.Removed -> ready -= change.target.value
@@ -22,39 +22,39 @@
     private fun entry(
         name: String,
         ready: Boolean = true,
-        bornMs: Long = 1,
+        startedMs: Long = 1,
         sequence: Long = 1,
         port: Int = 80,
-    ) = TargetEntry(TargetId(name), ServiceId("s"), Address("10.0.0.1", port), ZoneId("z"), ready, 4, bornMs, sequence, emptyMap())
+    ) = TargetEntry(TargetId(name), ServiceId("s"), Address("10.0.0.1", port), ZoneId("z"), ready, 4, startedMs, sequence, emptyMap())
 
     @Test
-    fun `an older telling never brings a leaving target back`() {
+    fun `a stale report never makes a draining target ready again`() {
         directory.put(entry("a", ready = false, sequence = 5))
         directory.put(entry("a", ready = true, sequence = 4))
         directory.put(entry("a", ready = true, sequence = 5))
         assertEquals(mapOf("a" to false), ready)
-        directory.put(entry("a", ready = true, bornMs = 2, sequence = 1))
+        directory.put(entry("a", ready = true, startedMs = 2, sequence = 1))
         assertEquals(mapOf("a" to true), ready)
-        directory.put(entry("a", ready = false, bornMs = 1, sequence = 9))
+        directory.put(entry("a", ready = false, startedMs = 1, sequence = 9))
         assertEquals(mapOf("a" to true), ready)
     }
 
     @Test
-    fun `of two targets at one address the one that started later is alive`() {
-        directory.put(entry("a", bornMs = 1))
-        directory.put(entry("b", bornMs = 2))
+    fun `of two targets at one address the one that started later is kept`() {
+        directory.put(entry("a", startedMs = 1))
+        directory.put(entry("b", startedMs = 2))
         assertEquals(mapOf("b" to true), ready)
-        directory.put(entry("a", bornMs = 1, sequence = 9))
-        directory.put(entry("c", bornMs = 1, port = 81))
+        directory.put(entry("a", startedMs = 1, sequence = 9))
+        directory.put(entry("c", startedMs = 1, port = 81))
         assertEquals(mapOf("b" to true, "c" to true), ready)
-        directory.put(entry("c", bornMs = 3))
+        directory.put(entry("c", startedMs = 3))
         assertEquals(mapOf("c" to true), ready)
-        directory.put(entry("d", bornMs = 1, port = 81))
+        directory.put(entry("d", startedMs = 1, port = 81))
         assertEquals(mapOf("c" to true, "d" to true), ready)
     }
 
     @Test
-    fun `entries that lapsed with the store are kept until they had time to return`() {
+    fun `entries that disappear while the list is not trusted are kept for the retention time`() {
         directory.replaceAll(listOf(entry("a"), entry("b"), entry("leaving", ready = false)), trusted = true)
         directory.replaceAll(emptyList(), trusted = false)
         assertEquals(setOf("a", "b"), ready.keys)
@@ -66,7 +66,7 @@
     }
 
     @Test
-    fun `what vanishes from a trusted list is gone at once`() {
+    fun `entries that disappear from a trusted list are removed immediately`() {
         directory.replaceAll(listOf(entry("a"), entry("b")), trusted = true)
         directory.replaceAll(listOf(entry("b")), trusted = true)
         directory.remove(TargetId("b"), trusted = true)
--- a/gateway/src/test/kotlin/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/TargetSelectorTest.kt
@@ -21,16 +21,16 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
-/** Rare models at once, model shift and a busy weight store, as a gateway meets them. Nothing is sent; keepers are out of reach. */
+/** Tests the selection for rarely requested models, changes of demand and a busy weight store, without connections to keepers. */
 class TargetSelectorTest {
     private val names =
         HeaderNames("Id", "Deadline", "Model", "Tokens", "Parts", "Last", "Signature", "Target", "Answering", "Not", "Urgency", emptySet())
     private val service = ServiceId("s")
-    private val small = ModelPlan(ModelId("m"), 60, 0, loadMs = 6_000, loadFromMemoryMs = 300, loadFromDiskMs = 500)
-    private val plan =
-        EnginePlan(
+    private val small = ModelConfiguration(ModelId("m"), 60, 0, loadMs = 6_000, loadFromMemoryMs = 300, loadFromDiskMs = 500)
+    private val engine =
+        EngineConfiguration(
             batch = 64,
-            promptMemoryTokens = 100,
+            promptCacheTokens = 100,
             weightsMb = 100,
             adapterSlots = 2,
             models = listOf("m", "a", "b", "c").associate { ModelId(it) to small.copy(model = ModelId(it)) },
@@ -61,20 +61,20 @@
         listOf(
             Case("the model is held", listOf(status(held("a")), status(held("m"))), "m", "t1"),
             Case(
-                "rare model, one host has its weights",
+                "rarely requested model, one host has its weights",
                 listOf(status(held("a")), status(held("b"), onDisk = listOf("m"))),
                 "m",
                 "in 500 ms",
             ),
             Case(
-                "rare models at once: the host that has the weights is in use, and still faster than the weight store",
+                "concurrent rare models: the host that has the weights is in use, and still faster than the weight store",
                 listOf(status(held("a")), status(held("b", inFlight = 1), onDisk = listOf("m"))),
                 "m",
                 "in 500 ms",
             ),
-            Case("model shift: nobody has the weights", listOf(status(held("a")), status(held("b"))), "m", "in 6000 ms"),
+            Case("change of demand: no host has the weights", listOf(status(held("a")), status(held("b"))), "m", "in 6000 ms"),
             Case(
-                "model shift: nobody has the weights, and the weight store is busy for others",
+                "change of demand: no host has the weights, and the weight store is busy with other models",
                 listOf(status(held("a"), loading = "b"), status(held("b"), loading = "c"), status()),
                 "m",
                 "in 12000 ms",
@@ -86,34 +86,35 @@
                 "in 500 ms",
             ),
             Case(
-                "all hosts back after a loss of power: begun from the weight store, but a host that was met later has the weights",
+                "restart of all hosts: loading from the weight store, but a host connected later has the weights",
                 listOf(status(loading = "m"), status(onDisk = listOf("m"))),
                 "m",
                 "in 500 ms",
             ),
-            Case("all hosts back after a loss of power: one is not met yet", listOf(status(), null), "m", "in 2000 ms"),
-            Case("the model is on its way", listOf(status(held("a"), loading = "m", onDisk = listOf("m")), status()), "m", "in 500 ms"),
+            Case("restart of all hosts: one is not connected yet", listOf(status(), null), "m", "in 2000 ms"),
+            Case("the model is being loaded", listOf(status(held("a"), loading = "m", onDisk = listOf("m")), status()), "m", "in 500 ms"),
             Case("an adapter that is loaded", listOf(status(held("m", adapters = listOf("a1"))), status(held("m"))), "m/a1", "t0"),
             Case("an adapter that is not loaded", listOf(status(held("m")), status()), "m/a1", "in 40 ms"),
         )
 
     @Test
-    fun `a request goes to the weights, or the weights come from where they are nearest`() = cases.forEach { check(it) }
+    fun `a request is sent to a holder of the model, or the model is loaded from the nearest copy of its weights`() =
+        cases.forEach { check(it) }
 
     private val loop = EventLoop(Clock { 1_000L })
-    private val place = Place(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r")))
+    private val topology = Topology(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r")))
 
-    private fun fleet(
+    private fun registry(
         statuses: List<KeeperMessage.Status?>,
         state: GatewayState,
-    ): Fleet {
-        val fleet = Fleet(loop, CoroutineScope(SupervisorJob()), "g", 1, state)
+    ): TargetRegistry {
+        val registry = TargetRegistry(loop, CoroutineScope(SupervisorJob()), "g", 1, state)
         statuses.indices.forEach { index ->
             val address = Address("127.0.0.1", 1 + index)
             val entry = TargetEntry(TargetId("t$index"), service, address, ZoneId("z"), true, 4, 1, 1, emptyMap())
-            fleet.apply(TargetDirectory.Change.Put(entry))
+            registry.apply(TargetDirectory.Change.Put(entry))
         }
-        fleet.ready(service).forEach {
+        registry.ready(service).forEach {
             it.update(
                 statuses[
                     it.entry.target.value
@@ -122,19 +123,19 @@
                 ],
             )
         }
-        return fleet
+        return registry
     }
 
     private fun check(case: Case) {
         val state = GatewayState()
-        val fleet = fleet(case.targets, state)
-        state.configuration = GatewayConfiguration(1, listOf(route), mapOf(service to ServicePlan(service, 9, plan)))
+        val registry = registry(case.targets, state)
+        state.configuration = GatewayConfiguration(1, listOf(route), mapOf(service to ServiceConfiguration(service, 9, engine)))
         val head = RequestHead("POST", "/", HttpHeaders(listOf(HttpHeader(names.model, case.model))))
         val request = ForwardedRequest.of(head, ByteArray(0), route, loop.clock.nowMs(), names)
-        val choice = runBlocking { TargetSelector(loop.clock, fleet, place, state).choose(request, emptyMap()) }
+        val choice = runBlocking { TargetSelector(loop.clock, registry, topology, state).choose(request, emptyMap()) }
         val actual =
             when (choice) {
-                is TargetSelector.Choice.Use -> choice.target.entry.target.value
+                is TargetSelector.Choice.Selected -> choice.target.entry.target.value
                 is TargetSelector.Choice.Later -> "in ${choice.expectedMs} ms"
                 is TargetSelector.Choice.None -> choice.reason
             }
--- a/gateway/src/test/kotlin/TargetSilenceTest.kt
+++ b/gateway/src/test/kotlin/TargetSilenceTest.kt
@@ -12,16 +12,16 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
-/** An engine that is dark, cut off or gone with its host, as a gateway with requests at it sees it. */
+/** Tests the detection of engines that hang, are disconnected or lost with their host while requests are in flight. */
 class TargetSilenceTest {
     private val clock = VirtualClock()
 
     private fun entry(name: String) =
         TargetEntry(TargetId(name), ServiceId("s"), Address("127.0.0.1", 1), ZoneId("z"), true, 4, 1, 1, emptyMap())
 
-    private fun target() = Target(EventLoop(clock), entry("t"), promptMemoryTokens = 1)
+    private fun target() = Target(EventLoop(clock), entry("t"), promptCacheTokens = 1)
 
-    /** What happens at one moment, in milliseconds. */
+    /** An event at [atMs], in milliseconds. */
     private data class Step(
         val atMs: Long,
         val what: What,
@@ -29,14 +29,14 @@
 
     private enum class What { SEND, END, TOKEN, KEEPER_ANSWER }
 
-    /** @property silentChangesMs when the target becomes silent, then sound, then silent again, and so on */
+    /** @property silentChangesMs when [Target.silent] changes, beginning with the first change to true */
     private data class Case(
         val pattern: String,
         val model: String?,
         val steps: List<Step>,
         val silentChangesMs: List<Long>,
         val givenUpMs: List<Long>,
-        val repeatable: Boolean = true,
+        val retryable: Boolean = true,
     )
 
     private val send = Step(0, What.SEND)
@@ -44,31 +44,31 @@
     private val cases =
         listOf(
             Case("nothing in flight", "m", emptyList(), emptyList(), emptyList()),
-            Case("an engine that goes dark with a request", "m", listOf(send), listOf(1_300), listOf(1_300)),
-            Case("a plain target that goes dark with a request", null, listOf(send), listOf(600), listOf(600)),
+            Case("an engine that becomes silent with a request", "m", listOf(send), listOf(1_300), listOf(1_300)),
+            Case("a plain target that becomes silent with a request", null, listOf(send), listOf(600), listOf(600)),
             Case(
-                "an engine that generates, until it goes dark",
+                "an engine that generates until it becomes silent",
                 "m",
                 listOf(send) + (1..20L).map { Step(it * 250, What.TOKEN) },
                 listOf(6_300),
                 listOf(6_300),
             ),
             Case(
-                "a long prompt is being read, and the keeper answers until its host is gone",
+                "a long prompt is being processed, and the keeper answers until its host is lost",
                 "m",
                 listOf(send) + (1..10L).map { Step(it * 500, What.KEEPER_ANSWER) },
                 listOf(6_300),
                 listOf(6_300),
             ),
             Case(
-                "an engine that comes back",
+                "an engine that recovers",
                 "m",
                 listOf(send, Step(5_000, What.KEEPER_ANSWER), Step(5_050, What.END)),
                 listOf(1_300, 5_000),
                 listOf(1_300),
             ),
             Case(
-                "a request that came just now is not given up yet",
+                "a request that arrived recently is not cancelled yet",
                 "m",
                 listOf(send, Step(1_250, What.SEND)),
                 listOf(1_300),
@@ -84,32 +84,40 @@
         )
 
     @Test
-    fun `a target with requests in flight is left when neither it nor its keeper gives a sign`() = cases.forEach { check(it) }
+    fun `requests in flight are cancelled when neither the target nor its keeper shows activity`() = cases.forEach { check(it) }
 
     private fun check(case: Case) {
         val target = target()
-        val begun = mutableListOf<Send>()
-        val givenUpMs = mutableMapOf<Send, Long>()
+        val begun = mutableListOf<InFlightRequest>()
+        val givenUpMs = mutableMapOf<InFlightRequest, Long>()
         val changesMs = mutableListOf<Long>()
         val startMs = clock.nowMs()
-        for (atMs in 0..LENGTH_MS step EXAMINATION_MS) {
+        for (atMs in 0..LENGTH_MS step CHECK_INTERVAL_MS) {
             val before = target.silent
             case.steps.filter { it.atMs == atMs }.forEach { step ->
                 when (step.what) {
                     What.SEND -> {
-                        val send = Send(case.model, null, 1, case.repeatable, patienceMs = 3_200, lastSignMs = clock.nowMs())
-                        send.leave = { givenUpMs.putIfAbsent(send, clock.nowMs() - startMs) }
+                        val send =
+                            InFlightRequest(
+                                model = case.model,
+                                adapter = null,
+                                promptTokens = 1,
+                                retryable = case.retryable,
+                                callerIdleTimeoutMs = 3_200,
+                                lastProgressMs = clock.nowMs(),
+                            )
+                        send.cancel = { givenUpMs.putIfAbsent(send, clock.nowMs() - startMs) }
                         begun += send
                         target.begin(send)
                     }
                     What.END -> target.end(begun.removeFirst())
-                    What.TOKEN -> target.heard()
+                    What.TOKEN -> target.recordActivity()
                     What.KEEPER_ANSWER -> target.update(KeeperMessage.EngineLoad())
                 }
             }
-            target.examineSilence()
+            target.checkSilence()
             if (target.silent != before) changesMs += atMs
-            clock.advanceBy(EXAMINATION_MS)
+            clock.advanceBy(CHECK_INTERVAL_MS)
         }
         assertEquals(case.silentChangesMs, changesMs, case.pattern)
         assertEquals(case.givenUpMs, givenUpMs.values.toList(), case.pattern)
@@ -117,23 +125,23 @@
 
     @Test
     fun `a silent target gets no requests unless all are silent`() {
-        val fleet = Fleet(EventLoop(clock), CoroutineScope(SupervisorJob()), "g", 1, GatewayState())
+        val registry = TargetRegistry(EventLoop(clock), CoroutineScope(SupervisorJob()), "g", 1, GatewayState())
         val service = ServiceId("s")
-        listOf("t0", "t1").forEach { fleet.apply(TargetDirectory.Change.Put(entry(it))) }
-        val (first, second) = fleet.ready(service)
+        listOf("t0", "t1").forEach { registry.apply(TargetDirectory.Change.Put(entry(it))) }
+        val (first, second) = registry.ready(service)
         val expected = listOf(listOf(first, second), listOf(second), listOf(first, second))
         val actual =
-            listOf(null, first, second).map { darkened ->
-                darkened?.begin(Send("m", null, promptTokens = 1))
-                clock.advanceBy(Send.ENGINE_SILENCE_MS)
-                darkened?.examineSilence()
-                fleet.ready(service)
+            listOf(null, first, second).map { silenced ->
+                silenced?.begin(InFlightRequest("m", null, promptTokens = 1))
+                clock.advanceBy(InFlightRequest.ENGINE_SILENCE_MS)
+                silenced?.checkSilence()
+                registry.ready(service)
             }
         assertEquals(expected, actual)
     }
 
     private companion object {
         const val LENGTH_MS = 12_000L
-        const val EXAMINATION_MS = 50L
+        const val CHECK_INTERVAL_MS = 50L
     }
 }
--- a/gateway/src/test/kotlin/TroubledTargetTest.kt
+++ b/gateway/src/test/kotlin/TroubledTargetTest.kt
@@ -10,7 +10,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** Targets in trouble: bytes that are no answer and never end, streams that drip, streams that are slow but sound. */
+/** Tests faulty targets: endless bytes that are no response, stalled streams that send single bytes, and slow but intact streams. */
 class TroubledTargetTest {
     private val fixture = GatewayFixture()
     private val gateway get() = fixture.gateway
@@ -21,13 +21,15 @@
     fun stop(): Unit = fixture.close()
 
     private fun start(
-        repeat: RetrySafety,
+        retryKind: RetrySafety,
         streaming: Boolean,
         maximumTargets: Int = 2,
-        callerPatienceMs: Long = 60_000,
+        callerIdleTimeoutMs: Long = 60_000,
     ) {
-        val route = GatewayFixture.route(repeat, streaming)
-        fixture.start(route.copy(timeoutMs = 60_000, maximumTargets = maximumTargets, callerPatienceMs = callerPatienceMs)) { target(it) }
+        val route = GatewayFixture.route(retryKind, streaming)
+        fixture.start(
+            route.copy(timeoutMs = 60_000, maximumTargets = maximumTargets, callerIdleTimeoutMs = callerIdleTimeoutMs),
+        ) { target(it) }
     }
 
     private suspend fun target(connection: TcpConnection) {
@@ -39,7 +41,7 @@
 
     private fun ask(): String = fixture.ask("GET /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nConnection: close\r\n\r\n")
 
-    /** Sends [begin], and then [part] again and again until the gateway closes the connection. */
+    /** Sends [begin], and then [part] repeatedly until the gateway closes the connection. */
     private fun endless(
         begin: String,
         part: String,
@@ -58,9 +60,9 @@
     private val end = "0\r\n\r\n"
 
     @Test
-    fun `bytes without end that are no answer end the request, and nothing of them is kept`() {
+    fun `endless bytes that are no response end the request, and none of them stay buffered`() {
         start(RetrySafety.ONCE, streaming = false)
-        val whole = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\n"
+        val signedHead = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\n"
         mapOf(
             "a status line" to endless("HTTP/1.1 200 ", "x"),
             "no line at all" to endless("", "x"),
@@ -70,30 +72,30 @@
             "interim answers" to endless("", "HTTP/1.1 100 Continue\r\n\r\n"),
             "answers to other requests" to endless("", "HTTP/1.1 200 OK\r\nId: 6\r\nContent-Length: 1\r\n\r\nx"),
             "an answer to another request" to endless("HTTP/1.1 200 OK\r\nId: 6\r\n\r\n", "x"),
-            "a body without length" to endless("$whole\r\n", "x"),
-            "a chunked body" to endless("${whole}Transfer-Encoding: chunked\r\n\r\n", chunk("x".repeat(999))),
-            "the size of a chunk" to endless("${whole}Transfer-Encoding: chunked\r\n\r\n", "0"),
-            "an extension of a chunk" to endless("${whole}Transfer-Encoding: chunked\r\n\r\n1;", "x"),
-            "trailers" to endless("${whole}Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"),
+            "a body without length" to endless("$signedHead\r\n", "x"),
+            "a chunked body" to endless("${signedHead}Transfer-Encoding: chunked\r\n\r\n", chunk("x".repeat(999))),
+            "the size of a chunk" to endless("${signedHead}Transfer-Encoding: chunked\r\n\r\n", "0"),
+            "an extension of a chunk" to endless("${signedHead}Transfer-Encoding: chunked\r\n\r\n1;", "x"),
+            "trailers" to endless("${signedHead}Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"),
         ).forEach { (pattern, flood) ->
             script += flood
             assertEquals("HTTP/1.1 502", ask().take("HTTP/1.1 502".length), pattern)
-            assertEquals(0, gateway.state.gathered.takenBytes, pattern)
+            assertEquals(0, gateway.state.buffered.takenBytes, pattern)
         }
     }
 
     @Test
-    fun `an event without end cuts the stream`() {
+    fun `an endless event truncates the stream`() {
         start(RetrySafety.ONCE, streaming = true)
         script += endless(streamHead + chunk(events(1) + "data: "), chunk("x".repeat(999)))
         assertEquals(events(1) + "|cut", unchunk(ask()))
-        assertEquals(0, gateway.state.gathered.takenBytes)
+        assertEquals(0, gateway.state.buffered.takenBytes)
     }
 
     @Test
-    fun `answers that together are too much for this process are given up, not gathered`() {
+    fun `responses that together exceed the memory budget are discarded instead of buffered`() {
         start(RetrySafety.IDEMPOTENT, streaming = false)
-        val others = gateway.state.gathered.reserve()
+        val others = gateway.state.buffered.reserve()
         val room = (Runtime.getRuntime().maxMemory() / 4).toInt()
         assertTrue(others.take(room - 10))
         val answer = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\nContent-Length: 20\r\n\r\n" + "x".repeat(20)
@@ -104,13 +106,13 @@
         assertEquals("HTTP/1.1 200", ask().take("HTTP/1.1 200".length))
     }
 
-    /** A stream that sends an event, and then a byte of the next one now and then. */
-    private val drips: suspend (TcpConnection) -> Unit = { connection ->
+    /** A stream that sends one event, and then single bytes of the next one. */
+    private val stalled: suspend (TcpConnection) -> Unit = { connection ->
         connection.write((streamHead + chunk(events(1))).toByteArray())
-        while (connection.write(chunk("x").toByteArray())) delay(DRIP_MS)
+        while (connection.write(chunk("x").toByteArray())) delay(BYTE_INTERVAL_MS)
     }
 
-    /** A stream whose events come further apart than those of a sound target usually do. */
+    /** A stream with a longer pause between events than a healthy target usually has. */
     private val slow: suspend (TcpConnection) -> Unit = { connection ->
         connection.write((streamHead + chunk(events(1))).toByteArray())
         delay(LONG_PAUSE_MS)
@@ -118,29 +120,29 @@
     }
 
     @Test
-    fun `a stalled stream that drips ends when its caller's patience does`() {
-        start(RetrySafety.ONCE, streaming = true, callerPatienceMs = 300)
-        script += drips
+    fun `a stalled stream that sends single bytes ends at the caller's idle timeout`() {
+        start(RetrySafety.ONCE, streaming = true, callerIdleTimeoutMs = 300)
+        script += stalled
         assertEquals(events(1) + "|cut", unchunk(ask()))
     }
 
     @Test
-    fun `a stalled stream that drips goes on elsewhere where that is allowed`() {
+    fun `a stalled stream that sends single bytes is resumed at another target if that is allowed`() {
         start(RetrySafety.RESUMABLE, streaming = true)
-        script += drips
+        script += stalled
         script += { connection -> connection.write((streamHead + chunk(events(2)) + end).toByteArray()) }
         assertEquals(events(1, 2) + "|end", unchunk(ask()))
     }
 
     @Test
-    fun `a slow but sound stream that may run once is whole`() {
+    fun `a slow but intact stream that may run only once is complete`() {
         start(RetrySafety.ONCE, streaming = true)
         script += slow
         assertEquals(events(1, 2) + "|end", unchunk(ask()))
     }
 
     @Test
-    fun `a slow but sound stream that no other target may continue is whole`() {
+    fun `a slow but intact stream that no other target may continue is complete`() {
         start(RetrySafety.RESUMABLE, streaming = true, maximumTargets = 1)
         script += slow
         assertEquals(events(1, 2) + "|end", unchunk(ask()))
@@ -149,7 +151,7 @@
 
     private companion object {
         const val BLOCK_BYTES = 16_384
-        const val DRIP_MS = 20L
+        const val BYTE_INTERVAL_MS = 20L
         const val LONG_PAUSE_MS = 1_300L
     }
 }
