--- a/agent/src/main/kotlin/ActiveRequest.kt
+++ b/agent/src/main/kotlin/ActiveRequest.kt
@@ -12,9 +12,9 @@
 import java.io.ByteArrayOutputStream
 
 /**
- * A request on its way through an agent, with everything of its answer so far.
+ * A request that an agent processes, with the part of its answer that the backend has produced so far.
  *
- * The answer can be sent again from any offset on another connection, until the request is forgotten.
+ * Until the request is removed from the agent, its answer can be sent again from any offset over another connection.
  */
 internal class ActiveRequest(
     val id: RequestId,
@@ -33,24 +33,24 @@
     @Volatile
     private var acknowledged = 0L
 
-    /** Coroutine that runs the request; null while it waits. */
+    /** Coroutine that runs the request; null while the request is queued. */
     @Volatile
     var runner: Job? = null
 
-    /** Connection on which the answer is sent; null while there is none. */
+    /** Connection over which the answer is sent; null if there is none. */
     @Volatile
     var connection: Connection? = null
         private set
 
-    private val whole = CompletableDeferred<Unit>()
+    private val sentOrAbandoned = CompletableDeferred<Unit>()
 
-    /** Whether the end of the answer was sent, or nobody waits for it. */
-    val sent: Boolean get() = whole.isCompleted
+    /** Whether the end of the answer has been sent or the answer has been abandoned. */
+    val sent: Boolean get() = sentOrAbandoned.isCompleted
 
     /** Whether the request has ended. */
     val ended: Boolean get() = synchronized(lock) { terminal != null }
 
-    /** Bytes of the answer so far. */
+    /** Number of bytes of the answer received from the backend so far. */
     val length: Long get() = synchronized(lock) { bytes.size().toLong() }
 
     override fun head(
@@ -60,7 +60,7 @@
 
     override fun append(bytes: ByteArray) = change { this.bytes.write(bytes) }
 
-    /** Ends the request with [message], unless it has ended. */
+    /** Ends the request with [message], unless it has already ended. */
     fun finish(message: Message.AboutRequest) = change { if (terminal == null) terminal = message }
 
     private fun change(block: () -> Unit) {
@@ -68,7 +68,7 @@
         signal.trySend(Unit)
     }
 
-    /** Sends the answer from [offset] on over [connection], in place of any connection before. */
+    /** Sends the answer from [offset] on over [connection], which replaces any previous connection. */
     fun attach(
         connection: Connection,
         offset: Long,
@@ -81,23 +81,23 @@
         sender = scope.launch { send(connection, offset, wake) }
     }
 
-    /** Notes that the entry host has passed the answer on up to [offset]. */
+    /** Records that the entry host has forwarded the answer up to [offset]. */
     fun acknowledge(offset: Long) {
         acknowledged = maxOf(acknowledged, offset)
         signal.trySend(Unit)
     }
 
-    /** Notes that nobody waits for the answer. */
+    /** Records that no entry host needs the answer any more. */
     fun abandon() {
-        whole.complete(Unit)
+        sentOrAbandoned.complete(Unit)
     }
 
-    /** Suspends until the end of the answer was sent, or nobody waits for it. */
-    suspend fun awaitSent() = whole.await()
+    /** Suspends until the end of the answer has been sent or the answer has been abandoned. */
+    suspend fun awaitSent() = sentOrAbandoned.await()
 
-    /** Notes that [lost] has ended; returns whether the answer went over it. */
-    fun detach(lost: Connection): Boolean {
-        if (connection !== lost) return false
+    /** Stops sending over [closed], which has ended; returns whether the answer was sent over it. */
+    fun detach(closed: Connection): Boolean {
+        if (connection !== closed) return false
         sender?.cancel()
         connection = null
         return true
@@ -120,7 +120,7 @@
                 position += part.bytes.size
                 wake.trySend(Unit)
             } else if (part.terminal != null) {
-                if (connection.send(part.terminal)) whole.complete(Unit)
+                if (connection.send(part.terminal)) sentOrAbandoned.complete(Unit)
                 return
             }
         }
@@ -144,7 +144,7 @@
             )
         }
 
-    /** Gives access to a part of the content without copying all of it. */
+    /** Copies a part of the content instead of all of it. */
     private class ExposedStream : ByteArrayOutputStream(INITIAL_BYTES) {
         fun slice(
             from: Int,
@@ -155,7 +155,7 @@
     private companion object {
         const val MAXIMUM_CHUNK_BYTES = 64 * 1024
 
-        /** Bytes that are sent beyond what the entry host has acknowledged. */
+        /** Maximum number of bytes sent but not yet acknowledged by the entry host; the last chunk may exceed it. */
         const val WINDOW_BYTES = 256 * 1024
         const val INITIAL_BYTES = 512
         val EMPTY = ByteArray(0)
--- a/agent/src/main/kotlin/AgentProcess.kt
+++ b/agent/src/main/kotlin/AgentProcess.kt
@@ -32,7 +32,7 @@
 import java.util.UUID
 import java.util.concurrent.atomic.AtomicBoolean
 
-/** One agent: the only process that gives orders to the target beside it. */
+/** An agent: the only process that sends orders to its target. */
 public class AgentProcess(
     private val settings: AgentSettings,
     private val clock: Clock = SystemClock,
@@ -60,7 +60,7 @@
         }
     private val stopped = CompletableDeferred<Unit>()
     private val stopping = AtomicBoolean()
-    private val hurried = CompletableDeferred<Unit>()
+    private val forced = CompletableDeferred<Unit>()
     private lateinit var admin: EmbeddedServer<*, *>
 
     private fun initialState(): TargetState =
@@ -69,7 +69,7 @@
             TargetKind.PLAIN -> plainServiceState(clock.nowMs())
         }
 
-    /** Starts serving; throws when an address is in use. */
+    /** Starts serving; throws if an address is in use. */
     public suspend fun start() {
         Listener(selector, scope, metrics).listen(
             settings.listen,
@@ -106,10 +106,10 @@
             }
         }
 
-    /** Begins a graceful stop; the second call ends what is still in progress with explicit errors. */
+    /** Starts a graceful stop; a second call ends the requests still in progress with explicit errors. */
     public fun requestStop() {
         if (!stopping.compareAndSet(false, true)) {
-            hurried.complete(Unit)
+            forced.complete(Unit)
             return
         }
         scope.launch {
@@ -117,7 +117,7 @@
             delay(DRAIN_NOTICE_MS)
             subscriber.sendStatus()
             server.announceLeaving()
-            withTimeoutOrNull(settings.drainLimitMs) { while (server.busy && !hurried.isCompleted) delay(DRAIN_CHECK_MS) }
+            withTimeoutOrNull(settings.drainLimitMs) { while (server.busy && !forced.isCompleted) delay(DRAIN_CHECK_MS) }
             controller.submit(TargetEvent.DrainEnded)
             withTimeoutOrNull(CLOSE_LIMIT_MS) { while (server.busy || server.connected) delay(DRAIN_CHECK_MS) }
             stopped.complete(Unit)
@@ -138,7 +138,7 @@
         const val DRAIN_NOTICE_MS = 100L
         const val DRAIN_CHECK_MS = 50L
 
-        /** Longest wait for entry hosts to close their connections once every answer is sent. */
+        /** Maximum wait after draining for remaining answers and for entry hosts to close their connections. */
         const val CLOSE_LIMIT_MS = 3_000L
     }
 }
--- a/agent/src/main/kotlin/AgentSettings.kt
+++ b/agent/src/main/kotlin/AgentSettings.kt
@@ -15,15 +15,15 @@
 /**
  * Settings of an agent.
  *
- * @property listen where entry hosts reach this agent
- * @property admin where metrics and health are served
- * @property backend where the engine or plain service beside this agent listens
- * @property entries entry hosts from which the accepted state is taken, in any order
+ * @property listen address on which this agent accepts connections from entry hosts
+ * @property admin address of the metrics and health endpoints
+ * @property backend address of this agent's engine or plain service
+ * @property entries entry hosts from which the accepted state can be received, in any order
  * @property memoryMb accelerator memory of the engine, in megabytes
- * @property drainLimitMs longest time that a graceful stop waits for requests in progress
- * @property reportIntervalMs time between two reports of an engine that has nothing to do
- * @property idleMsPerColdMs milliseconds of idle accelerator time that are worth one millisecond of cold-start time
- * @property engineChecksFence whether the engine refuses orders with an old fencing number
+ * @property drainLimitMs maximum time that a graceful stop waits for requests in progress, in milliseconds
+ * @property reportIntervalMs interval between report requests to an engine that has no order in progress, in milliseconds
+ * @property idleMsPerColdMs milliseconds of idle accelerator time whose cost equals one millisecond of cold-start time
+ * @property engineChecksFence whether the engine refuses orders with a stale fencing number
  */
 public data class AgentSettings(
     val target: TargetId,
@@ -42,7 +42,7 @@
     val engineChecksFence: Boolean = false,
 ) {
     public companion object {
-        /** Reads settings from TOML [text]; the error holds every fault. */
+        /** Reads settings from TOML [text]; the error contains every fault. */
         public fun read(
             file: String,
             text: String,
--- a/agent/src/main/kotlin/Backend.kt
+++ b/agent/src/main/kotlin/Backend.kt
@@ -10,10 +10,10 @@
 
 /** The engine or plain service beside an agent. */
 internal interface Backend {
-    /** Sends [order]; never throws for a failed call. */
+    /** Sends [order] and returns the reply; a failed call is reported as a reply and does not throw. */
     suspend fun order(order: Order): OrderReply
 
-    /** Returns what the backend holds; null when it did not answer. */
+    /** Returns the models that the backend has loaded or cached; null if the call failed. */
     suspend fun report(): EngineReport?
 
     /** Runs [work] once and writes its answer to [answer]. */
@@ -25,11 +25,11 @@
         answer: AnswerSink,
     ): BackendResult
 
-    /** Ends a request that is in progress. */
+    /** Cancels a request that is in progress. */
     suspend fun cancel(id: RequestId)
 }
 
-/** Takes the parts of an answer in order. */
+/** Receives the parts of an answer in order. */
 internal interface AnswerSink {
     fun head(
         status: Int,
@@ -39,16 +39,16 @@
     fun append(bytes: ByteArray)
 }
 
-/** How a backend call ended. */
+/** Result of a backend call. */
 internal sealed class BackendResult {
-    /** The answer is whole. */
+    /** The answer is complete. */
     data object Complete : BackendResult()
 
-    /** The call was never taken by the backend, so it did not run. */
-    data object NotTaken : BackendResult()
+    /** The backend could not be reached, so the call did not run. */
+    data object NotStarted : BackendResult()
 
-    /** The call may have run, and the answer is not whole. */
-    data class Broken(
+    /** The call may have run, and the answer is incomplete. */
+    data class Failed(
         val reason: UnknownReason,
     ) : BackendResult()
 }
--- a/agent/src/main/kotlin/CompletionCheck.kt
+++ b/agent/src/main/kotlin/CompletionCheck.kt
@@ -1,6 +1,6 @@
 package org.almondjunction.agent
 
-/** Passes an engine's answer on and tells whether it is whole: an event stream must end with its terminator. */
+/** Forwards an engine's answer to [answer] and checks that it is complete: an event stream must end with its terminator. */
 internal class CompletionCheck(
     private val answer: AnswerSink,
 ) : AnswerSink {
@@ -8,12 +8,12 @@
     private var stream = false
     private var tail = ByteArray(0)
 
-    /** Bytes passed on so far. */
+    /** Number of bytes forwarded so far. */
     var length = 0L
         private set
 
-    /** Whether the answer ended where it should. */
-    val whole: Boolean get() = !stream || tail.decodeToString().endsWith(TERMINATOR)
+    /** Whether the answer is complete; always true for an answer that is not an event stream. */
+    val complete: Boolean get() = !stream || tail.decodeToString().endsWith(TERMINATOR)
 
     override fun head(
         status: Int,
--- a/agent/src/main/kotlin/EngineDocuments.kt
+++ b/agent/src/main/kotlin/EngineDocuments.kt
@@ -10,7 +10,7 @@
 import org.almondjunction.decisions.ReportedResident
 import org.almondjunction.decisions.ResidentKey
 
-/** An order as the engine reads it. */
+/** JSON body of an order to the engine. */
 @Serializable
 internal data class OrderDocument(
     val action: String,
@@ -52,7 +52,7 @@
     }
 }
 
-/** A report as the engine writes it. */
+/** JSON body of an engine report. */
 @Serializable
 internal data class ReportDocument(
     val fence: Long = 0,
@@ -66,7 +66,7 @@
         )
 }
 
-/** One resident in a report. */
+/** A resident model or adapter in an engine report. */
 @Serializable
 internal data class ResidentDocument(
     val model: String,
--- a/agent/src/main/kotlin/HttpBackend.kt
+++ b/agent/src/main/kotlin/HttpBackend.kt
@@ -35,7 +35,7 @@
 import org.almondjunction.protocol.Work
 import java.net.ConnectException
 
-/** Backend over HTTP: an engine with an OpenAI-style completion interface, or a plain service. */
+/** Backend that is called over HTTP: an engine with an OpenAI-compatible completion API, or a plain service. */
 internal class HttpBackend(
     private val address: Address,
     private val requestTimeoutMs: Long = 3_600_000,
@@ -53,7 +53,7 @@
         }
     private val json = Json { ignoreUnknownKeys = true }
 
-    /** Fencing number of this process; above every number that the engine has reported. */
+    /** Fencing number of this process; one above the number in the engine's first report. */
     @Volatile
     private var fence = 1L
 
@@ -79,15 +79,15 @@
             val response = client.get("http://$address/report") { timeout { requestTimeoutMillis = CONTROL_TIMEOUT_MS } }
             if (!response.status.isSuccess()) return@attempt null
             val document = json.decodeFromString<ReportDocument>(response.bodyAsText())
-            if (!claimed) {
+            if (!fenceInitialized) {
                 fence = document.fence + 1
-                claimed = true
+                fenceInitialized = true
             }
             document.toReport()
         }
 
     @Volatile
-    private var claimed = false
+    private var fenceInitialized = false
 
     override suspend fun run(
         id: RequestId,
@@ -122,7 +122,7 @@
                 setBody(work.body)
             }
         var resumes = 0
-        while (result is BackendResult.Broken && check.length > 0 && resumes++ < MAXIMUM_RESUMES) {
+        while (result is BackendResult.Failed && check.length > 0 && resumes++ < MAXIMUM_RESUMES) {
             result =
                 transfer(check) {
                     method = HttpMethod.Get
@@ -130,7 +130,7 @@
                     parameter("offset", check.length)
                 }
         }
-        return if (result == BackendResult.Complete && !check.whole) BackendResult.Broken(UnknownReason.ANSWER_INCOMPLETE) else result
+        return if (result == BackendResult.Complete && !check.complete) BackendResult.Failed(UnknownReason.ANSWER_INCOMPLETE) else result
     }
 
     private suspend fun callPlain(
@@ -160,9 +160,9 @@
         } catch (cancellation: CancellationException) {
             throw cancellation
         } catch (_: ConnectException) {
-            BackendResult.NotTaken
+            BackendResult.NotStarted
         } catch (_: Exception) {
-            BackendResult.Broken(UnknownReason.TARGET_LOST)
+            BackendResult.Failed(UnknownReason.TARGET_LOST)
         }
 
     private suspend fun copy(
--- a/agent/src/main/kotlin/Main.kt
+++ b/agent/src/main/kotlin/Main.kt
@@ -15,7 +15,7 @@
 import java.io.File
 import kotlin.system.exitProcess
 
-/** Starts the agent's command line. */
+/** Runs the agent's command line. */
 public fun main(arguments: Array<String>): Unit = AgentCommand().subcommands(ServeCommand(), CheckCommand()).main(arguments)
 
 private class AgentCommand : CliktCommand(name = "almondjunction-agent") {
--- a/agent/src/main/kotlin/RequestServer.kt
+++ b/agent/src/main/kotlin/RequestServer.kt
@@ -27,7 +27,7 @@
 import org.almondjunction.protocol.Work
 import java.util.concurrent.ConcurrentHashMap
 
-/** Takes requests from entry hosts, runs them when the controller says so, and sends their answers. */
+/** Accepts requests from entry hosts, runs them when the controller dispatches them, and sends their answers. */
 internal class RequestServer(
     private val target: TargetId,
     private val incarnation: String,
@@ -48,13 +48,13 @@
     /** Whether an entry host has a connection to this agent. */
     val connected: Boolean get() = guards.isNotEmpty()
 
-    /** Tells every entry host that this agent takes nothing new; each closes its connection when it has all its answers. */
+    /** Notifies every entry host that this agent accepts no new requests; each closes its connection after its last answer. */
     fun announceLeaving() {
         leaving = true
         guards.keys.forEach { connection -> scope.launch { connection.send(Message.Leaving) } }
     }
 
-    /** Whether a request waits, runs, is being cancelled, or has an answer that was not yet sent whole. */
+    /** Whether a request is queued, running or being cancelled, or has an answer that has not been sent completely. */
     val busy: Boolean get() = active.values.any { !it.sent } || controller.state.running.isNotEmpty()
 
     suspend fun onMessage(
@@ -62,7 +62,7 @@
         message: Message,
     ) {
         when (message) {
-            is Message.Hello -> greet(connection, message)
+            is Message.Hello -> handleHello(connection, message)
             is Message.Ping -> connection.send(Message.Pong(message.sentMs))
             is Message.Start -> start(connection, message)
             is Message.Resume -> resume(connection, message)
@@ -76,7 +76,7 @@
         }
     }
 
-    private suspend fun greet(
+    private suspend fun handleHello(
         connection: Connection,
         hello: Message.Hello,
     ) {
@@ -98,9 +98,9 @@
         val record = synchronized(registry) { if (fresh) registry.register(message.id, nowMs) else registry.find(message.id) }
         when {
             record == RequestRecord.REFUSED -> connection.send(Message.Refused(message.id, RefusalReason.CANCELLED))
-            record == RequestRecord.KNOWN -> active[message.id]?.attach(connection, 0) ?: connection.send(lost(message.id))
+            record == RequestRecord.KNOWN -> active[message.id]?.attach(connection, 0) ?: connection.send(targetLost(message.id))
             fresh -> admit(connection, message, nowMs)
-            else -> refuseUnseen(connection, message.id, RefusalReason.DEADLINE_PASSED)
+            else -> refuseUnregistered(connection, message.id, RefusalReason.DEADLINE_PASSED)
         }
     }
 
@@ -126,8 +126,8 @@
     ) {
         active[message.id]?.let { return it.attach(connection, message.offset) }
         when (synchronized(registry) { registry.find(message.id) }) {
-            RequestRecord.NEW, RequestRecord.REFUSED -> refuseUnseen(connection, message.id, RefusalReason.NO_TARGET)
-            RequestRecord.KNOWN -> connection.send(lost(message.id))
+            RequestRecord.NEW, RequestRecord.REFUSED -> refuseUnregistered(connection, message.id, RefusalReason.NO_TARGET)
+            RequestRecord.KNOWN -> connection.send(targetLost(message.id))
         }
     }
 
@@ -139,8 +139,8 @@
         when {
             request?.runner != null -> connection.send(Message.Running(id))
             request != null -> controller.submit(TargetEvent.Withdrawn(id))
-            synchronized(registry) { registry.find(id) } == RequestRecord.KNOWN -> connection.send(lost(id))
-            else -> refuseUnseen(connection, id, RefusalReason.DEADLINE_PASSED)
+            synchronized(registry) { registry.find(id) } == RequestRecord.KNOWN -> connection.send(targetLost(id))
+            else -> refuseUnregistered(connection, id, RefusalReason.DEADLINE_PASSED)
         }
     }
 
@@ -149,7 +149,7 @@
         active[id]?.abandon()
     }
 
-    private suspend fun refuseUnseen(
+    private suspend fun refuseUnregistered(
         connection: Connection,
         id: RequestId,
         reason: RefusalReason,
@@ -158,7 +158,7 @@
         connection.send(Message.Refused(id, reason))
     }
 
-    private fun lost(id: RequestId) = Message.Failed(id, UnknownReason.TARGET_LOST)
+    private fun targetLost(id: RequestId) = Message.Failed(id, UnknownReason.TARGET_LOST)
 
     fun onClosed(connection: Connection) {
         guards.remove(connection)
@@ -187,8 +187,8 @@
             }
         when (result) {
             BackendResult.Complete -> end(request, Message.End(request.id, request.length), "complete")
-            BackendResult.NotTaken -> refuse(TargetEffect.Refuse(request.id, RefusalReason.NO_TARGET))
-            is BackendResult.Broken -> end(request, Message.Failed(request.id, result.reason), result.reason.code)
+            BackendResult.NotStarted -> refuse(TargetEffect.Refuse(request.id, RefusalReason.NO_TARGET))
+            is BackendResult.Failed -> end(request, Message.Failed(request.id, result.reason), result.reason.code)
             null -> {
                 end(request, Message.Failed(request.id, UnknownReason.TARGET_SILENT), UnknownReason.TARGET_SILENT.code)
                 backend.cancel(request.id)
@@ -201,7 +201,7 @@
         synchronized(registry) { registry.refuse(effect.id, clock.nowMs()) }
         metrics.count(MetricName.REFUSALS, effect.reason.code)
         val request = active[effect.id] ?: return
-        conclude(request, Message.Refused(effect.id, effect.reason, effect.expectedWaitMs), "not-run", effect.reason.code)
+        finish(request, Message.Refused(effect.id, effect.reason, effect.expectedWaitMs), "not-run", effect.reason.code)
     }
 
     override fun interrupt(effect: TargetEffect.Interrupt) {
@@ -223,10 +223,10 @@
         reason: String,
     ) {
         synchronized(registry) { registry.end(request.id, clock.nowMs()) }
-        conclude(request, message, if (message is Message.End) "served" else "unknown", reason)
+        finish(request, message, if (message is Message.End) "served" else "unknown", reason)
     }
 
-    private fun conclude(
+    private fun finish(
         request: ActiveRequest,
         message: Message.AboutRequest,
         outcome: String,
@@ -243,10 +243,10 @@
     }
 
     private companion object {
-        /** Time in which an entry host may ask for the rest of an answer after its connection was lost. */
+        /** Time after the loss of a connection within which an entry host can request the rest of an answer. */
         const val RESUME_WINDOW_MS = 10_000L
 
-        /** Time for which an answer is kept once it was sent whole. */
+        /** Time for which an answer is kept after it has been sent completely or abandoned. */
         const val ANSWER_RETENTION_MS = 15_000L
     }
 }
--- a/agent/src/main/kotlin/StateSubscriber.kt
+++ b/agent/src/main/kotlin/StateSubscriber.kt
@@ -15,7 +15,7 @@
 import org.almondjunction.protocol.Message
 import kotlin.random.Random
 
-/** Keeps a session to one entry host, takes the accepted state from it and tells it the target's status. */
+/** Maintains a session with one entry host, receives the accepted state from it and reports the target's status to it. */
 internal class StateSubscriber(
     private val settings: AgentSettings,
     private val incarnation: String,
@@ -25,25 +25,25 @@
     private val metrics: Metrics,
     private val scope: CoroutineScope,
 ) {
-    private val order = Rendezvous.order(settings.target.value, settings.entries) { it.toString() }
+    private val entryOrder = Rendezvous.order(settings.target.value, settings.entries) { it.toString() }
     private val backoff = Backoff(initialMs = 200, maximumMs = 5_000, random = Random.Default)
 
     @Volatile
     private var connection: Connection? = null
 
     @Volatile
-    private var lastHeardMs = 0L
+    private var lastReceivedMs = 0L
 
-    /** Whether the entry host's state is older than the one that this process has; it is asked again until it has caught up. */
+    /** Whether the entry host's state is older than this process's state; the subscription is repeated until it has caught up. */
     @Volatile
-    private var behind = false
+    private var entryStale = false
 
-    /** Tells the entry host that [rights] are free; the controller repeats this until the state shows it. */
+    /** Notifies the entry host that [rights] are free; the controller repeats this until the accepted state reflects it. */
     suspend fun giveBack(rights: List<RightKey>) {
         connection?.send(Message.GiveBack(settings.target, rights))
     }
 
-    /** Sends the status now, as far as a session is open. */
+    /** Sends the status immediately if a session is open. */
     suspend fun sendStatus() {
         connection?.send(status())
     }
@@ -51,7 +51,7 @@
     suspend fun run() {
         var index = 0
         while (true) {
-            session(order[index % order.size])
+            session(entryOrder[index % entryOrder.size])
             connection?.close()
             connection = null
             index++
@@ -60,28 +60,28 @@
     }
 
     private suspend fun session(address: Address) {
-        lastHeardMs = clock.nowMs()
+        lastReceivedMs = clock.nowMs()
         val opened =
             Connection.dial(selector, address, scope, metrics, onMessage = { _, message -> onMessage(message) }, onClosed = {})
                 ?: return metrics.count(MetricName.RECONNECTIONS, "entry-unreachable")
         connection = opened
         opened.send(Message.Hello(settings.target.value, incarnation))
-        behind = false
-        var askedMs = -1L
+        entryStale = false
+        var subscribedMs = -1L
         var statusMs = 0L
-        var sent: Message.AgentStatus? = null
-        while (!opened.closed && clock.nowMs() - lastHeardMs < SILENCE_LIMIT_MS) {
+        var sentStatus: Message.AgentStatus? = null
+        while (!opened.closed && clock.nowMs() - lastReceivedMs < SILENCE_TIMEOUT_MS) {
             val nowMs = clock.nowMs()
             val unconfirmed = !controller.state.confirmed
-            if (askedMs < 0 || ((unconfirmed || behind) && nowMs - askedMs >= SUBSCRIBE_REPEAT_MS)) {
+            if (subscribedMs < 0 || ((unconfirmed || entryStale) && nowMs - subscribedMs >= SUBSCRIBE_RETRY_MS)) {
                 opened.send(Message.SubscribeTarget(settings.target, settings.host, needConfirmed = unconfirmed))
-                askedMs = nowMs
+                subscribedMs = nowMs
             }
-            if (nowMs - lastHeardMs >= PING_AFTER_MS) opened.send(Message.Ping(nowMs))
+            if (nowMs - lastReceivedMs >= PING_IDLE_MS) opened.send(Message.Ping(nowMs))
             val status = status()
-            if (status != sent && (nowMs - statusMs >= STATUS_INTERVAL_MS || status.sequence != sent?.sequence)) {
+            if (status != sentStatus && (nowMs - statusMs >= STATUS_INTERVAL_MS || status.sequence != sentStatus?.sequence)) {
                 opened.send(status)
-                sent = status
+                sentStatus = status
                 statusMs = nowMs
             }
             delay(CHECK_INTERVAL_MS)
@@ -90,18 +90,18 @@
     }
 
     private fun onMessage(message: Message) {
-        lastHeardMs = clock.nowMs()
+        lastReceivedMs = clock.nowMs()
         backoff.reset()
         when (message) {
             is Message.TargetStateUpdate -> receive(message)
-            is Message.SequenceUpdate -> if (!behind) controller.submit(TargetEvent.SequenceReached(message.sequence))
+            is Message.SequenceUpdate -> if (!entryStale) controller.submit(TargetEvent.SequenceReached(message.sequence))
             is Message.Pong -> controller.submit(TargetEvent.Contact)
             else -> Unit
         }
     }
 
     private fun receive(message: Message.TargetStateUpdate) {
-        behind = message.revision < controller.state.revision
+        entryStale = message.revision < controller.state.revision
         controller.submit(TargetEvent.StateReceived(message.revision, message.sequence, message.offers, message.rights, message.confirmed))
     }
 
@@ -121,9 +121,9 @@
 
     private companion object {
         const val CHECK_INTERVAL_MS = 500L
-        const val PING_AFTER_MS = 1_500L
-        const val SILENCE_LIMIT_MS = 3_500L
+        const val PING_IDLE_MS = 1_500L
+        const val SILENCE_TIMEOUT_MS = 3_500L
         const val STATUS_INTERVAL_MS = 1_000L
-        const val SUBSCRIBE_REPEAT_MS = 2_000L
+        const val SUBSCRIBE_RETRY_MS = 2_000L
     }
 }
--- a/agent/src/main/kotlin/TargetController.kt
+++ b/agent/src/main/kotlin/TargetController.kt
@@ -20,7 +20,7 @@
 import org.almondjunction.decisions.TargetMachine
 import org.almondjunction.decisions.TargetState
 
-/** What a [TargetController] leaves to others. */
+/** Effects of a [TargetMachine] that a [TargetController] delegates. */
 internal interface TargetActions {
     fun dispatch(effect: TargetEffect.Dispatch)
 
@@ -31,7 +31,7 @@
     fun giveBack(rights: List<RightKey>)
 }
 
-/** Drives a [TargetMachine]: hands it one event at a time, keeps its state, and carries out orders to the engine. */
+/** Drives a [TargetMachine]: passes it one event at a time, stores its state, and sends orders to the engine. */
 internal class TargetController(
     initial: TargetState,
     private val machine: TargetMachine,
@@ -42,7 +42,7 @@
     private val reportIntervalMs: Long,
 ) {
     private val events = Channel<TargetEvent>(Channel.UNLIMITED)
-    private val reportWanted = Channel<Unit>(Channel.CONFLATED)
+    private val reportRequested = Channel<Unit>(Channel.CONFLATED)
 
     /** The state after the last event. */
     @Volatile
@@ -88,7 +88,7 @@
             metrics.count(MetricName.ORDERS, "$action-${reply.name.lowercase()}")
             EventLog.info("order $action ${order.key.model}", LogFields(outcome = reply.name.lowercase()))
             submit(TargetEvent.OrderReplied(order, reply))
-            reportWanted.trySend(Unit)
+            reportRequested.trySend(Unit)
         }
     }
 
@@ -104,7 +104,7 @@
             val requestedMs = clock.nowMs()
             backend.report()?.let { submit(TargetEvent.Reported(it, requestedMs)) }
             val intervalMs = if (isSettling()) BUSY_REPORT_INTERVAL_MS else reportIntervalMs
-            withTimeoutOrNull(intervalMs) { reportWanted.receive() }
+            withTimeoutOrNull(intervalMs) { reportRequested.receive() }
             delay(MINIMUM_REPORT_INTERVAL_MS)
         }
     }
@@ -112,7 +112,7 @@
     private fun isSettling() = !state.settled || state.residents.values.any { it.phase != ResidentPhase.Loaded }
 
     private companion object {
-        /** An order that was decided longer ago, because the process was paused, is not sent any more. */
+        /** Maximum time from the decision on an order to its sending; exceeded if the process was paused, then the order is dropped. */
         const val ORDER_MAXIMUM_AGE_MS = 500L
         const val TICK_MS = 100L
         const val BUSY_REPORT_INTERVAL_MS = 50L
