--- a/protocol/src/main/kotlin/Connection.kt
+++ b/protocol/src/main/kotlin/Connection.kt
@@ -25,9 +25,9 @@
 import org.almondjunction.common.Metrics
 
 /**
- * A connection to another process of the system: frames of a four-byte length and a CBOR [Message].
+ * A connection to another process of the system. Each frame consists of a four-byte length and a CBOR [Message].
  *
- * A peer that sends an oversized or unreadable frame is disconnected; [metrics] counts it.
+ * A peer that sends an oversized or unreadable frame is disconnected and counted in [metrics].
  */
 public class Connection private constructor(
     private val socket: Socket,
@@ -42,7 +42,7 @@
     public var closed: Boolean = false
         private set
 
-    /** Queues [message]; suspends while the peer reads slowly. Returns false when the connection has ended. */
+    /** Queues [message]; suspends while the queue is full. Returns false if the connection has ended. */
     public suspend fun send(message: Message): Boolean =
         try {
             outgoing.send(message)
@@ -54,7 +54,7 @@
             false
         }
 
-    /** Ends the connection at once. */
+    /** Closes the connection without sending the queued messages. */
     public fun close() {
         closed = true
         outgoing.cancel()
@@ -66,12 +66,12 @@
         onMessage: suspend (Connection, Message) -> Unit,
         onClosed: suspend (Connection) -> Unit,
     ) {
-        val writer = scope.launch(start = CoroutineStart.LAZY) { guarded { write() } }
+        val writer = scope.launch(start = CoroutineStart.LAZY) { runUntilDisconnected { write() } }
         val reader =
             scope.launch(start = CoroutineStart.LAZY) {
-                guarded { read { onMessage(this@Connection, it) } }
+                runUntilDisconnected { read { onMessage(this@Connection, it) } }
                 closed = true
-                // Whoever waits for room in the queue must not wait for ever.
+                // Resumes senders that are suspended because the queue is full.
                 outgoing.cancel()
                 socket.close()
                 writer.cancel()
@@ -82,11 +82,11 @@
         reader.start()
     }
 
-    private suspend fun guarded(block: suspend () -> Unit) {
+    private suspend fun runUntilDisconnected(block: suspend () -> Unit) {
         try {
             block()
         } catch (_: CancellationException) {
-            // A socket that ends cancels its channels; only a cancelled scope ends this process's own work.
+            // A closed socket cancels its channels. Cancellation is propagated only if the scope itself was cancelled.
             scope.ensureActive()
         } catch (_: Exception) {
             closed = true
@@ -127,7 +127,7 @@
     }
 
     public companion object {
-        /** Largest frame that is sent or taken, in bytes. */
+        /** Largest frame that a connection accepts, in bytes. */
         public const val MAXIMUM_FRAME_BYTES: Int = 8 * 1024 * 1024
 
         private const val OUTGOING_CAPACITY = 256
@@ -136,7 +136,7 @@
         @OptIn(ExperimentalSerializationApi::class)
         private val CODEC = Cbor { ignoreUnknownKeys = true }
 
-        /** Connects to [address]; returns null when it cannot be reached within [timeoutMs]. */
+        /** Connects to [address]; returns null if it cannot be reached within [timeoutMs]. */
         public suspend fun dial(
             selector: SelectorManager,
             address: Address,
@@ -158,7 +158,7 @@
             return socket?.let { Connection(it, scope, metrics).apply { start(onMessage, onClosed) } }
         }
 
-        /** Takes the accepted [socket] over. */
+        /** Creates a connection from the accepted [socket], which it then owns. */
         public fun accept(
             socket: Socket,
             scope: CoroutineScope,
--- a/protocol/src/main/kotlin/Listener.kt
+++ b/protocol/src/main/kotlin/Listener.kt
@@ -17,7 +17,7 @@
     /**
      * Binds [address] and serves connections until the returned job is cancelled.
      *
-     * Throws when the address is in use; one process at most can therefore act for a target.
+     * Throws if the address is in use, so at most one process can serve a target.
      */
     public suspend fun listen(
         address: Address,
--- a/protocol/src/main/kotlin/Message.kt
+++ b/protocol/src/main/kotlin/Message.kt
@@ -21,10 +21,10 @@
 @Serializable
 public sealed class Message {
     /**
-     * First message in both directions.
+     * First message that each side of a connection sends.
      *
-     * @property process identity of the sender: a target or a host
-     * @property incarnation differs for every start of the process
+     * @property process identifier of the sender: a target or a host
+     * @property incarnation identifier of the process run; it differs after each start
      * @property leaving whether the sender is stopping gracefully, see [Leaving]
      */
     @Serializable
@@ -36,19 +36,19 @@
         val leaving: Boolean = false,
     ) : Message()
 
-    /** The sender is stopping gracefully: it finishes what it has and takes nothing new. */
+    /** The sender is stopping gracefully: it completes its current requests and accepts no new ones. */
     @Serializable
     @SerialName("leaving")
     public data object Leaving : Message()
 
-    /** Asks for a sign of life. [sentMs] is by the sender's clock. */
+    /** Checks that the peer responds. [sentMs] is the sender's clock time. */
     @Serializable
     @SerialName("ping")
     public data class Ping(
         val sentMs: Long,
     ) : Message()
 
-    /** Answers a [Ping]. */
+    /** Reply to a [Ping]. */
     @Serializable
     @SerialName("pong")
     public data class Pong(
@@ -58,11 +58,11 @@
     /** A message about one request. */
     @Serializable
     public sealed class AboutRequest : Message() {
-        /** Identity of the request. */
+        /** Identifier of the request. */
         public abstract val id: RequestId
     }
 
-    /** Hands a request to the agent beside its target. [sentMs] is by the sender's clock. */
+    /** Sends a request to the agent of its target. [sentMs] is the sender's clock time. */
     @Serializable
     @SerialName("start")
     public data class Start(
@@ -73,7 +73,7 @@
         val sentMs: Long,
     ) : AboutRequest()
 
-    /** Asks for the rest of an answer from [offset] on, on this connection. */
+    /** Requests the rest of an answer, from [offset] on, over this connection. */
     @Serializable
     @SerialName("resume")
     public data class Resume(
@@ -81,7 +81,7 @@
         val offset: Long,
     ) : AboutRequest()
 
-    /** The entry host has passed the answer on up to [offset]; the agent sends a limited number of bytes beyond it. */
+    /** The entry host has forwarded the answer up to [offset]; the agent sends a limited number of bytes beyond it. */
     @Serializable
     @SerialName("acknowledge")
     public data class Acknowledge(
@@ -89,28 +89,28 @@
         val offset: Long,
     ) : AboutRequest()
 
-    /** Asks the agent to give the request up if it has not begun; answered by [Refused] or [Running]. */
+    /** Asks the agent to drop the request if it has not started; the reply is [Refused] or [Running]. */
     @Serializable
     @SerialName("withdraw")
     public data class Withdraw(
         override val id: RequestId,
     ) : AboutRequest()
 
-    /** The caller is gone: the request should end. */
+    /** The caller has disconnected; the request should be cancelled. */
     @Serializable
     @SerialName("cancel")
     public data class Cancel(
         override val id: RequestId,
     ) : AboutRequest()
 
-    /** The request has begun and cannot be withdrawn any more. */
+    /** The request has started and can no longer be withdrawn. */
     @Serializable
     @SerialName("running")
     public data class Running(
         override val id: RequestId,
     ) : AboutRequest()
 
-    /** Status line and content type of the answer. */
+    /** Status code and content type of the answer. */
     @Serializable
     @SerialName("head")
     public data class Head(
@@ -119,7 +119,7 @@
         val contentType: String?,
     ) : AboutRequest()
 
-    /** Part of the answer that begins at [offset]. */
+    /** Part of the answer, starting at [offset]. */
     @OptIn(ExperimentalSerializationApi::class)
     @Serializable
     @SerialName("chunk")
@@ -146,7 +146,7 @@
         val expectedWaitMs: Long = 0,
     ) : AboutRequest()
 
-    /** The request began and cannot be completed. */
+    /** The request may have run and cannot be completed. */
     @Serializable
     @SerialName("failed")
     public data class Failed(
@@ -154,7 +154,7 @@
         val reason: UnknownReason,
     ) : AboutRequest()
 
-    /** An agent asks for the part of the accepted state that concerns its target, now and after each change. */
+    /** An agent subscribes to the part of the accepted state that concerns its target; it is sent now and after each change. */
     @Serializable
     @SerialName("subscribe-target")
     public data class SubscribeTarget(
@@ -174,14 +174,14 @@
         val confirmed: Boolean,
     ) : Message()
 
-    /** The accepted state moved on without a change for this target. */
+    /** The accepted state has a new sequence without a change for this target. */
     @Serializable
     @SerialName("sequence")
     public data class SequenceUpdate(
         val sequence: Long,
     ) : Message()
 
-    /** An agent tells what it holds. */
+    /** An agent reports the memory, requests and residents of its target. */
     @Serializable
     @SerialName("agent-status")
     public data class AgentStatus(
@@ -195,7 +195,7 @@
         val residents: List<ResidentKey>,
     ) : Message()
 
-    /** An agent gives rights back: nothing is loaded under them and nothing will be. */
+    /** An agent returns rights: nothing is loaded under them, and nothing will be. */
     @Serializable
     @SerialName("give-back")
     public data class GiveBack(
@@ -203,7 +203,7 @@
         val rights: List<RightKey>,
     ) : Message()
 
-    /** An entry host asks another one for everything it knows, now and after each change. */
+    /** An entry host subscribes to the whole state of another one; it is sent now and after each change. */
     @Serializable
     @SerialName("subscribe-all")
     public data class SubscribeAll(
@@ -224,7 +224,7 @@
         val hosts: List<HostId>,
     ) : Message()
 
-    /** Answers a [LastHeardQuery] with ages in milliseconds; a host that is not named was never heard by this process. */
+    /** Reply to a [LastHeardQuery], with ages in milliseconds; this process has never heard from a host that is missing. */
     @Serializable
     @SerialName("last-heard-reply")
     public data class LastHeardReply(
@@ -233,12 +233,12 @@
         val agesMs: Map<HostId, Long>,
     ) : Message()
 
-    /** Asks an entry host for what it knows of itself and of the agents that subscribed to it. */
+    /** Asks an entry host for its own status and that of the agents subscribed to it. */
     @Serializable
     @SerialName("status-query")
     public data object StatusQuery : Message()
 
-    /** Answers a [StatusQuery]. */
+    /** Reply to a [StatusQuery]. */
     @Serializable
     @SerialName("status-reply")
     public data class StatusReply(
@@ -249,16 +249,16 @@
     ) : Message()
 
     public companion object {
-        /** Version of the protocol; processes of other versions are refused. */
+        /** Version of the protocol; connections from processes with other versions are refused. */
         public const val PROTOCOL_VERSION: Int = 1
     }
 }
 
-/** What a target is asked to do. */
+/** Work that a request asks of a target. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public sealed class Work {
-    /** Generate with a model. [body] is the caller's JSON. */
+    /** A completion by a model. [body] is the caller's JSON. */
     @Serializable
     @SerialName("completion")
     public class Completion(
@@ -268,7 +268,7 @@
         @ByteString public val body: ByteArray,
     ) : Work()
 
-    /** Call a plain service. */
+    /** A call of a plain service. */
     @Serializable
     @SerialName("plain-call")
     public class PlainCall(
