--- a/agent/src/test/kotlin/AgentSettingsTest.kt
+++ b/agent/src/test/kotlin/AgentSettingsTest.kt
@@ -21,7 +21,7 @@
         """.trimIndent()
 
     @Test
-    fun `faults are named with their place`() {
+    fun `each fault names the path of its setting`() {
         val cases =
             listOf(
                 settings.replace("memory_mb = 100", "kind = \"gpu\"") to listOf("kind", "memory_mb"),
--- a/agent/src/test/kotlin/RequestServerTest.kt
+++ b/agent/src/test/kotlin/RequestServerTest.kt
@@ -34,9 +34,9 @@
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
-/** The end of an agent as its entry hosts meet it. No assertion depends on how long something takes. */
+/** Shutdown of an agent as its entry hosts observe it. No assertion depends on how long an operation takes. */
 class RequestServerTest {
-    /** Answers every request at once with [ANSWER_BYTES] bytes, but for the one that hangs until it is cancelled. */
+    /** Answers every request immediately with [ANSWER_BYTES] bytes, except [HANGING], which runs until it is cancelled. */
     private class TestBackend : Backend {
         val cancelling = CompletableDeferred<Unit>()
         val mayCancel = CompletableDeferred<Unit>()
@@ -81,7 +81,7 @@
     private val server = RequestServer(TargetId("booking"), "first", controller, backend, SystemClock, metrics, scope) {}
     private val address = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
     private val accepted = CopyOnWriteArrayList<Connection>()
-    private val heard = CopyOnWriteArrayList<Message>()
+    private val received = CopyOnWriteArrayList<Message>()
 
     @AfterTest
     fun close() {
@@ -101,7 +101,7 @@
         controller.start(server)
     }
 
-    private suspend fun dial(onMessage: suspend (Message) -> Unit = { heard += it }): Connection {
+    private suspend fun dial(onMessage: suspend (Message) -> Unit = { received += it }): Connection {
         val connection =
             checkNotNull(Connection.dial(selector, address, scope, metrics, { _, message -> onMessage(message) }, onClosed = {}))
         connection.send(Message.Hello("entry", incarnation = ""))
@@ -113,88 +113,88 @@
         return Message.Start(id, work, timeLeftMs = 600_000, priority = 5, sentMs = SystemClock.nowMs())
     }
 
-    private fun bytesHeard() = heard.filterIsInstance<Message.Chunk>().sumOf { it.bytes.size }
+    private fun bytesReceived() = received.filterIsInstance<Message.Chunk>().sumOf { it.bytes.size }
 
     private suspend fun eventually(
-        what: String,
+        description: String,
         condition: suspend () -> Boolean,
     ) = checkNotNull(withTimeoutOrNull(EVENTUALLY_LIMIT_MS) { while (!condition()) delay(EVENTUALLY_STEP_MS) }) {
-        "It never happened that $what."
+        "The condition was not met within $EVENTUALLY_LIMIT_MS ms: $description."
     }
 
-    /** Guards against an agent that stops while the end of an answer waits for a slow caller to take what was before it. */
+    /** Guards against an agent that stops while the end of an answer is still queued because the caller reads slowly. */
     @Test
-    fun `an agent is busy until the end of every answer was sent`() =
+    fun `an agent is busy until the end of every answer has been sent`() =
         runBlocking {
             start()
             val connection = dial()
             val id = RequestId("r")
             connection.send(request(id))
-            eventually("the first part of the answer has come") { bytesHeard() > 0 }
-            eventually("the call has ended") { controller.state.running.isEmpty() }
+            eventually("the first part of the answer has arrived") { bytesReceived() > 0 }
+            eventually("the backend call has ended") { controller.state.running.isEmpty() }
             assertTrue(server.busy)
             var acknowledged = 0
-            while (bytesHeard() < ANSWER_BYTES) {
-                eventually("more of the answer comes") { bytesHeard() > acknowledged }
-                acknowledged = bytesHeard()
+            while (bytesReceived() < ANSWER_BYTES) {
+                eventually("more of the answer has arrived") { bytesReceived() > acknowledged }
+                acknowledged = bytesReceived()
                 connection.send(Message.Acknowledge(id, acknowledged.toLong()))
             }
-            eventually("the end of the answer has come") { heard.last() is Message.End }
-            eventually("nothing is left to do") { !server.busy }
-            assertEquals(ANSWER_BYTES.toLong(), (heard.last() as Message.End).length)
+            eventually("the end of the answer has arrived") { received.last() is Message.End }
+            eventually("the agent is no longer busy") { !server.busy }
+            assertEquals(ANSWER_BYTES.toLong(), (received.last() as Message.End).length)
         }
 
-    /** Guards against a stop that waits for an answer which nobody takes any more. */
+    /** Guards against a stop that waits for an answer that has been cancelled. */
     @Test
-    fun `an agent is not busy with an answer that was cancelled`() =
+    fun `an agent is not busy with a cancelled answer`() =
         runBlocking {
             start()
             val connection = dial()
             val id = RequestId("r")
             connection.send(request(id))
-            eventually("the first part of the answer has come") { bytesHeard() > 0 }
+            eventually("the first part of the answer has arrived") { bytesReceived() > 0 }
             connection.send(Message.Cancel(id))
-            eventually("nothing is left to do") { !server.busy }
-            assertFalse(heard.any { it is Message.End })
+            eventually("the agent is no longer busy") { !server.busy }
+            assertFalse(received.any { it is Message.End })
         }
 
-    /** Guards against an engine that works on for nobody since its agent went before it had passed the cancellation on. */
+    /** Guards against an engine that continues a cancelled request because its agent stopped before forwarding the cancellation. */
     @Test
-    fun `an agent is busy until its engine has heard of every cancellation`() =
+    fun `an agent is busy until its engine has received every cancellation`() =
         runBlocking {
             start()
             val connection = dial()
             connection.send(request(HANGING))
-            eventually("the request runs") { heard.any { it is Message.Head } }
+            eventually("the request runs") { received.any { it is Message.Head } }
             connection.send(Message.Cancel(HANGING))
             backend.cancelling.await()
             assertTrue(server.busy)
             backend.mayCancel.complete(Unit)
-            eventually("nothing is left to do") { !server.busy }
+            eventually("the agent is no longer busy") { !server.busy }
         }
 
-    /** Guards against a stop that never goes on since one entry host is frozen and takes nothing more. */
+    /** Guards against a stop that is blocked by an entry host that no longer reads from its connection. */
     @Test
-    fun `an entry host that does not read keeps nobody else from hearing that an agent leaves`() =
+    fun `an entry host that does not read does not delay the leaving notice to other entry hosts`() =
         runBlocking {
             start()
             val frozen = dial { awaitCancellation() }
             repeat(REQUESTS_BEYOND_ALL_BUFFERS) { frozen.send(request(RequestId("r$it"))) }
-            eventually("nothing more can be sent to it") { accepted.singleOrNull()?.let { isFull(it) } == true }
+            eventually("the connection to the frozen entry host is full") { accepted.singleOrNull()?.let { isFull(it) } == true }
             dial()
-            eventually("the other one is greeted") { heard.any { it is Message.Hello } }
+            eventually("the other entry host has received the hello") { received.any { it is Message.Hello } }
             val announcement = scope.launch { server.announceLeaving() }
-            eventually("the other one hears that the agent leaves") { Message.Leaving in heard }
-            eventually("the announcement is over") { announcement.isCompleted }
+            eventually("the other entry host has received the leaving notice") { Message.Leaving in received }
+            eventually("the announcement has completed") { announcement.isCompleted }
         }
 
     private suspend fun isFull(connection: Connection) = withTimeoutOrNull(FULL_AFTER_MS) { connection.send(Message.Pong(0)) } == null
 
     private companion object {
-        /** More than an agent sends beyond what was acknowledged. */
+        /** More than the number of unacknowledged bytes that an agent sends. */
         const val ANSWER_BYTES = 600_000
 
-        /** Each may have 256 KB on its way; the network takes some 4 MB, and the queue of a connection 256 messages of 64 KB. */
+        /** Each request may have 256 KB unacknowledged; the network buffers about 4 MB, and a connection queues 256 messages of 64 KB. */
         const val REQUESTS_BEYOND_ALL_BUFFERS = 110
         const val FULL_AFTER_MS = 100L
         val HANGING = RequestId("hanging")
