--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -9,9 +9,9 @@
 import org.almondjunction.decisions.ForwardingDecision
 import org.almondjunction.decisions.ForwardingState
 import org.almondjunction.decisions.ForwardingStep
-import org.almondjunction.decisions.SharedRetryBudget
 import org.almondjunction.decisions.RetrySafety
 import org.almondjunction.decisions.SendResult
+import org.almondjunction.decisions.SharedRetryBudget
 import org.almondjunction.network.BodyPart
 import org.almondjunction.network.HttpHeader
 import org.almondjunction.network.WholeBody
--- a/gateway/src/main/kotlin/ModelPreloader.kt
+++ b/gateway/src/main/kotlin/ModelPreloader.kt
@@ -1,8 +1,8 @@
 package org.almondjunction.gateway
 
 import kotlinx.coroutines.delay
-import org.almondjunction.decisions.ReplicaPlan
 import org.almondjunction.decisions.Rendezvous
+import org.almondjunction.decisions.ReplicaPlan
 
 /**
  * Preloads models that no target holds or that need more replicas, before callers request them.
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -2,12 +2,12 @@
 
 import org.almondjunction.common.Clock
 import org.almondjunction.common.ModelId
-import org.almondjunction.decisions.ReplicaPlan
 import org.almondjunction.decisions.EvictionCandidate
 import org.almondjunction.decisions.EvictionPlan
 import org.almondjunction.decisions.LoadValue
 import org.almondjunction.decisions.ModelWorkload
 import org.almondjunction.decisions.Rendezvous
+import org.almondjunction.decisions.ReplicaPlan
 import org.almondjunction.decisions.TargetCandidate
 import org.almondjunction.decisions.TargetChoice
 import org.almondjunction.keeper.KeeperMessage
