--- a/network/src/main/kotlin/ByteBudget.kt
+++ b/network/src/main/kotlin/ByteBudget.kt
@@ -1,24 +1,24 @@
 package org.almondjunction.network
 
-/** Bounds the bytes that a process gathers for all its messages together, so that no peer can exhaust its memory. */
+/** Limits the bytes that a process buffers for all messages together, so that no peer can exhaust its memory. */
 public class ByteBudget(
     private val totalBytes: Long,
 ) {
-    /** Bytes that are reserved now. */
+    /** Number of bytes currently reserved. */
     public var takenBytes: Long = 0
         private set
 
-    /** Returns a reservation of nothing yet. */
+    /** Returns an empty reservation. */
     public fun reserve(): Reservation = Reservation()
 
-    /** Bytes gathered for one message; to be closed when they are no longer held. */
+    /** Bytes reserved for one message; must be closed when the buffer is released. */
     public inner class Reservation : AutoCloseable {
         private var heldBytes = 0L
 
-        /** Adds [bytes]; returns false, and adds nothing, when the budget has no room for them. */
+        /** Reserves [bytes] more; returns false, and changes nothing, when the budget has no room for them. */
         public fun take(bytes: Int): Boolean = hold(heldBytes + bytes)
 
-        /** Makes [bytes] the whole of what is held; returns false, and changes nothing, when the budget has no room for them. */
+        /** Sets the size of this reservation to [bytes]; returns false, and changes nothing, when the budget has no room for them. */
         public fun hold(bytes: Long): Boolean {
             if (takenBytes - heldBytes + bytes > totalBytes) return false
             takenBytes += bytes - heldBytes
--- a/network/src/main/kotlin/EventLoop.kt
+++ b/network/src/main/kotlin/EventLoop.kt
@@ -17,9 +17,9 @@
 import kotlin.coroutines.CoroutineContext
 
 /**
- * One thread that waits for sockets and timers and runs every coroutine of a process.
+ * Single-threaded event loop that waits for sockets and timers and runs every coroutine of a process.
  *
- * Coroutines on it share state without locks. [run] occupies the calling thread until [stop].
+ * Coroutines on the loop share state without locks. [run] blocks the calling thread until [stop] is called.
  */
 @OptIn(InternalCoroutinesApi::class)
 public class EventLoop(
@@ -27,8 +27,8 @@
 ) : CoroutineDispatcher(),
     Delay {
     private val selector = Selector.open()
-    private val ready = ArrayDeque<Runnable>()
-    private val posted = ConcurrentLinkedQueue<Runnable>()
+    private val readyTasks = ArrayDeque<Runnable>()
+    private val postedTasks = ConcurrentLinkedQueue<Runnable>()
     private val timers = PriorityQueue<Timer>()
     private var timerCount = 0L
 
@@ -38,7 +38,7 @@
     @Volatile
     private var stopped = false
 
-    /** Runs until [stop]; must be called once. */
+    /** Runs the loop until [stop] is called; must be called at most once. */
     public fun run() {
         thread = Thread.currentThread()
         while (!stopped) {
@@ -59,9 +59,9 @@
         block: Runnable,
     ) {
         if (Thread.currentThread() === thread) {
-            ready.addLast(block)
+            readyTasks.addLast(block)
         } else {
-            posted.add(block)
+            postedTasks.add(block)
             selector.wakeup()
         }
     }
@@ -93,11 +93,11 @@
         delayMs: Long,
         task: Runnable,
     ): DisposableHandle {
-        val timer = Timer(clock.nowMs() + delayMs.coerceIn(0, LONGEST_DELAY_MS), timerCount++, task)
+        val timer = Timer(clock.nowMs() + delayMs.coerceIn(0, MAXIMUM_DELAY_MS), timerCount++, task)
         if (Thread.currentThread() === thread) {
             timers.add(timer)
         } else {
-            posted.add(Runnable { timers.add(timer) })
+            postedTasks.add(Runnable { timers.add(timer) })
             selector.wakeup()
         }
         return timer
@@ -105,15 +105,15 @@
 
     private fun runReady() {
         while (true) {
-            while (true) ready.addLast(posted.poll() ?: break)
+            while (true) readyTasks.addLast(postedTasks.poll() ?: break)
             runTimers()
-            val task = ready.removeFirstOrNull() ?: return
-            guarded("task") { task.run() }
+            val task = readyTasks.removeFirstOrNull() ?: return
+            runGuarded("task") { task.run() }
         }
     }
 
-    /** An unexpected error in [work], also one of the Java machine such as an exhausted stack or heap, ends that work alone. */
-    private inline fun guarded(
+    /** Runs [work] and logs any error, including JVM errors such as an exhausted stack or heap, so that the loop continues. */
+    private inline fun runGuarded(
         where: String,
         work: () -> Unit,
     ) {
@@ -131,7 +131,7 @@
             val timer = timers.peek() ?: return
             if (!timer.disposed && timer.dueMs > nowMs) return
             timers.poll()
-            if (!timer.disposed) ready.addLast(timer.task)
+            if (!timer.disposed) readyTasks.addLast(timer.task)
         }
     }
 
@@ -146,7 +146,7 @@
         while (keys.hasNext()) {
             val key = keys.next()
             keys.remove()
-            guarded("handler") { handle(key) }
+            runGuarded("handler") { handle(key) }
         }
     }
 
@@ -157,7 +157,7 @@
             if (key.isValid) (key.attachment() as (SelectionKey) -> Unit)(key)
             failed = false
         } catch (_: CancelledKeyException) {
-            // The channel was closed by a handler that ran before in this round; its owner knows.
+            // A handler that ran earlier in this iteration closed the channel.
             failed = false
         } finally {
             if (failed) key.channel().close()
@@ -166,7 +166,7 @@
 
     private class Timer(
         val dueMs: Long,
-        val order: Long,
+        val sequence: Long,
         val task: Runnable,
     ) : Comparable<Timer>,
         DisposableHandle {
@@ -176,11 +176,11 @@
             disposed = true
         }
 
-        override fun compareTo(other: Timer): Int = compareValuesBy(this, other, { it.dueMs }, { it.order })
+        override fun compareTo(other: Timer): Int = compareValuesBy(this, other, { it.dueMs }, { it.sequence })
     }
 
     private companion object {
-        /** Far beyond any delay of the product; keeps sums of times from overflowing. */
-        const val LONGEST_DELAY_MS = 365L * 24 * 3_600_000
+        /** Longer than any delay in use; prevents overflow when a delay is added to the current time. */
+        const val MAXIMUM_DELAY_MS = 365L * 24 * 3_600_000
     }
 }
--- a/network/src/main/kotlin/HttpCall.kt
+++ b/network/src/main/kotlin/HttpCall.kt
@@ -5,7 +5,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.almondjunction.common.Address
 
-/** A whole answer to a small call. */
+/** Complete response to a call of [HttpCaller]. */
 public class HttpReply(
     public val status: Int,
     public val headers: HttpHeaders,
@@ -13,47 +13,47 @@
 )
 
 /**
- * Makes small calls to one address, one after another on a kept connection.
+ * HTTP client for small calls to one address; calls run one at a time on a persistent connection.
  *
- * A call without an answer may have been executed. A connection on which an answer was lost is never used again.
+ * A call without a response may have been executed. A connection on which a response was lost is never reused.
  */
 public class HttpCaller(
     private val loop: EventLoop,
     private val address: Address,
     private val connectTimeoutMs: Long = CONNECT_TIMEOUT_MS,
 ) : AutoCloseable {
-    private val turn = Mutex()
-    private var kept: TcpConnection? = null
+    private val mutex = Mutex()
+    private var idleConnection: TcpConnection? = null
 
-    /** Makes one call; null when no whole answer came within [timeoutMs]. */
+    /** Sends one request; returns null when no complete response arrives within [timeoutMs]. */
     public suspend fun call(
         method: String,
         target: String,
         body: ByteArray? = null,
         headers: List<HttpHeader> = emptyList(),
         timeoutMs: Long,
-    ): HttpReply? = turn.withLock { callInTurn(method, target, body, headers, timeoutMs) }
+    ): HttpReply? = mutex.withLock { callLocked(method, target, body, headers, timeoutMs) }
 
-    private suspend fun callInTurn(
+    private suspend fun callLocked(
         method: String,
         target: String,
         body: ByteArray?,
         headers: List<HttpHeader>,
         timeoutMs: Long,
     ): HttpReply? {
-        val reused = kept?.takeUnless { it.closed || it.fillNow() != null }
-        kept = null
+        val reused = idleConnection?.takeUnless { it.closed || it.fillNow() != null }
+        idleConnection = null
         val connection = reused ?: TcpConnection.dial(loop, address, connectTimeoutMs) ?: return null
-        var whole = false
+        var complete = false
         try {
             val reply = withTimeoutOrNull(timeoutMs) { exchange(connection, method, target, body, headers) } ?: return null
-            whole = true
-            if (!reply.headers.hasToken("Connection", "close") && connection.input.size == 0) kept = connection
+            complete = true
+            if (!reply.headers.hasToken("Connection", "close") && connection.input.size == 0) idleConnection = connection
             return reply
         } finally {
-            if (!whole) {
+            if (!complete) {
                 connection.abort()
-            } else if (kept !== connection) {
+            } else if (idleConnection !== connection) {
                 connection.close()
             }
         }
@@ -66,31 +66,31 @@
         body: ByteArray?,
         headers: List<HttpHeader>,
     ): HttpReply? {
-        val all = mutableListOf(HttpHeader("Host", address.toString()))
-        all += headers
-        if (body != null) all += HttpHeader("Content-Length", body.size.toString())
-        if (!connection.write(HttpWriter.request(method, target, all), body ?: EMPTY)) return null
+        val allHeaders = mutableListOf(HttpHeader("Host", address.toString()))
+        allHeaders += headers
+        if (body != null) allHeaders += HttpHeader("Content-Length", body.size.toString())
+        if (!connection.write(HttpWriter.request(method, target, allHeaders), body ?: EMPTY_BODY)) return null
         val reader = HttpReader(connection)
         val head = (reader.responseHead(MAXIMUM_HEAD_BYTES) as? HeadResult.Read)?.head ?: return null
         val framing = HttpHeadParser.framingOf(head, method) ?: return null
-        val answer = reader.body(framing).whole(MAXIMUM_BODY_BYTES) as? WholeBody.Read ?: return null
+        val content = reader.body(framing).whole(MAXIMUM_BODY_BYTES) as? WholeBody.Read ?: return null
         if (framing == BodyFraming.UntilEnd) connection.close()
-        return HttpReply(head.status, head.headers, answer.bytes)
+        return HttpReply(head.status, head.headers, content.bytes)
     }
 
     override fun close() {
-        kept?.close()
-        kept = null
+        idleConnection?.close()
+        idleConnection = null
     }
 
     private companion object {
-        val EMPTY = ByteArray(0)
+        val EMPTY_BODY = ByteArray(0)
 
-        /** A host that cannot be reached within this time counts as gone; above any round trip between regions. */
+        /** Longer than any round trip between regions; a host that does not accept within this time is treated as unreachable. */
         const val CONNECT_TIMEOUT_MS = 1_000L
         const val MAXIMUM_HEAD_BYTES = 16_384
 
-        /** A few times the largest page that the platform's store gives. */
+        /** A few times the largest page that the platform's object store returns. */
         const val MAXIMUM_BODY_BYTES = 4L * 1024 * 1024
     }
 }
--- a/network/src/main/kotlin/HttpHead.kt
+++ b/network/src/main/kotlin/HttpHead.kt
@@ -6,7 +6,7 @@
     val value: String,
 )
 
-/** Header lines in order. Names are compared without regard to case. */
+/** Header lines in order. Names are case-insensitive. */
 public class HttpHeaders(
     public val lines: List<HttpHeader>,
 ) {
@@ -22,7 +22,7 @@
         token: String,
     ): Boolean = all(name).any { value -> value.split(',').any { it.trim().equals(token, ignoreCase = true) } }
 
-    /** Returns the lines that are handed on: neither of one connection only (RFC 9110, also those named in `Connection`) nor framing. */
+    /** Returns the lines that a proxy forwards: no framing and no hop-by-hop headers (RFC 9110, including those named in `Connection`). */
     public fun endToEnd(): List<HttpHeader> {
         val named = all("Connection").flatMap { value -> value.split(',').map { it.trim().lowercase() } }
         return lines.filter { it.name.lowercase() !in HOP_BY_HOP && it.name.lowercase() !in named }
@@ -59,7 +59,7 @@
     val version: HttpVersion = HttpVersion.HTTP_1_1,
 )
 
-/** Versions of the protocol that are understood. */
+/** Supported HTTP versions. */
 public enum class HttpVersion(
     internal val text: String,
 ) {
@@ -67,7 +67,7 @@
     HTTP_1_1("HTTP/1.1"),
 }
 
-/** How the end of a body is found. */
+/** How the end of a body is determined. */
 public sealed class BodyFraming {
     /** There is no body. */
     public data object None : BodyFraming()
@@ -77,16 +77,16 @@
         val bytes: Long,
     ) : BodyFraming()
 
-    /** The body comes in chunks. */
+    /** The body uses chunked transfer coding. */
     public data object Chunked : BodyFraming()
 
-    /** The body ends with its connection. */
+    /** The body ends when the connection is closed. */
     public data object UntilEnd : BodyFraming()
 }
 
 /** Outcome of reading a head from a connection. */
 public sealed class HeadResult<out T> {
-    /** A whole head. */
+    /** A complete head. */
     public data class Read<T>(
         val head: T,
     ) : HeadResult<T>()
@@ -97,11 +97,11 @@
     /** The connection ended or failed inside a head. */
     public data object Broken : HeadResult<Nothing>()
 
-    /** What arrived is not a head of the protocol. */
+    /** The received bytes are not a valid HTTP head. */
     public data class Malformed(
         val detail: String,
     ) : HeadResult<Nothing>()
 
-    /** The head is over the limit. */
+    /** The head exceeds the size limit. */
     public data object TooLarge : HeadResult<Nothing>()
 }
--- a/network/src/main/kotlin/HttpHeadParser.kt
+++ b/network/src/main/kotlin/HttpHeadParser.kt
@@ -1,28 +1,28 @@
 package org.almondjunction.network
 
-/** Turns the lines of a head into its parts, and finds how its body is framed (RFC 9112). */
+/** Parses the start line and headers of a message, and determines the framing of its body (RFC 9112). */
 public object HttpHeadParser {
-    internal fun request(lines: List<String>): HeadResult<RequestHead> {
+    internal fun parseRequest(lines: List<String>): HeadResult<RequestHead> {
         val parts = lines.first().split(' ')
         val version = parts.getOrNull(2)?.let { text -> HttpVersion.entries.firstOrNull { it.text == text } }
         if (parts.size != REQUEST_LINE_PARTS || version == null || !parts[0].isToken() || parts[1].isEmpty()) {
             return HeadResult.Malformed("The request line cannot be read.")
         }
         if (parts[1].any { it <= ' ' || it == DELETE }) return HeadResult.Malformed("The request target holds a control character.")
-        val headers = headers(lines) ?: return HeadResult.Malformed("A header line cannot be read.")
+        val headers = parseHeaders(lines) ?: return HeadResult.Malformed("A header line cannot be read.")
         return HeadResult.Read(RequestHead(parts[0], parts[1], headers, version))
     }
 
-    internal fun response(lines: List<String>): HeadResult<ResponseHead> {
+    internal fun parseResponse(lines: List<String>): HeadResult<ResponseHead> {
         val parts = lines.first().split(' ', limit = REQUEST_LINE_PARTS)
         val version = HttpVersion.entries.firstOrNull { it.text == parts[0] }
         val status = parts.getOrNull(1)?.takeIf { it.length == STATUS_DIGITS }?.toIntOrNull()
-        if (version == null || status == null || status < LOWEST_STATUS) return HeadResult.Malformed("The status line cannot be read.")
-        val headers = headers(lines) ?: return HeadResult.Malformed("A header line cannot be read.")
+        if (version == null || status == null || status < MINIMUM_STATUS) return HeadResult.Malformed("The status line cannot be read.")
+        val headers = parseHeaders(lines) ?: return HeadResult.Malformed("A header line cannot be read.")
         return HeadResult.Read(ResponseHead(status, headers, version))
     }
 
-    private fun headers(lines: List<String>): HttpHeaders? {
+    private fun parseHeaders(lines: List<String>): HttpHeaders? {
         val headers = ArrayList<HttpHeader>(lines.size)
         for (index in 1 until lines.size) {
             val line = lines[index]
@@ -36,7 +36,7 @@
         return HttpHeaders(headers)
     }
 
-    private fun String.isToken() = isNotEmpty() && all { it.isLetterOrDigit() && it.code < DELETE.code || it in TOKEN_SIGNS }
+    private fun String.isToken() = isNotEmpty() && all { it.isLetterOrDigit() && it.code < DELETE.code || it in TOKEN_SYMBOLS }
 
     /** Returns the framing of a request's body; null when its headers contradict each other. */
     public fun framingOf(head: RequestHead): BodyFraming? {
@@ -47,7 +47,7 @@
             return if (chunked && lengths.isEmpty() && head.version == HttpVersion.HTTP_1_1) BodyFraming.Chunked else null
         }
         if (lengths.isEmpty()) return BodyFraming.None
-        return length(lengths)
+        return lengthFraming(lengths)
     }
 
     /** Returns the framing of a response's body; null when its headers contradict each other. */
@@ -62,10 +62,10 @@
             val chunked = encodings.size == 1 && encodings[0].equals("chunked", ignoreCase = true)
             return if (chunked && lengths.isEmpty()) BodyFraming.Chunked else null
         }
-        return if (lengths.isEmpty()) BodyFraming.UntilEnd else length(lengths)
+        return if (lengths.isEmpty()) BodyFraming.UntilEnd else lengthFraming(lengths)
     }
 
-    private fun length(values: List<String>): BodyFraming? {
+    private fun lengthFraming(values: List<String>): BodyFraming? {
         val text = values.distinct().singleOrNull() ?: return null
         if (text.isEmpty() || text.length > MAXIMUM_LENGTH_DIGITS || !text.all { it in '0'..'9' }) return null
         return BodyFraming.Length(text.toLong())
@@ -73,10 +73,10 @@
 
     private const val REQUEST_LINE_PARTS = 3
     private const val STATUS_DIGITS = 3
-    private const val LOWEST_STATUS = 100
+    private const val MINIMUM_STATUS = 100
     private const val NO_CONTENT = 204
     private const val NOT_MODIFIED = 304
     private const val MAXIMUM_LENGTH_DIGITS = 15
     private const val DELETE = '\u007F'
-    private const val TOKEN_SIGNS = "!#$%&'*+-.^_`|~"
+    private const val TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~"
 }
--- a/network/src/main/kotlin/HttpReader.kt
+++ b/network/src/main/kotlin/HttpReader.kt
@@ -1,6 +1,6 @@
 package org.almondjunction.network
 
-/** A part of a body, or how it ended. */
+/** Result of one read from a body: a part of it, or how it ended. */
 public sealed class BodyPart {
     /** Bytes of the body, in order. */
     public class Data(
@@ -10,27 +10,27 @@
     /** The body is complete. */
     public data object Complete : BodyPart()
 
-    /** The body broke off or its framing is wrong. */
+    /** The body is truncated or its framing is invalid. */
     public data class Broken(
         val detail: String,
     ) : BodyPart()
 }
 
-/** Reads heads and bodies of HTTP/1.1 messages from [connection], without tolerance for messages that could be read in two ways. */
+/** Reads heads and bodies of HTTP/1.1 messages from [connection]; rejects messages that are ambiguous. */
 public class HttpReader(
     private val connection: TcpConnection,
 ) {
     private val input get() = connection.input
 
-    /** Reads the head of a request of [maximumBytes] at most. */
+    /** Reads the head of a request, which may have at most [maximumBytes]. */
     public suspend fun requestHead(maximumBytes: Int): HeadResult<RequestHead> =
-        head(maximumBytes) { lines -> HttpHeadParser.request(lines) }
+        readHead(maximumBytes) { lines -> HttpHeadParser.parseRequest(lines) }
 
-    /** Reads the head of a response of [maximumBytes] at most. */
+    /** Reads the head of a response, which may have at most [maximumBytes]. */
     public suspend fun responseHead(maximumBytes: Int): HeadResult<ResponseHead> =
-        head(maximumBytes) { lines -> HttpHeadParser.response(lines) }
+        readHead(maximumBytes) { lines -> HttpHeadParser.parseResponse(lines) }
 
-    private suspend fun <T> head(
+    private suspend fun <T> readHead(
         maximumBytes: Int,
         parse: (List<String>) -> HeadResult<T>,
     ): HeadResult<T> {
@@ -38,7 +38,7 @@
         var total = 0
         while (true) {
             val line =
-                when (val result = line(maximumBytes - total)) {
+                when (val result = readLine(maximumBytes - total)) {
                     is LineResult.Line -> result.text
                     LineResult.End -> return if (lines.isEmpty() && input.size == 0) HeadResult.End else HeadResult.Broken
                     LineResult.Reset -> return if (lines.isEmpty() && input.size == 0) HeadResult.End else HeadResult.Broken
@@ -68,14 +68,14 @@
         data object Malformed : LineResult()
     }
 
-    private suspend fun line(maximumBytes: Int): LineResult {
+    private suspend fun readLine(maximumBytes: Int): LineResult {
         var searched = 0
         while (true) {
-            val feed = input.indexOfLineFeed(searched)
-            if (feed > maximumBytes || (feed < 0 && input.size > maximumBytes)) return LineResult.TooLong
-            if (feed >= 0) {
-                if (feed == 0 || input[feed - 1] != CARRIAGE_RETURN) return LineResult.Malformed
-                val text = input.takeText(feed - 1)
+            val lineFeed = input.indexOfLineFeed(searched)
+            if (lineFeed > maximumBytes || (lineFeed < 0 && input.size > maximumBytes)) return LineResult.TooLong
+            if (lineFeed >= 0) {
+                if (lineFeed == 0 || input[lineFeed - 1] != CARRIAGE_RETURN) return LineResult.Malformed
+                val text = input.takeText(lineFeed - 1)
                 input.skip(LINE_END_BYTES)
                 return LineResult.Line(text)
             }
@@ -94,21 +94,21 @@
             BodyFraming.None -> BodyReader { BodyPart.Complete }
             is BodyFraming.Length -> lengthBody(framing.bytes)
             BodyFraming.Chunked -> chunkedBody()
-            BodyFraming.UntilEnd -> BodyReader { untilEnd() }
+            BodyFraming.UntilEnd -> BodyReader { readUntilEnd() }
         }
 
     private fun lengthBody(length: Long): BodyReader {
-        var left = length
+        var remaining = length
         return BodyReader {
             when {
-                left == 0L -> BodyPart.Complete
-                input.size == 0 && connection.fill() != ReadResult.DATA -> BodyPart.Broken("The body ended $left bytes early.")
-                else -> BodyPart.Data(input.take(minOf(left, input.size.toLong()).toInt())).also { left -= it.bytes.size }
+                remaining == 0L -> BodyPart.Complete
+                input.size == 0 && connection.fill() != ReadResult.DATA -> BodyPart.Broken("The body ended $remaining bytes early.")
+                else -> BodyPart.Data(input.take(minOf(remaining, input.size.toLong()).toInt())).also { remaining -= it.bytes.size }
             }
         }
     }
 
-    private suspend fun untilEnd(): BodyPart {
+    private suspend fun readUntilEnd(): BodyPart {
         if (input.size > 0) return BodyPart.Data(input.take(input.size))
         return when (connection.fill()) {
             ReadResult.DATA -> BodyPart.Data(input.take(input.size))
@@ -118,36 +118,36 @@
     }
 
     private fun chunkedBody(): BodyReader {
-        var left = 0L
+        var remaining = 0L
         var first = true
         return BodyReader {
-            if (left == 0L) {
-                if (!first && !chunkEnd()) return@BodyReader BodyPart.Broken("A chunk does not end where its size says.")
+            if (remaining == 0L) {
+                if (!first && !readChunkEnd()) return@BodyReader BodyPart.Broken("A chunk does not end where its size says.")
                 first = false
-                left = chunkSize() ?: return@BodyReader BodyPart.Broken("The size of a chunk cannot be read.")
-                if (left == 0L) return@BodyReader if (trailers()) BodyPart.Complete else BodyPart.Broken("The trailer broke off.")
+                remaining = readChunkSize() ?: return@BodyReader BodyPart.Broken("The size of a chunk cannot be read.")
+                if (remaining == 0L) return@BodyReader if (readTrailers()) BodyPart.Complete else BodyPart.Broken("The trailer broke off.")
             }
             if (input.size == 0 && connection.fill() != ReadResult.DATA) {
-                return@BodyReader BodyPart.Broken("A chunk ended $left bytes early.")
+                return@BodyReader BodyPart.Broken("A chunk ended $remaining bytes early.")
             }
-            BodyPart.Data(input.take(minOf(left, input.size.toLong()).toInt())).also { left -= it.bytes.size }
+            BodyPart.Data(input.take(minOf(remaining, input.size.toLong()).toInt())).also { remaining -= it.bytes.size }
         }
     }
 
-    private suspend fun chunkEnd(): Boolean = (line(LINE_END_BYTES) as? LineResult.Line)?.text?.isEmpty() == true
+    private suspend fun readChunkEnd(): Boolean = (readLine(LINE_END_BYTES) as? LineResult.Line)?.text?.isEmpty() == true
 
-    private suspend fun chunkSize(): Long? {
-        val line = (line(MAXIMUM_CHUNK_LINE_BYTES) as? LineResult.Line)?.text ?: return null
+    private suspend fun readChunkSize(): Long? {
+        val line = (readLine(MAXIMUM_CHUNK_LINE_BYTES) as? LineResult.Line)?.text ?: return null
         val digits = line.substringBefore(';').trimEnd(' ', '\t')
         if (digits.isEmpty() || digits.length > MAXIMUM_CHUNK_DIGITS || !digits.all { it.isHexDigit() }) return null
-        return digits.toLong(HEXADECIMAL)
+        return digits.toLong(HEXADECIMAL_RADIX)
     }
 
     private fun Char.isHexDigit() = this in '0'..'9' || this in 'a'..'f' || this in 'A'..'F'
 
-    private suspend fun trailers(): Boolean {
+    private suspend fun readTrailers(): Boolean {
         repeat(MAXIMUM_TRAILERS) {
-            val line = (line(MAXIMUM_CHUNK_LINE_BYTES) as? LineResult.Line)?.text ?: return false
+            val line = (readLine(MAXIMUM_CHUNK_LINE_BYTES) as? LineResult.Line)?.text ?: return false
             if (line.isEmpty()) return true
         }
         return false
@@ -156,10 +156,10 @@
     private companion object {
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val LINE_END_BYTES = 2
-        const val HEXADECIMAL = 16
+        const val HEXADECIMAL_RADIX = 16
         const val MAXIMUM_CHUNK_DIGITS = 15
 
-        /** Bound on one line of chunk size or trailer, as servers commonly set it. */
+        /** Limit for one chunk-size or trailer line; a common value among HTTP servers. */
         const val MAXIMUM_CHUNK_LINE_BYTES = 4_096
         const val MAXIMUM_TRAILERS = 64
     }
@@ -169,10 +169,10 @@
 public class BodyReader(
     private val read: suspend () -> BodyPart,
 ) {
-    /** Returns the next part; after [BodyPart.Complete] or [BodyPart.Broken] there is none. */
+    /** Returns the next part; no part follows [BodyPart.Complete] or [BodyPart.Broken]. */
     public suspend fun next(): BodyPart = read()
 
-    /** Returns the whole body, unless it broke off, is longer than [maximumBytes] or [reservation] has no room for it. */
+    /** Reads the whole body, unless it is truncated, is longer than [maximumBytes] or exceeds the budget of [reservation]. */
     public suspend fun whole(
         maximumBytes: Long,
         reservation: ByteBudget.Reservation? = null,
@@ -209,18 +209,18 @@
 
 /** Outcome of reading a whole body. */
 public sealed class WholeBody {
-    /** All of it. */
+    /** The complete body. */
     public class Read(
         public val bytes: ByteArray,
     ) : WholeBody()
 
-    /** It is over the limit. */
+    /** The body exceeds the size limit. */
     public data object TooLarge : WholeBody()
 
-    /** This process holds too much already. */
+    /** The [ByteBudget] of the process has no room for the body. */
     public data object NoRoom : WholeBody()
 
-    /** It broke off. */
+    /** The body is truncated or its framing is invalid. */
     public data class Broken(
         val detail: String,
     ) : WholeBody()
--- a/network/src/main/kotlin/HttpWriter.kt
+++ b/network/src/main/kotlin/HttpWriter.kt
@@ -1,6 +1,6 @@
 package org.almondjunction.network
 
-/** Writes heads and chunks of HTTP/1.1 messages as bytes. */
+/** Encodes heads and chunks of HTTP/1.1 messages. */
 public object HttpWriter {
     /** Returns the head of a request. */
     public fun request(
@@ -13,7 +13,7 @@
     public fun response(
         status: Int,
         headers: List<HttpHeader>,
-    ): ByteArray = head("HTTP/1.1 $status ${reasonOf(status)}", headers)
+    ): ByteArray = head("HTTP/1.1 $status ${reasonPhrase(status)}", headers)
 
     private fun head(
         startLine: String,
@@ -30,7 +30,7 @@
         return text.append("\r\n").toString().toByteArray(Charsets.ISO_8859_1)
     }
 
-    /** Returns [bytes] as one chunk; [bytes] must not be empty. */
+    /** Encodes [bytes] as one chunk; [bytes] must not be empty. */
     public fun chunk(bytes: ByteArray): ByteArray {
         val size = Integer.toHexString(bytes.size).toByteArray(Charsets.ISO_8859_1)
         val chunk = ByteArray(size.size + bytes.size + 2 * LINE_END.size)
@@ -41,14 +41,14 @@
         return chunk
     }
 
-    /** The end of a chunked body. */
+    /** Last chunk and empty trailer section, which end a chunked body. */
     public val LAST_CHUNK: ByteArray = "0\r\n\r\n".toByteArray(Charsets.ISO_8859_1)
 
     private val LINE_END = "\r\n".toByteArray(Charsets.ISO_8859_1)
 
-    private fun reasonOf(status: Int): String = REASONS[status] ?: "Status"
+    private fun reasonPhrase(status: Int): String = REASON_PHRASES[status] ?: "Status"
 
-    private val REASONS =
+    private val REASON_PHRASES =
         mapOf(
             100 to "Continue",
             200 to "OK",
--- a/network/src/main/kotlin/ProcessScope.kt
+++ b/network/src/main/kotlin/ProcessScope.kt
@@ -12,7 +12,7 @@
 import kotlin.coroutines.cancellation.CancellationException
 import kotlin.coroutines.coroutineContext
 
-/** Returns a scope whose coroutines run on [loop]; an unexpected error in one of them is logged, told to [onFailure], and ends that one alone. */
+/** Returns a scope whose coroutines run on [loop]; an unexpected error in one ends only that one, is logged, and calls [onFailure]. */
 public fun processScope(
     loop: EventLoop,
     onFailure: () -> Unit = {},
@@ -25,7 +25,7 @@
     return CoroutineScope(SupervisorJob() + loop + handler)
 }
 
-/** Runs [work], which does not end by itself, and again [RESTART_MS] after each unexpected error in it. */
+/** Runs [work], which is not expected to return, and restarts it [RESTART_DELAY_MS] after each unexpected error. */
 public fun CoroutineScope.launchAlways(
     name: String,
     onFailure: () -> Unit = {},
@@ -42,23 +42,23 @@
                 logUnexpected(name, failure)
             }
             onFailure()
-            delay(RESTART_MS)
+            delay(RESTART_DELAY_MS)
         }
     }
 
-/** Tells of [failure]; where even that fails, as without memory, the process goes on and tells the next one. */
+/** Logs [failure]. When logging itself fails, for example for lack of memory, the process continues without the log line. */
 internal fun logUnexpected(
     where: String,
     failure: Throwable,
 ) {
     try {
-        writeUnexpected(where, failure)
-    } catch (unwritten: Throwable) {
-        failure.addSuppressed(unwritten)
+        writeLogLine(where, failure)
+    } catch (loggingFailure: Throwable) {
+        failure.addSuppressed(loggingFailure)
     }
 }
 
-private fun writeUnexpected(
+private fun writeLogLine(
     where: String,
     failure: Throwable,
 ) {
@@ -66,5 +66,5 @@
     EventLog.error("unexpected error", LogFields(reason = failure.toString(), extra = mapOf("where" to where, "place" to place)))
 }
 
-/** Pause before work that failed unexpectedly begins again, so that a lasting cause does not fill the log. */
-private const val RESTART_MS = 500L
+/** Delay before failed work is restarted, so that a persistent error does not fill the log. */
+private const val RESTART_DELAY_MS = 500L
--- a/network/src/main/kotlin/TcpConnection.kt
+++ b/network/src/main/kotlin/TcpConnection.kt
@@ -14,12 +14,12 @@
 import java.nio.channels.SocketChannel
 import kotlin.coroutines.resume
 
-/** What a read from a connection met. */
+/** Result of reading from a connection. */
 public enum class ReadResult {
-    /** At least one byte arrived. */
+    /** At least one byte was received. */
     DATA,
 
-    /** The peer closed its side in order. */
+    /** The peer closed its side cleanly. */
     END,
 
     /** The connection failed. */
@@ -27,22 +27,22 @@
 }
 
 /**
- * A TCP connection on an [EventLoop], with the bytes that were read but not used yet in [input].
+ * A TCP connection on an [EventLoop]; received bytes are buffered in [input].
  *
- * One coroutine at a time may read, and one may write.
+ * At most one coroutine may read and one may write at a time.
  */
 public class TcpConnection internal constructor(
     loop: EventLoop,
     private val channel: SocketChannel,
 ) : AutoCloseable {
-    /** Bytes that were received and not used yet. */
+    /** Bytes that were received and not consumed yet. */
     public val input: InputBuffer = InputBuffer()
 
-    /** Whether this side has closed the connection, or found it closed or failed. */
+    /** Whether the connection was closed by this side or an I/O error was detected. */
     public var closed: Boolean = false
         private set
 
-    /** Whether any byte was handed to the network. */
+    /** Number of bytes passed to the operating system for sending. */
     public var bytesWritten: Long = 0
         private set
 
@@ -65,7 +65,7 @@
         }
     }
 
-    /** Adds what has arrived to [input], waiting for the first byte. */
+    /** Reads the available bytes into [input]; suspends until there is at least one, an end or a failure. */
     public suspend fun fill(): ReadResult {
         while (true) {
             val result = fillNow()
@@ -78,17 +78,17 @@
         }
     }
 
-    /** Adds what has arrived to [input]; returns null when nothing has. */
+    /** Reads the available bytes into [input] without suspending; returns null when there are none. */
     public fun fillNow(): ReadResult? {
         if (closed) return ReadResult.RESET
         val count =
             try {
-                channel.read(input.space())
+                channel.read(input.writableSpace())
             } catch (_: IOException) {
                 close()
                 return ReadResult.RESET
             }
-        if (count > 0) input.filled(count)
+        if (count > 0) input.commit(count)
         return when {
             count > 0 -> ReadResult.DATA
             count < 0 -> ReadResult.END
@@ -116,7 +116,7 @@
         return false
     }
 
-    /** Closes the connection; whoever waits on it sees it as failed. */
+    /** Closes the connection; a suspended read or write resumes and reports a failure. */
     override fun close() {
         if (closed) return
         closed = true
@@ -124,7 +124,7 @@
         try {
             channel.close()
         } catch (_: IOException) {
-            // The descriptor is released all the same; there is nobody left to tell.
+            // The descriptor is released nevertheless, and no caller depends on the error.
         }
         readWaiter?.resume(Unit)
         writeWaiter?.resume(Unit)
@@ -132,20 +132,20 @@
         writeWaiter = null
     }
 
-    /** Closes the connection so that the peer sees a failure instead of an end. */
+    /** Resets the connection, so that the peer sees a failure instead of a clean end. */
     public fun abort() {
         if (!closed) {
             try {
                 channel.setOption(StandardSocketOptions.SO_LINGER, 0)
             } catch (_: IOException) {
-                // Without the option the peer sees an end; every message is framed, so it still notices.
+                // Without the option the peer sees a clean end; every message is framed, so it still detects the truncation.
             }
         }
         close()
     }
 
     public companion object {
-        /** Connects to [address]; null when that fails or takes longer than [timeoutMs]. */
+        /** Connects to [address]; returns null when that fails or takes longer than [timeoutMs]. */
         public suspend fun dial(
             loop: EventLoop,
             address: Address,
@@ -155,14 +155,14 @@
                 try {
                     SocketChannel.open()
                 } catch (failure: IOException) {
-                    EventLog.warn("no connection opened", LogFields(reason = failure.toString()))
+                    EventLog.warn("could not open a socket", LogFields(reason = failure.toString()))
                     return null
                 }
             return try {
                 channel.configureBlocking(false)
                 channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
                 val connected = channel.connect(InetSocketAddress(address.ip, address.port))
-                if (!connected && !finish(loop, channel, timeoutMs)) {
+                if (!connected && !finishConnecting(loop, channel, timeoutMs)) {
                     channel.close()
                     return null
                 }
@@ -173,7 +173,7 @@
             }
         }
 
-        private suspend fun finish(
+        private suspend fun finishConnecting(
             loop: EventLoop,
             channel: SocketChannel,
             timeoutMs: Long,
--- a/network/src/main/kotlin/TcpListener.kt
+++ b/network/src/main/kotlin/TcpListener.kt
@@ -8,7 +8,7 @@
 import java.nio.channels.ServerSocketChannel
 import java.nio.channels.SocketChannel
 
-/** Accepts connections at [address] and hands each to [onConnection] on the loop. Throws [IOException] when the address is taken. */
+/** Accepts connections at [address] and passes each to [onConnection] on the loop. Throws [IOException] when the address is in use. */
 public class TcpListener internal constructor(
     private val loop: EventLoop,
     public val address: Address,
@@ -25,10 +25,10 @@
             bind(InetSocketAddress(address.ip, address.port), BACKLOG)
         }
 
-    /** Port that is listened on, also where [address] left the choice to the system. */
+    /** Port that the listener is bound to, also when [address] has port 0 and the system chooses it. */
     public val port: Int = (channel.localAddress as InetSocketAddress).port
 
-    private var short = false
+    private var acceptFailing = false
 
     init {
         loop.register(channel, SelectionKey.OP_ACCEPT) { acceptAll(it) }
@@ -40,43 +40,44 @@
                 try {
                     accept(channel)
                 } catch (failure: Throwable) {
-                    return pause(key, failure)
+                    return pauseAccepting(key, failure)
                 }
-            short = false
-            handOver(accepted ?: return)
+            acceptFailing = false
+            setUpConnection(accepted ?: return)
         }
     }
 
     /**
-     * The caller left before it was accepted, or descriptors or memory are short. A caller that waits stays an event: without a pause the
-     * loop would do nothing else until they are free.
+     * Stops accepting for [ACCEPT_RETRY_DELAY_MS] after a failed accept. Causes are a client that has disconnected and a shortage of file
+     * descriptors or memory. A pending connection keeps the channel ready, so without the pause the loop would do
+     * nothing else until they are free.
      */
-    private fun pause(
+    private fun pauseAccepting(
         key: SelectionKey,
         failure: Throwable,
     ) {
         key.interestOps(0)
-        loop.schedule(PAUSE_MS) { if (key.isValid) key.interestOps(SelectionKey.OP_ACCEPT) }
-        if (!short) logUnexpected("accept", failure)
-        short = true
+        loop.schedule(ACCEPT_RETRY_DELAY_MS) { if (key.isValid) key.interestOps(SelectionKey.OP_ACCEPT) }
+        if (!acceptFailing) logUnexpected("accept", failure)
+        acceptFailing = true
     }
 
-    private fun handOver(accepted: SocketChannel) {
+    private fun setUpConnection(accepted: SocketChannel) {
         val connection =
             try {
                 accepted.configureBlocking(false)
                 accepted.setOption(StandardSocketOptions.TCP_NODELAY, true)
                 TcpConnection(loop, accepted)
             } catch (failure: Throwable) {
-                // A caller that has left is no error.
+                // A client that has already disconnected is not an error.
                 if (failure !is IOException) logUnexpected("connection accepted", failure)
                 return accepted.close()
             }
-        hand(connection)
+        callHandler(connection)
     }
 
-    /** An unexpected error about one connection, also one of the Java machine, ends that one alone; the listener goes on. */
-    private fun hand(connection: TcpConnection) {
+    /** An unexpected error in [onConnection], including JVM errors, closes only that connection; the listener continues. */
+    private fun callHandler(connection: TcpConnection) {
         try {
             onConnection(connection)
         } catch (failure: Throwable) {
@@ -85,14 +86,14 @@
         }
     }
 
-    /** Stops accepting; connections that were accepted stay. */
+    /** Stops accepting; accepted connections stay open. */
     override fun close(): Unit = channel.close()
 
     private companion object {
-        /** Connections that may wait to be accepted; a bound above any burst that one host can serve. */
+        /** Maximum number of connections pending acceptance; larger than any burst that one host can serve. */
         const val BACKLOG = 1_024
 
-        /** Time after a failed accept in which descriptors may become free; well below the time that callers allow for a connection. */
-        const val PAUSE_MS = 50L
+        /** Time for file descriptors to become free after a failed accept; well below the connect timeouts of clients. */
+        const val ACCEPT_RETRY_DELAY_MS = 50L
     }
 }
