--- a/network/src/test/kotlin/DescriptorShortage.kt
+++ b/network/src/test/kotlin/DescriptorShortage.kt
@@ -6,7 +6,7 @@
 import java.io.FileInputStream
 import java.io.IOException
 
-/** A process that uses up its descriptors, dials, and prints [DescriptorShortage.NO_CONNECTION] where that is what it gets. */
+/** Process that exhausts its file descriptors, dials, and prints [DescriptorShortage.NO_CONNECTION] when the dial returns null. */
 internal object DescriptorShortage {
     const val NO_CONNECTION = "no connection"
 
@@ -15,11 +15,11 @@
         val loop = EventLoop()
         processScope(loop).launch {
             try {
-                val nobody = Address("127.0.0.1", 1)
-                loadClasses(loop, nobody)
-                val held = useUp()
-                val connection = TcpConnection.dial(loop, nobody, DIAL_TIMEOUT_MS)
-                held.forEach { it.close() }
+                val unusedAddress = Address("127.0.0.1", 1)
+                loadClasses(loop, unusedAddress)
+                val openStreams = exhaustDescriptors()
+                val connection = TcpConnection.dial(loop, unusedAddress, DIAL_TIMEOUT_MS)
+                openStreams.forEach { it.close() }
                 if (connection == null) println(NO_CONNECTION)
             } finally {
                 loop.stop()
@@ -28,22 +28,22 @@
         loop.run()
     }
 
-    /** Without descriptors no class can be loaded. */
+    /** Loads the classes needed later; no class can be loaded without a free file descriptor. */
     private suspend fun loadClasses(
         loop: EventLoop,
         address: Address,
     ) {
         TcpConnection.dial(loop, address, DIAL_TIMEOUT_MS)
-        EventLog.warn("begins")
+        EventLog.warn("started")
     }
 
-    private fun useUp(): List<FileInputStream> {
-        val held = mutableListOf<FileInputStream>()
+    private fun exhaustDescriptors(): List<FileInputStream> {
+        val openStreams = mutableListOf<FileInputStream>()
         while (true) {
             try {
-                held += FileInputStream("/dev/null")
+                openStreams += FileInputStream("/dev/null")
             } catch (_: IOException) {
-                return held
+                return openStreams
             }
         }
     }
--- a/network/src/test/kotlin/HttpReaderTest.kt
+++ b/network/src/test/kotlin/HttpReaderTest.kt
@@ -10,7 +10,7 @@
 import kotlin.test.assertEquals
 
 class HttpReaderTest {
-    /** Sends [text] to a reader over loopback, closes, and returns what the reader made of it. */
+    /** Sends [text] over loopback, closes the sending side, and returns the result of [reading]. */
     private fun read(
         text: String,
         reading: suspend (HttpReader) -> String,
@@ -88,7 +88,7 @@
         )
 
     @Test
-    fun `requests are read strictly`() =
+    fun `valid requests are read, and malformed, ambiguous or truncated ones are detected`() =
         cases.forEach { (text, expected) ->
             assertEquals(expected, read(text, ::describe), text.take(120))
         }
--- a/network/src/test/kotlin/ProcessScopeTest.kt
+++ b/network/src/test/kotlin/ProcessScopeTest.kt
@@ -13,7 +13,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** Unexpected errors, as a bug or a hostile peer may bring them about. */
+/** Unexpected errors, such as a bug or a hostile peer may cause, must not stop the event loop. */
 class ProcessScopeTest {
     private val loop = EventLoop()
     private val failures = AtomicInteger()
@@ -27,52 +27,52 @@
     }
 
     @Test
-    fun `an error in one coroutine ends that one alone`() {
-        val others = CountDownLatch(1)
+    fun `an error in one coroutine ends only that coroutine`() {
+        val otherTask = CountDownLatch(1)
         scope.launch { error("a bug") }
         scope.launch { throw StackOverflowError() }
-        scope.launch { others.countDown() }
-        others.await()
+        scope.launch { otherTask.countDown() }
+        otherTask.await()
         assertEquals(2, failures.get())
     }
 
     @Test
-    fun `work that never ends begins again after an error`() {
-        val begun = CountDownLatch(2)
+    fun `work started with launchAlways is restarted after an error`() {
+        val started = CountDownLatch(2)
         scope.launchAlways("work") {
-            begun.countDown()
+            started.countDown()
             error("a bug")
         }
-        begun.await()
+        started.await()
     }
 
     @Test
-    fun `an error of the Java machine in a task ends that task alone`() {
-        val others = CountDownLatch(1)
+    fun `a JVM error in a task ends only that task`() {
+        val otherTask = CountDownLatch(1)
         loop.dispatch(EmptyCoroutineContext) { throw OutOfMemoryError("no heap") }
-        loop.dispatch(EmptyCoroutineContext) { others.countDown() }
-        assertTrue(others.await(LONGEST_WAIT_S, TimeUnit.SECONDS))
+        loop.dispatch(EmptyCoroutineContext) { otherTask.countDown() }
+        assertTrue(otherTask.await(TIMEOUT_S, TimeUnit.SECONDS))
     }
 
     @Test
-    fun `an error of the Java machine about one connection closes it, and the next one is served`() {
+    fun `a JVM error in the handler of a connection closes it, and the next connection is served`() {
         var connections = 0
         val listener =
             TcpListener(loop, Address("127.0.0.1", 0)) { connection ->
                 if (connections++ == 0) throw StackOverflowError()
                 connection.close()
             }
-        repeat(2) { assertEquals(END, Socket("127.0.0.1", listener.port).use { it.readByte() }) }
+        repeat(2) { assertEquals(END_OF_STREAM, Socket("127.0.0.1", listener.port).use { it.readByte() }) }
         assertEquals(2, connections)
     }
 
     private fun Socket.readByte(): Int {
-        soTimeout = LONGEST_WAIT_S.toInt() * MILLISECONDS_PER_SECOND
+        soTimeout = TIMEOUT_S.toInt() * MILLISECONDS_PER_SECOND
         return getInputStream().read()
     }
 
     @Test
-    fun `an error about one connection closes it, and the next one is served`() {
+    fun `an exception in the handler of a connection closes it, and the next connection is served`() {
         var connections = 0
         val listener =
             TcpListener(loop, Address("127.0.0.1", 0)) { connection ->
@@ -88,8 +88,8 @@
     }
 
     private companion object {
-        const val LONGEST_WAIT_S = 20L
+        const val TIMEOUT_S = 20L
         const val MILLISECONDS_PER_SECOND = 1_000
-        const val END = -1
+        const val END_OF_STREAM = -1
     }
 }
--- a/network/src/test/kotlin/TcpConnectionTest.kt
+++ b/network/src/test/kotlin/TcpConnectionTest.kt
@@ -5,7 +5,7 @@
 
 class TcpConnectionTest {
     @Test
-    fun `a dial without a free descriptor gives no connection, and no error`() {
+    fun `dial returns null instead of throwing when no file descriptor is free`() {
         val java = "exec \"\$0\" -cp \"\$1\" ${DescriptorShortage::class.java.name}"
         val arguments = listOf("${System.getProperty("java.home")}/bin/java", System.getProperty("java.class.path"))
         val process =
@@ -16,7 +16,7 @@
     }
 
     private companion object {
-        /** Some more than a Java machine with all its jars open needs. */
+        /** Somewhat more than a JVM needs with all its jars open. */
         const val DESCRIPTORS = 256
     }
 }
--- a/network/src/test/kotlin/TcpListenerTest.kt
+++ b/network/src/test/kotlin/TcpListenerTest.kt
@@ -14,7 +14,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** A process whose descriptors are used up while callers wait. */
+/** File descriptors are exhausted while clients wait to be accepted. */
 class TcpListenerTest {
     private val loop = EventLoop()
     private val scope = processScope(loop)
@@ -27,12 +27,12 @@
     }
 
     @Test
-    fun `a caller that cannot be accepted does not keep the loop busy, and is served once descriptors are free`() {
+    fun `a client that cannot be accepted does not keep the loop busy and is served once descriptors are free`() {
         var failures = 0
-        var free = false
+        var descriptorsFree = false
 
         fun accept(channel: ServerSocketChannel) =
-            if (free) {
+            if (descriptorsFree) {
                 channel.accept()
             } else {
                 failures++
@@ -45,24 +45,24 @@
                     connection.close()
                 }
             }
-        val waited = CountDownLatch(1)
+        val shortageOver = CountDownLatch(1)
         Socket("127.0.0.1", listener.port).use { socket ->
             scope.launch {
                 delay(SHORTAGE_MS)
-                free = true
-                waited.countDown()
+                descriptorsFree = true
+                shortageOver.countDown()
             }
-            assertTrue(waited.await(LONGEST_WAIT_S, TimeUnit.SECONDS))
+            assertTrue(shortageOver.await(TIMEOUT_S, TimeUnit.SECONDS))
             assertEquals("ok", socket.getInputStream().readAllBytes().decodeToString())
         }
-        assertTrue(failures in 1..MOST_TRIES, "$failures tries in $SHORTAGE_MS ms")
+        assertTrue(failures in 1..MAXIMUM_ATTEMPTS, "$failures attempts in $SHORTAGE_MS ms")
     }
 
     private companion object {
         const val SHORTAGE_MS = 500L
-        const val LONGEST_WAIT_S = 20L
+        const val TIMEOUT_S = 20L
 
-        /** Some for each pause; a loop that only tries makes thousands. */
-        const val MOST_TRIES = 50
+        /** Above the number of retries with pauses; a busy loop makes thousands of attempts. */
+        const val MAXIMUM_ATTEMPTS = 50
     }
 }
