--- a/decisions/src/main/kotlin/Placement.kt
+++ b/decisions/src/main/kotlin/Placement.kt
@@ -4,24 +4,24 @@
 import org.almondjunction.common.TargetId
 
 /**
- * What a controller knows when it decides where rights go.
+ * Input of a controller for the placement of rights.
  *
  * @property shards every shard of rights, by index
  * @property hostOfLostTarget last known host of targets that the platform no longer lists
- * @property provenGone hosts of which it is proven that nothing is loaded any more
+ * @property provenEmptyHosts hosts that provably have nothing loaded any more
  */
 public data class PlacementInput(
     val catalogue: Catalogue,
     val fleet: Fleet,
     val shards: Map<Int, RightsShard>,
     val hostOfLostTarget: Map<TargetId, HostId> = emptyMap(),
-    val provenGone: Set<HostId> = emptySet(),
+    val provenEmptyHosts: Set<HostId> = emptySet(),
 )
 
 /**
  * Decides which target holds the right to each replica.
  *
- * A right leaves a target only by the target's own release or by proof that its host holds nothing; never because time passed.
+ * A right is taken from a target only when the target releases it or its host provably holds nothing, never because time passed.
  */
 public object Placement {
     /** Returns the shards that must change, with their new content. */
@@ -42,10 +42,10 @@
     ): Right? {
         val target = input.fleet.targets[right.target]
         val host = target?.host ?: input.hostOfLostTarget[right.target]
-        if (host != null && (host in input.catalogue.retiredHosts || host in input.provenGone)) return null
+        if (host != null && (host in input.catalogue.retiredHosts || host in input.provenEmptyHosts)) return null
         val offer = input.catalogue.offers[right.model]
-        val wanted = offer != null && (target == null || offer.permits(target))
-        return if (wanted || right.recalled) right else right.copy(recalled = true)
+        val required = offer != null && (target == null || offer.permits(target))
+        return if (required || right.recalled) right else right.copy(recalled = true)
     }
 
     private fun fill(
@@ -104,7 +104,7 @@
     private val LARGEST_FIRST = compareByDescending<ModelOffer> { it.memoryMb }.thenBy { it.model }
 }
 
-/** Memory of all rights of each target, loaded or not. */
+/** Memory that the rights of each target require, loaded or not. */
 private class ReservedMemory(
     rights: List<Right>,
     catalogue: Catalogue,
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -8,7 +8,7 @@
 import org.almondjunction.common.EventLog
 import org.almondjunction.common.LogFields
 import org.almondjunction.common.Metrics
-import org.almondjunction.decisions.RepeatAllowance
+import org.almondjunction.decisions.SharedRetryBudget
 import org.almondjunction.network.EventLoop
 import org.almondjunction.network.HeadResult
 import org.almondjunction.network.HttpHeader
@@ -19,9 +19,9 @@
 import org.almondjunction.network.launchAlways
 
 /**
- * The program that stands between callers and targets.
+ * HTTP reverse proxy between callers and targets.
  *
- * [accept] and [directory] are fed by whoever knows the accepted configuration and the platform's list of targets.
+ * The embedding program passes the accepted configuration to [applyConfiguration] and the platform's list of targets to [directory].
  */
 public class Gateway(
     private var settings: GatewaySettings,
@@ -32,55 +32,55 @@
 ) {
     private val clock = loop.clock
     internal val state = GatewayState()
-    private val fleet = Fleet(loop, scope, settings.name, settings.keeperPort, state)
-    private val selector = TargetSelector(clock, fleet, settings.place, state)
-    private val preparation = Preparation(fleet, selector, state, settings.name)
-    private val allowance = RepeatAllowance(settings.repeats)
-    private val forwarder = Forwarder(clock, selector, fleet, state, names, allowance, metrics)
+    private val registry = TargetRegistry(loop, scope, settings.name, settings.keeperPort, state)
+    private val selector = TargetSelector(clock, registry, settings.topology, state)
+    private val preloader = ModelPreloader(registry, selector, state, settings.name)
+    private val retryBudget = SharedRetryBudget(settings.retryLimits)
+    private val forwarder = Forwarder(clock, selector, registry, state, names, retryBudget, metrics)
     private val connections = mutableSetOf<CallerConnection>()
     private var targetsKnown = false
-    private val left = CompletableDeferred<Unit>()
+    private val stopped = CompletableDeferred<Unit>()
 
-    /** The targets that this gateway knows. */
-    public val directory: TargetDirectory = TargetDirectory(clock, settings.lapseMs) { fleet.apply(it) }
+    /** Targets known to this gateway. */
+    public val directory: TargetDirectory = TargetDirectory(clock, settings.entryRetentionMs) { registry.apply(it) }
 
-    /** Whether callers may come. */
-    public val ready: Boolean get() = state.configuration != null && targetsKnown && !state.leaving
+    /** Whether this gateway accepts requests of callers. */
+    public val ready: Boolean get() = state.configuration != null && targetsKnown && !state.stopping
 
-    /** Begins to listen. */
+    /** Starts listening and starts the background tasks. */
     public fun start() {
-        TcpListener(loop, settings.callers) { serve(it) }
-        TcpListener(loop, settings.readiness) { connection -> scope.launch { answerReadiness(connection) } }
-        fleet.start()
+        TcpListener(loop, settings.callerAddress) { serve(it) }
+        TcpListener(loop, settings.readinessAddress) { connection -> scope.launch { answerReadiness(connection) } }
+        registry.start()
         scope.launchAlways("expiry of entries") {
             while (true) {
-                delay(EXPIRY_MS)
+                delay(EXPIRY_INTERVAL_MS)
                 directory.expire()
             }
         }
-        scope.launchAlways("preparation") { preparation.run() }
+        scope.launchAlways("preparation") { preloader.run() }
     }
 
-    /** Takes [configuration] in force unless a later version already is. */
-    public fun accept(configuration: GatewayConfiguration) {
+    /** Puts [configuration] into force, unless the same or a later version is in force. */
+    public fun applyConfiguration(configuration: GatewayConfiguration) {
         val current = state.configuration
         if (current != null && current.version >= configuration.version) return
         state.configuration = configuration
-        fleet.linkAll()
+        registry.connectKeepers()
         state.changed.raise()
         EventLog.info("configuration in force", LogFields(extra = mapOf("version" to configuration.version.toString())))
     }
 
-    /** Takes what of [changed] may change while this process runs: the time to stop, the limits on repeats and where zones lie. */
-    public fun apply(changed: GatewaySettings) {
-        settings = settings.copy(graceMs = changed.graceMs, repeats = changed.repeats, place = changed.place)
-        allowance.limits = changed.repeats
-        selector.place = changed.place
+    /** Applies those settings of [changed] that may change at run time: the grace time, the retry limits and the regions of zones. */
+    public fun applySettings(changed: GatewaySettings) {
+        settings = settings.copy(graceMs = changed.graceMs, retryLimits = changed.retryLimits, topology = changed.topology)
+        retryBudget.limits = changed.retryLimits
+        selector.topology = changed.topology
     }
 
-    /** Says that [directory] has been filled once. */
-    public fun targetsListed() {
-        if (!targetsKnown) EventLog.info("targets known")
+    /** Records that [directory] has received the complete list of targets at least once. */
+    public fun markTargetsListed() {
+        if (!targetsKnown) EventLog.info("target list received")
         targetsKnown = true
     }
 
@@ -99,7 +99,7 @@
     private suspend fun answerReadiness(connection: TcpConnection) {
         val reader = HttpReader(connection)
         while (true) {
-            val result = withTimeoutOrNull(READINESS_IDLE_MS) { reader.requestHead(MAXIMUM_READINESS_BYTES) }
+            val result = withTimeoutOrNull(READINESS_IDLE_TIMEOUT_MS) { reader.requestHead(MAXIMUM_READINESS_HEAD_BYTES) }
             val head = (result as? HeadResult.Read)?.head ?: break
             val status =
                 when {
@@ -113,41 +113,41 @@
     }
 
     /**
-     * Leaves the balancer, finishes what is in progress and returns when nothing is left or the grace time is nearly over.
+     * Reports not ready to the load balancer, finishes requests in progress and returns when none remain or the grace time is nearly over.
      *
-     * Whoever has no answer by then is told what is known of its request; only answers that have begun are broken off.
-     * A further call returns when the first does.
+     * Requests without a response by then get an error response that states whether they may have run; only responses that have begun
+     * are cut off. A further call returns when the first does.
      */
-    public suspend fun leave() {
-        if (state.leaving) return left.await()
-        state.leaving = true
+    public suspend fun shutDown() {
+        if (state.stopping) return stopped.await()
+        state.stopping = true
         try {
-            finishAccepted()
+            drain()
         } finally {
-            left.complete(Unit)
+            stopped.complete(Unit)
         }
     }
 
-    private suspend fun finishAccepted() {
+    private suspend fun drain() {
         EventLog.info("leaving", LogFields(extra = mapOf("connections" to connections.size.toString())))
-        val endMs = clock.nowMs() + settings.graceMs - EXIT_MARGIN_MS
-        state.lastWordMs = endMs - LAST_WORD_MS
-        state.endMs = endMs
-        delay(minOf(BALANCER_MS, state.lastWordMs - clock.nowMs()))
-        while (clock.nowMs() < endMs) {
-            closeIdle()
+        val exitMs = clock.nowMs() + settings.graceMs - EXIT_MARGIN_MS
+        state.finalResponseMs = exitMs - FINAL_RESPONSE_MS
+        state.exitMs = exitMs
+        delay(minOf(BALANCER_REMOVAL_MS, state.finalResponseMs - clock.nowMs()))
+        while (clock.nowMs() < exitMs) {
+            closeIdleConnections()
             if (connections.isEmpty()) break
-            if (clock.nowMs() >= state.lastWordMs) forwarder.answerHeld()
-            delay(LEAVING_POLL_MS)
+            if (clock.nowMs() >= state.finalResponseMs) forwarder.answerPending()
+            delay(DRAIN_POLL_MS)
         }
-        val brokenOff = forwarder.breakOffHeld()
-        if (brokenOff > 0) delay(LEAVING_POLL_MS)
-        EventLog.info("left", LogFields(extra = mapOf("unfinished" to brokenOff.toString())))
+        val aborted = forwarder.cancelActive()
+        if (aborted > 0) delay(DRAIN_POLL_MS)
+        EventLog.info("left", LogFields(extra = mapOf("unfinished" to aborted.toString())))
     }
 
-    private suspend fun closeIdle() {
-        // Lets the loop read requests that came while this process stood still.
-        delay(SHORTEST_DELAY_MS)
+    private suspend fun closeIdleConnections() {
+        // Lets the event loop read requests that arrived while this process was suspended.
+        delay(MINIMUM_DELAY_MS)
         connections.filter { !it.busy }.forEach { it.close() }
     }
 
@@ -155,19 +155,19 @@
         const val OK = 200
         const val NOT_FOUND = 404
         const val SERVICE_UNAVAILABLE = 503
-        const val EXPIRY_MS = 100L
-        const val READINESS_IDLE_MS = 10_000L
-        const val MAXIMUM_READINESS_BYTES = 4_096
+        const val EXPIRY_INTERVAL_MS = 100L
+        const val READINESS_IDLE_TIMEOUT_MS = 10_000L
+        const val MAXIMUM_READINESS_HEAD_BYTES = 4_096
 
-        /** The balancer asks each second and believes two misses; requests on open connections are served meanwhile. */
-        const val BALANCER_MS = 2_600L
-        const val SHORTEST_DELAY_MS = 1L
-        const val LEAVING_POLL_MS = 50L
+        /** The load balancer polls every second and removes a gateway after two failures; open connections are served meanwhile. */
+        const val BALANCER_REMOVAL_MS = 2_600L
+        const val MINIMUM_DELAY_MS = 1L
+        const val DRAIN_POLL_MS = 50L
 
-        /** Time kept for the last answers to reach their callers: a few ways between regions. */
-        const val LAST_WORD_MS = 200L
+        /** Time reserved for the final responses to reach their callers: a few one-way delays between regions. */
+        const val FINAL_RESPONSE_MS = 200L
 
-        /** Time kept for the end of the process itself. */
+        /** Time reserved for the exit of the process itself. */
         const val EXIT_MARGIN_MS = 500L
     }
 }
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -10,50 +10,50 @@
 import org.almondjunction.network.EventLoop
 import kotlin.math.exp
 
-/** One target as this gateway knows it: its entry, its connections, what it holds and how its answers were. */
+/** State of one target: its entry, its connections, its models and its recent failures. */
 internal class Target(
     loop: EventLoop,
     entry: TargetEntry,
-    promptMemoryTokens: Long,
+    promptCacheTokens: Long,
 ) : AutoCloseable {
     private val clock: Clock = loop.clock
 
     var entry: TargetEntry = entry
         private set
-    val pool = TargetPool(loop, entry.address)
-    val prompts = PromptMemory(promptMemoryTokens)
-    val inFlight = mutableSetOf<Send>()
-    var gone = false
+    val pool = ConnectionPool(loop, entry.address)
+    val promptCache = PromptCacheEstimate(promptCacheTokens)
+    val inFlight = mutableSetOf<InFlightRequest>()
+    var closed = false
         private set
 
-    /** Last status of its keeper; null while its keeper is out of touch. */
+    /** Last status of its keeper; null while its keeper is not connected. */
     var status: KeeperMessage.Status? = null
         private set
-    var load = KeeperMessage.Load()
+    var load = KeeperMessage.EngineLoad()
         private set
     var keeper: KeeperLink? = null
 
-    /** Whether neither it nor its keeper has given a sign for too long while requests are in flight. */
+    /** Whether neither it nor its keeper has shown activity within the time limit while requests are in flight. */
     var silent = false
         private set
 
-    /** When it or its keeper last gave a sign of life. */
-    var heardMs = clock.nowMs()
+    /** Time of the last activity of the target or its keeper. */
+    var lastActivityMs = clock.nowMs()
         private set
 
     private var health: ConnectionHealth? = null
-    private var lastWorkMs = 0L
+    private var lastInFlightMs = 0L
     private var loadingSinceMs = 0L
-    private var failures = 0.0
-    private var sends = 0.0
-    private var weighedMs = clock.nowMs()
+    private var recentFailures = 0.0
+    private var recentRequests = 0.0
+    private var decayedMs = clock.nowMs()
     private val uses = mutableMapOf<Pair<String, String?>, Int>()
-    private val lastAskedMs = mutableMapOf<Pair<String, String?>, Long>()
+    private val lastLoadRequestMs = mutableMapOf<Pair<String, String?>, Long>()
 
-    /** Whether its keeper, as far as one is in touch, gets answers from it. */
-    val answering: Boolean get() = status?.answering ?: true
+    /** Whether its keeper gets answers from it; true if no keeper is connected. */
+    val answering: Boolean get() = status?.engineReachable ?: true
 
-    /** Models that can take requests now, with the adapters that are loaded. */
+    /** Models that accept requests now, with the loaded adapters. */
     var models: Map<String, Set<String>> = entry.models
         private set
 
@@ -64,17 +64,17 @@
 
     private fun usableModels(): Map<String, Set<String>> {
         val current = status ?: return entry.models
-        return current.models.filter { it.model !in current.leaving }.associate { it.model to it.adapters.toSet() }
+        return current.models.filter { it.model !in current.draining }.associate { it.model to it.adapters.toSet() }
     }
 
-    /** How long the load that its keeper tells of has been in progress. */
+    /** Duration so far of the load that its keeper reports. */
     val loadingForMs: Long get() = clock.nowMs() - loadingSinceMs
 
-    /** Whether its host has a copy of the weights of [model]. */
-    fun hasAtHand(model: String): Boolean = status?.let { model in it.inMemory || model in it.onDisk } ?: false
+    /** Whether its host has a copy of the weights of [model] in memory or on disk. */
+    fun hasLocalCopy(model: String): Boolean = status?.let { model in it.inMemory || model in it.onDisk } ?: false
 
-    /** Whether it loads a model from the weight store, as far as its keeper tells. */
-    val loadsFromStore: Boolean get() = status?.loading?.let { !hasAtHand(it) } ?: false
+    /** Whether it is loading a model from the weight store, according to its keeper. */
+    val loadsFromStore: Boolean get() = status?.loading?.let { !hasLocalCopy(it) } ?: false
 
     fun update(newStatus: KeeperMessage.Status?) {
         val before = status?.models.orEmpty().map { it.model }
@@ -82,51 +82,51 @@
         val wasAnswering = answering
         status = newStatus?.copy(gateways = newStatus.gateways ?: status?.gateways)
         models = usableModels()
-        if (wasAnswering && !answering) inFlight.toList().forEach { it.leaveIfRepeatable() }
+        if (wasAnswering && !answering) inFlight.toList().forEach { it.cancelIfRetryable() }
         if (newStatus != null) {
-            heard()
+            recordActivity()
             load = newStatus.load
-            (before - newStatus.models.map { it.model }.toSet()).forEach { prompts.forget(it) }
+            (before - newStatus.models.map { it.model }.toSet()).forEach { promptCache.remove(it) }
         }
     }
 
-    fun update(newLoad: KeeperMessage.Load) {
-        heard()
+    fun update(newLoad: KeeperMessage.EngineLoad) {
+        recordActivity()
         load = newLoad
     }
 
-    /** Tokens of the prompt of [request] that it still has to read, as far as known. */
-    fun unreadTokens(request: ForwardedRequest): Long =
-        (request.promptTokens - prompts.keptTokens(request.weights, request.parts)).coerceAtLeast(0)
+    /** Returns the number of prompt tokens of [request] that are not expected in its prompt cache. */
+    fun uncachedTokens(request: ForwardedRequest): Long =
+        (request.promptTokens - promptCache.cachedTokens(request.weights, request.parts)).coerceAtLeast(0)
 
-    /** Notes a sign of life from it or its keeper. */
-    fun heard() {
-        heardMs = clock.nowMs()
-        health?.heard(heardMs)
-        if (silent) EventLog.info("target heard again", LogFields(target = entry.target))
+    /** Records activity of the target or its keeper. */
+    fun recordActivity() {
+        lastActivityMs = clock.nowMs()
+        health?.heard(lastActivityMs)
+        if (silent) EventLog.info("target active again", LogFields(target = entry.target))
         silent = false
     }
 
-    /** Forgives its silence so far, of which this process would not know. */
-    fun excuseSilence() {
+    /** Resets the silence measured so far, for example after this process was suspended. */
+    fun resetSilence() {
         health?.heard(clock.nowMs())
         silent = false
     }
 
     /**
-     * Examines whether it has fallen silent, and gives up what has waited too long and may be sent elsewhere.
+     * Checks whether the target is silent, and cancels overdue requests that may be retried elsewhere.
      *
-     * To be called several times in the shortest limit. Returns whether [silent] has changed.
+     * Must be called several times within the shortest silence limit. Returns whether [silent] has changed.
      */
-    fun examineSilence(): Boolean {
+    fun checkSilence(): Boolean {
         val nowMs = clock.nowMs()
         val before = silent
-        if (inFlight.isNotEmpty()) lastWorkMs = nowMs
+        if (inFlight.isNotEmpty()) lastInFlightMs = nowMs
         val action = health?.check(nowMs, working = inFlight.isNotEmpty())
         if (action == ConnectionAction.REPLACE) {
             silent = true
-            inFlight.toList().forEach { it.leaveIfHopeless(nowMs) }
-        } else if (nowMs - lastWorkMs >= TRY_SILENT_AGAIN_MS) {
+            inFlight.toList().forEach { it.cancelIfOverdue(nowMs) }
+        } else if (nowMs - lastInFlightMs >= SILENCE_RETRY_MS) {
             silent = false
         }
         if (silent &&
@@ -137,89 +137,89 @@
         return silent != before
     }
 
-    fun begin(send: Send) {
+    fun begin(request: InFlightRequest) {
         val nowMs = clock.nowMs()
-        send.beganMs = nowMs
-        val limitMs = send.silenceLimitMs
-        val examined = health ?: ConnectionHealth(limitMs, limitMs, Long.MAX_VALUE, nowMs).also { health = it }
-        examined.check(nowMs, working = inFlight.isNotEmpty())
-        inFlight += send
-        examined.check(nowMs, working = true)
-        val model = send.model ?: return
+        request.startedMs = nowMs
+        val limitMs = request.silenceLimitMs
+        val currentHealth = health ?: ConnectionHealth(limitMs, limitMs, Long.MAX_VALUE, nowMs).also { health = it }
+        currentHealth.check(nowMs, working = inFlight.isNotEmpty())
+        inFlight += request
+        currentHealth.check(nowMs, working = true)
+        val model = request.model ?: return
         uses.merge(model to null, 1, Int::plus)
-        send.adapter?.let { uses.merge(model to it, 1, Int::plus) }
+        request.adapter?.let { uses.merge(model to it, 1, Int::plus) }
     }
 
-    fun end(send: Send) {
-        inFlight -= send
-        val model = send.model ?: return
+    fun end(request: InFlightRequest) {
+        inFlight -= request
+        val model = request.model ?: return
         uses.putIfAbsent(model to null, 0)
-        send.adapter?.let { uses.putIfAbsent(model to it, 0) }
+        request.adapter?.let { uses.putIfAbsent(model to it, 0) }
     }
 
-    /** Returns and clears the uses since the last call, with the requests in flight. */
+    /** Returns the uses since the last call with the requests in flight, and clears the uses. */
     fun takeUses(): List<Use> {
-        val flying = mutableMapOf<Pair<String, String?>, Int>()
-        inFlight.forEach { send ->
-            val model = send.model ?: return@forEach
-            flying.merge(model to null, 1, Int::plus)
-            send.adapter?.let { flying.merge(model to it, 1, Int::plus) }
+        val inFlightUses = mutableMapOf<Pair<String, String?>, Int>()
+        inFlight.forEach { request ->
+            val model = request.model ?: return@forEach
+            inFlightUses.merge(model to null, 1, Int::plus)
+            request.adapter?.let { inFlightUses.merge(model to it, 1, Int::plus) }
         }
-        val keys = uses.keys + flying.keys
-        val taken = keys.map { key -> Use(key.first, key.second, uses[key] ?: 0, flying[key] ?: 0) }
+        val keys = uses.keys + inFlightUses.keys
+        val taken = keys.map { key -> Use(key.first, key.second, uses[key] ?: 0, inFlightUses[key] ?: 0) }
         uses.clear()
         return taken
     }
 
-    /** Returns whether a wish for [model] and [adapter] may be sent again now, and notes that it is. */
-    fun mayAsk(
+    /** Returns whether a load request for [model] and [adapter] may be sent again now; if so, records it as sent. */
+    fun mayRequestLoad(
         model: String,
         adapter: String?,
         intervalMs: Long,
     ): Boolean {
         val nowMs = clock.nowMs()
-        val last = lastAskedMs[model to adapter]
+        val last = lastLoadRequestMs[model to adapter]
         if (last != null && nowMs - last < intervalMs) return false
-        lastAskedMs[model to adapter] = nowMs
+        lastLoadRequestMs[model to adapter] = nowMs
         return true
     }
 
-    /** Counts how a send ended. */
-    fun weigh(failed: Boolean) {
+    /** Records the result of a request to this target. */
+    fun recordResult(failed: Boolean) {
         decay()
-        sends += 1
-        if (failed) failures += 1
+        recentRequests += 1
+        if (failed) recentFailures += 1
     }
 
-    /** Recent share of sends that failed; a target without recent sends is trusted again. */
+    /** Returns the share of recent requests that failed; it decays to 0 without requests. */
     fun failureShare(): Double {
         decay()
-        return failures / (sends + TRUST)
+        return recentFailures / (recentRequests + ASSUMED_SUCCESSES)
     }
 
     private fun decay() {
         val nowMs = clock.nowMs()
-        val factor = exp(-(nowMs - weighedMs) / MEMORY_MS)
-        failures *= factor
-        sends *= factor
-        weighedMs = nowMs
+        val factor = exp(-(nowMs - decayedMs) / DECAY_MS)
+        recentFailures *= factor
+        recentRequests *= factor
+        decayedMs = nowMs
     }
 
     override fun close() {
-        gone = true
+        closed = true
         pool.close()
         keeper?.close()
-        inFlight.toList().forEach { it.leaveIfRepeatable() }
+        inFlight.toList().forEach { it.cancelIfRetryable() }
     }
 
     private companion object {
-        /** Sends count for about this long: the length of the shortest troubles that are worth evading. */
-        const val MEMORY_MS = 3_000.0
+        /** Time constant of the decay of request counts: the duration of the shortest disturbances that are worth avoiding. */
+        const val DECAY_MS = 3_000.0
 
-        /** A silent target without requests in flight is tried again after this; a keeper in touch gives a sign sooner. */
-        const val TRY_SILENT_AGAIN_MS = 2_000L
+        /** A silent target without requests in flight is tried again after this; a connected keeper reports activity sooner. */
+        const val SILENCE_RETRY_MS = 2_000L
 
-        /** Successful sends assumed of a target without a record. */
-        const val TRUST = 1.5
+        /** Number of successful requests assumed in advance for a target without history. */
+        const val ASSUMED_SUCCESSES = 1.5
     }
 }
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -2,93 +2,100 @@
 
 import org.almondjunction.common.Clock
 import org.almondjunction.common.ModelId
-import org.almondjunction.decisions.CopyPlan
 import org.almondjunction.decisions.EvictionCandidate
 import org.almondjunction.decisions.EvictionPlan
 import org.almondjunction.decisions.LoadValue
-import org.almondjunction.decisions.ModelLoad
+import org.almondjunction.decisions.ModelWorkload
 import org.almondjunction.decisions.Rendezvous
+import org.almondjunction.decisions.ReplicaPlan
 import org.almondjunction.decisions.TargetCandidate
 import org.almondjunction.decisions.TargetChoice
 import org.almondjunction.keeper.KeeperMessage
 import org.almondjunction.keeper.ModelSize
 
-/** Finds the target for a request, and asks keepers for what is missing. */
+/** Selects the target for a request, and sends load requests to keepers for missing models and adapters. */
 internal class TargetSelector(
     private val clock: Clock,
-    private val fleet: Fleet,
-    var place: Place,
+    private val registry: TargetRegistry,
+    var topology: Topology,
     private val state: GatewayState,
 ) {
-    /** What there is for a request at the moment. */
+    /** Result of the selection for a request. */
     sealed class Choice {
-        /** [target] can take it now. */
-        data class Use(
+        /** [target] can run the request now. */
+        data class Selected(
             val target: Target,
         ) : Choice()
 
-        /** It may be possible after [expectedMs]; a keeper has been asked. */
+        /** A target is expected to be able to run the request after [expectedMs]. */
         data class Later(
             val expectedMs: Long,
         ) : Choice()
 
-        /** There is no way known. */
+        /** No target can run the request, for [reason]. */
         data class None(
             val reason: String,
         ) : Choice()
     }
 
-    private class Asked(
+    private class PendingLoad(
         val target: Target,
         val untilMs: Long,
         val expectedMs: Long,
     )
 
-    private val asked = mutableMapOf<String, Asked>()
+    private val pendingLoads = mutableMapOf<String, PendingLoad>()
     private val startedMs = clock.nowMs()
 
     suspend fun choose(
         request: ForwardedRequest,
         tried: Map<Target, Long>,
     ): Choice {
-        val ready = fleet.ready(request.service)
+        val ready = registry.ready(request.service)
         if (ready.isEmpty()) return Choice.None("no target")
         val nowMs = clock.nowMs()
-        val fresh = ready.filter { target -> tried[target]?.let { nowMs >= it + TRY_AGAIN_MS } ?: true }
-        val model = request.model ?: return use(fresh.ifEmpty { ready }.filter { hasRoom(it) }, request) ?: Choice.None("targets full")
-        val plan =
+        val eligible = ready.filter { target -> tried[target]?.let { nowMs >= it + RETRY_SAME_TARGET_MS } ?: true }
+        val model =
+            request.model ?: return select(eligible.ifEmpty { ready }.filter { hasRoom(it) }, request) ?: Choice.None("targets full")
+        val engine =
             state.configuration
                 ?.services
                 ?.get(request.service)
                 ?.engine
-        val modelPlan = plan?.models?.get(ModelId(model))
-        val holders = fresh.filter { model in it.models }
+        val modelConfiguration = engine?.models?.get(ModelId(model))
+        val holders = eligible.filter { model in it.models }
         if (holders.isEmpty()) {
             val elsewhere = ready.any { model in it.models }
-            if (plan == null || modelPlan == null) return use(fresh, request) ?: Choice.None("no target")
+            if (engine == null || modelConfiguration == null) return select(eligible, request) ?: Choice.None("no target")
             return if (elsewhere &&
                 tried.isNotEmpty()
             ) {
                 Choice.None("holders tried")
             } else {
-                val waiting = state.waiting.weight(model, nowMs + modelPlan.loadFromDiskMs)
-                askForModel(ready, plan, modelPlan, mayEvict = true, callers = maxOf(waiting, LoadValue.weightOf(inTime = false)))
+                val waiting = state.waitingCallers.weight(model, nowMs + modelConfiguration.loadFromDiskMs)
+                requestModel(
+                    ready,
+                    engine,
+                    modelConfiguration,
+                    mayEvict = true,
+                    callers = maxOf(waiting, LoadValue.callerWeight(inTime = false)),
+                )
             }
         }
         val adapter = request.adapter
-        if (adapter == null) return use(holders, request) ?: Choice.None("no target")
-        val equipped = holders.filter { adapter in it.models[model].orEmpty() }
-        if (equipped.isNotEmpty()) return use(equipped, request) ?: Choice.None("no target")
-        if (plan == null || modelPlan == null) return Choice.None("adapter not loaded")
-        return askForAdapter(holders, plan, model, adapter)
+        if (adapter == null) return select(holders, request) ?: Choice.None("no target")
+        val withAdapter = holders.filter { adapter in it.models[model].orEmpty() }
+        if (withAdapter.isNotEmpty()) return select(withAdapter, request) ?: Choice.None("no target")
+        if (engine == null || modelConfiguration == null) return Choice.None("adapter not loaded")
+        return requestAdapter(holders, engine, model, adapter)
     }
 
-    private fun use(
+    private fun select(
         targets: List<Target>,
         request: ForwardedRequest,
     ): Choice? {
         val candidates = targets.associateBy({ candidate(it, request) }, { it })
-        return TargetChoice.choose(candidates.keys.toList())?.let { Choice.Use(candidates.getValue(it)) }
+        return TargetChoice.choose(candidates.keys.toList())?.let { Choice.Selected(candidates.getValue(it)) }
     }
 
     private fun hasRoom(target: Target) = target.inFlight.size < target.entry.slots * PLAIN_QUEUE_FACTOR
@@ -99,102 +106,105 @@
     ): TargetCandidate {
         val model = request.model
         val key = if (model == null) request.id else request.weights + request.parts.take(SHARED_PARTS).joinToString { it.id }
-        val ownReading = target.inFlight.filter { !it.answering }.sumOf { it.promptTokens }
+        val ownPromptTokens = target.inFlight.filter { !it.answering }.sumOf { it.promptTokens }
         val others = (target.load.active + target.load.queued - target.inFlight.size).coerceAtLeast(0)
-        val wait =
+        val waitMs =
             if (model == null) {
-                val beyond = (target.inFlight.size + 1 - target.entry.slots).coerceAtLeast(0)
-                target.inFlight.size * PLAIN_SHARE_MS + beyond * PLAIN_WORK_MS / target.entry.slots.coerceAtLeast(1)
+                val excess = (target.inFlight.size + 1 - target.entry.slots).coerceAtLeast(0)
+                target.inFlight.size * PLAIN_IN_FLIGHT_COST_MS + excess * PLAIN_REQUEST_MS / target.entry.slots.coerceAtLeast(1)
             } else {
-                ownReading / TOKENS_READ_PER_MS + others * OTHERS_READING_MS + target.load.queued * QUEUED_MS
+                ownPromptTokens / PROMPT_TOKENS_PER_MS + others * OTHERS_PROMPT_MS + target.load.queued * QUEUED_PROMPT_MS
             }
         return TargetCandidate(
             target = target.entry.target,
-            distanceMs = place.distanceMs(target.entry.zone),
-            waitMs = wait,
-            workMs = if (model == null) 0.0 else target.unreadTokens(request) / TOKENS_READ_PER_MS,
+            distanceMs = topology.delayMs(target.entry.zone),
+            waitMs = waitMs,
+            workMs = if (model == null) 0.0 else target.uncachedTokens(request) / PROMPT_TOKENS_PER_MS,
             failureShare = target.failureShare(),
             affinity = Rendezvous.share(key, target.entry.target.value),
         )
     }
 
-    private suspend fun askForAdapter(
+    private suspend fun requestAdapter(
         holders: List<Target>,
-        plan: EnginePlan,
+        engine: EngineConfiguration,
         model: String,
         adapter: String,
     ): Choice {
-        val inTouch = holders.filter { it.status != null }
-        val free = inTouch.filter { it.status?.busy == false && it.status?.loading == null }
-        val chosen = free.ifEmpty { inTouch }.maxByOrNull { Rendezvous.share("$model/$adapter", it.entry.target.value) - it.failureShare() }
+        val connected = holders.filter { it.status != null }
+        val free = connected.filter { it.status?.busy == false && it.status?.loading == null }
+        val chosen =
+            free.ifEmpty { connected }.maxByOrNull { Rendezvous.share("$model/$adapter", it.entry.target.value) - it.failureShare() }
         if (chosen == null) return Choice.None("no keeper in touch")
-        if (chosen.mayAsk(model, adapter, ADAPTER_ASK_INTERVAL_MS)) {
-            wish(chosen, plan, model, adapter, ADAPTER_PATIENCE_MS, mayEvict = true)
+        if (chosen.mayRequestLoad(model, adapter, ADAPTER_REQUEST_INTERVAL_MS)) {
+            requestLoad(chosen, engine, model, adapter, ADAPTER_TIMEOUT_MS, mayEvict = true)
         }
-        return Choice.Later(if (free.isEmpty()) ADAPTER_BEHIND_LOAD_MS else ADAPTER_EXPECTED_MS)
+        return Choice.Later(if (free.isEmpty()) ADAPTER_BEHIND_LOAD_MS else ADAPTER_LOAD_MS)
     }
 
-    /** Asks one of [ready] for a model that none of them holds and for which [callers] wait, weighed as [LoadValue] says. */
-    suspend fun askForModel(
+    /** Requests that one of [ready] loads [model] for [callers], the number of waiting callers weighted by [LoadValue]. */
+    suspend fun requestModel(
         ready: List<Target>,
-        plan: EnginePlan,
-        model: ModelPlan,
+        engine: EngineConfiguration,
+        model: ModelConfiguration,
         mayEvict: Boolean,
         callers: Double = 0.0,
     ): Choice {
         val name = model.model.value
         val nowMs = clock.nowMs()
-        val inTouch = ready.filter { it.status != null }
-        val near = inTouch.filter { it.hasAtHand(name) }
-        val loading = inTouch.filter { it.status?.loading == name }.minByOrNull { remainingLoadMs(it, plan) }
-        if (loading != null && (near.isEmpty() || loading in near)) return Choice.Later(currentLoadMs(loading, plan))
-        asked[name]?.takeIf { it.untilMs > nowMs && it.target in inTouch }?.let { return Choice.Later(it.expectedMs) }
-        if (inTouch.isEmpty()) return Choice.None("no keeper in touch")
-        if (near.isEmpty() && inTouch.size < ready.size && nowMs - startedMs < MEETING_MS) return Choice.Later(MEETING_MS)
-        val demand = state.demand.perSecond(name, nowMs) * fleet.gateways.size
-        val mostLoads = if (demand >= BUSY_REQUESTS_PER_SECOND) MOST_STORE_LOADS_WITH_BUSY_MODELS else MOST_STORE_LOADS
-        if (near.isEmpty() && inTouch.count { it.loadsFromStore } >= mostLoads) return Choice.Later(model.loadMs * 2)
-        val valueMs = LoadValue.ofMs(callers, demand)
-        val possible = near.ifEmpty { inTouch }
+        val connected = ready.filter { it.status != null }
+        val withLocalCopy = connected.filter { it.hasLocalCopy(name) }
+        val loading = connected.filter { it.status?.loading == name }.minByOrNull { remainingLoadMs(it, engine) }
+        if (loading != null && (withLocalCopy.isEmpty() || loading in withLocalCopy)) return Choice.Later(currentLoadMs(loading, engine))
+        pendingLoads[name]?.takeIf { it.untilMs > nowMs && it.target in connected }?.let { return Choice.Later(it.expectedMs) }
+        if (connected.isEmpty()) return Choice.None("no keeper in touch")
+        if (withLocalCopy.isEmpty() && connected.size < ready.size && nowMs - startedMs < KEEPER_DISCOVERY_MS) {
+            return Choice.Later(KEEPER_DISCOVERY_MS)
+        }
+        val demand = state.demand.perSecond(name, nowMs) * registry.gateways.size
+        val maximumLoads = if (demand >= BUSY_REQUESTS_PER_SECOND) MAXIMUM_STORE_LOADS_FOR_BUSY_MODELS else MAXIMUM_STORE_LOADS
+        if (withLocalCopy.isEmpty() && connected.count { it.loadsFromStore } >= maximumLoads) return Choice.Later(model.loadMs * 2)
+        val valueMs = LoadValue.valueMs(callers, demand)
+        val candidates = withLocalCopy.ifEmpty { connected }
         val best =
-            possible
+            candidates
                 .mapNotNull { target ->
-                    costOfLoad(target, plan, model, mayEvict, valueMs)?.let { target to it }
+                    costOfLoad(target, engine, model, mayEvict, valueMs)?.let { target to it }
                 }.minByOrNull { it.second }
         val target = best?.first ?: return if (mayEvict) Choice.Later(model.loadFromDiskMs) else Choice.None("no room")
-        // What many callers wait for is loaded before what else is wished for.
-        val beforeMs = if (demand >= BUSY_REQUESTS_PER_SECOND) currentLoadMs(target, plan) else remainingLoadMs(target, plan)
+        // A model with high demand is loaded before other pending load requests.
+        val beforeMs = if (demand >= BUSY_REQUESTS_PER_SECOND) currentLoadMs(target, engine) else remainingLoadMs(target, engine)
         val expectedMs = beforeMs + loadMs(target, model)
-        asked[name] = Asked(target, nowMs + MODEL_ASK_INTERVAL_MS, expectedMs)
-        wish(target, plan, name, null, model.loadMs * 2, mayEvict, callers)
+        pendingLoads[name] = PendingLoad(target, nowMs + MODEL_REQUEST_INTERVAL_MS, expectedMs)
+        requestLoad(target, engine, name, null, model.loadMs * 2, mayEvict, callers)
         return Choice.Later(expectedMs)
     }
 
-    /** Returns how long the load that is in progress at [target] will still take; 0 where there is none. */
+    /** Returns the expected time until the load in progress and the pending loads of [target] are complete; 0 if there are none. */
     private fun remainingLoadMs(
         target: Target,
-        plan: EnginePlan,
+        engine: EngineConfiguration,
     ): Long {
         val queuedMs =
             target.status
-                ?.wished
+                ?.pendingLoads
                 .orEmpty()
-                .sumOf { wished -> plan.models[ModelId(wished)]?.let { loadMs(target, it) } ?: 0 }
-        return currentLoadMs(target, plan) + queuedMs
+                .sumOf { wished -> engine.models[ModelId(wished)]?.let { loadMs(target, it) } ?: 0 }
+        return currentLoadMs(target, engine) + queuedMs
     }
 
     private fun currentLoadMs(
         target: Target,
-        plan: EnginePlan,
+        engine: EngineConfiguration,
     ): Long {
         val name = target.status?.loading ?: return 0
-        val model = plan.models[ModelId(name)] ?: return 0
-        return (loadMs(target, model) - target.loadingForMs).coerceAtLeast(SHORTEST_LOAD_MS)
+        val model = engine.models[ModelId(name)] ?: return 0
+        return (loadMs(target, model) - target.loadingForMs).coerceAtLeast(MINIMUM_REMAINING_LOAD_MS)
     }
 
     private fun loadMs(
         target: Target,
-        model: ModelPlan,
+        model: ModelConfiguration,
     ): Long {
         val status = target.status
         return when {
@@ -204,59 +214,60 @@
         }
     }
 
-    /** Returns the expected time until [target] holds [model], with the harm to others counted as time; null where there is no way. */
+    /** Returns the expected time until [target] holds [model] plus the cost to other requests; null if it cannot load the model. */
     private fun costOfLoad(
         target: Target,
-        plan: EnginePlan,
-        model: ModelPlan,
+        engine: EngineConfiguration,
+        model: ModelConfiguration,
         mayEvict: Boolean,
         valueMs: Double,
     ): Double? {
         val status = target.status ?: return null
-        val usedMb = status.models.sumOf { held -> plan.models[ModelId(held.model)]?.weightsMb ?: plan.weightsMb }
-        val reserveMb = plan.adapterSlots * (plan.models.values.maxOfOrNull { it.adapterMb } ?: 0)
-        val missingMb = usedMb + model.weightsMb + reserveMb - plan.weightsMb
+        val usedMb = status.models.sumOf { held -> engine.models[ModelId(held.model)]?.weightsMb ?: engine.weightsMb }
+        val reserveMb = engine.adapterSlots * (engine.models.values.maxOfOrNull { it.adapterMb } ?: 0)
+        val missingMb = usedMb + model.weightsMb + reserveMb - engine.weightsMb
         if (missingMb > 0 && !mayEvict) return null
-        val eviction = EvictionPlan.choose(evictionCandidates(target, status, plan), missingMb, LoadValue.callersOf(valueMs)) ?: return null
+        val eviction =
+            EvictionPlan.choose(evictionCandidates(target, status, engine), missingMb, LoadValue.callersOf(valueMs)) ?: return null
         if (eviction.costMs > valueMs) return null
-        val storeMs = if (target.hasAtHand(model.model.value)) 0 else STORE_LOAD_MS
-        val tie = Rendezvous.share(model.model.value, target.entry.target.value)
+        val storeMs = if (target.hasLocalCopy(model.model.value)) 0 else STORE_LOAD_COST_MS
+        val tieBreak = Rendezvous.share(model.model.value, target.entry.target.value)
         val failures = target.failureShare() * model.loadMs
-        val othersMs = loadMs(target, model) * status.models.sumOf { it.requestsPerSecond.toDouble() } * SHARE_HELD_UP
-        return remainingLoadMs(target, plan) + loadMs(target, model) + storeMs + eviction.costMs + eviction.waitMs + tie + failures +
-            othersMs
+        val delayOfOthersMs = loadMs(target, model) * status.models.sumOf { it.requestsPerSecond.toDouble() } * DELAYED_SHARE
+        return remainingLoadMs(target, engine) + loadMs(target, model) + storeMs + eviction.costMs + eviction.waitMs + tieBreak + failures +
+            delayOfOthersMs
     }
 
     private fun evictionCandidates(
         target: Target,
         status: KeeperMessage.Status,
-        plan: EnginePlan,
+        engine: EngineConfiguration,
     ): List<EvictionCandidate> {
-        val others = fleet.othersBeside(target)
+        val others = registry.otherTargets(target)
         return status.models.map { held ->
-            val copies = copiesBeside(target, others, held.model, plan)
-            val heldPlan = plan.models[ModelId(held.model)]
-            val atHand = held.model in status.inMemory || held.model in status.onDisk
+            val replicas = otherReplicas(target, others, held.model, engine)
+            val heldConfiguration = engine.models[ModelId(held.model)]
+            val hasLocalCopy = held.model in status.inMemory || held.model in status.onDisk
             EvictionCandidate(
                 model = ModelId(held.model),
-                memoryMb = heldPlan?.weightsMb ?: 0,
+                memoryMb = heldConfiguration?.weightsMb ?: 0,
                 requestsPerSecond = held.requestsPerSecond.toDouble(),
                 idleMs = held.idleMs,
                 inFlight = held.inFlight,
-                otherCopies = copies.count,
-                answerMs = state.work.answerMs(held.model).toLong(),
-                surplus = copies.suffice,
-                reloadMs = (if (atHand) heldPlan?.loadFromDiskMs else heldPlan?.loadMs) ?: 0,
+                otherReplicas = replicas.count,
+                answerMs = state.workStatistics.answerMs(held.model).toLong(),
+                surplus = replicas.suffice,
+                reloadMs = (if (hasLocalCopy) heldConfiguration?.loadFromDiskMs else heldConfiguration?.loadMs) ?: 0,
             )
         }
     }
 
-    private suspend fun wish(
+    private suspend fun requestLoad(
         target: Target,
-        plan: EnginePlan,
+        engine: EngineConfiguration,
         model: String,
         adapter: String?,
-        patienceMs: Long,
+        timeoutMs: Long,
         mayEvict: Boolean,
         callers: Double = 1.0,
     ) {
@@ -268,21 +279,21 @@
                         .orEmpty()
                         .map { it.model } + model
             ).distinct()
-        val sizes = held.mapNotNull { plan.models[ModelId(it)] }.map { ModelSize(it.model.value, it.weightsMb, it.adapterMb) }
-        val others = fleet.othersBeside(target)
-        val copies = held.associateWith { copiesBeside(target, others, it, plan) }
+        val sizes = held.mapNotNull { engine.models[ModelId(it)] }.map { ModelSize(it.model.value, it.weightsMb, it.adapterMb) }
+        val others = registry.otherTargets(target)
+        val replicas = held.associateWith { otherReplicas(target, others, it, engine) }
         target.keeper?.send(
-            KeeperMessage.Wish(
+            KeeperMessage.LoadRequest(
                 target = target.entry.target.value,
                 model = model,
                 adapter = adapter,
-                patienceMs = patienceMs,
+                timeoutMs = timeoutMs,
                 mayEvict = mayEvict,
-                memoryMb = plan.weightsMb,
-                adapterSlots = plan.adapterSlots,
+                memoryMb = engine.weightsMb,
+                adapterSlots = engine.adapterSlots,
                 sizes = sizes,
-                copiesElsewhere = copies.flatMap { (name, copies) -> List(copies.count) { name } },
-                surplus = copies.filterValues { it.suffice }.keys.toList(),
+                copiesElsewhere = replicas.flatMap { (name, replicas) -> List(replicas.count) { name } },
+                surplus = replicas.filterValues { it.suffice }.keys.toList(),
                 callers = callers.toFloat(),
                 requestsPerSecond = state.demand.perSecond(model, clock.nowMs()).toFloat(),
             ),
@@ -290,102 +301,102 @@
     }
 
     /**
-     * Copies of a model for which the one on a target may be given up.
+     * Replicas of a model on other targets that permit eviction of the one on a given target.
      *
-     * @property suffice whether they serve all callers of the model without it
+     * @property suffice whether they can serve all callers of the model without it
      */
-    private class Copies(
+    private class Replicas(
         val count: Int,
         val suffice: Boolean,
     )
 
     /**
-     * Returns the copies of [model] on [others] if that on [target] may be given up for them.
+     * Returns the replicas of [model] on [others] if the one on [target] may be evicted, otherwise none.
      *
-     * Only one copy counts as spare, the same one for every gateway; engines that decide at the same moment never give up all of them.
+     * All gateways select the same single replica as evictable, so that concurrent decisions never evict all replicas.
      */
-    private fun copiesBeside(
+    private fun otherReplicas(
         target: Target,
         others: List<Target>,
         model: String,
-        plan: EnginePlan,
-    ): Copies {
+        engine: EngineConfiguration,
+    ): Replicas {
         val holders = others.filter { model in it.models }
         val share = { holder: Target -> Rendezvous.share(model, holder.entry.target.value) }
-        if (holders.isEmpty() || holders.any { share(it) < share(target) }) return Copies(0, suffice = false)
-        val suffice = holders.size >= CopyPlan.needed(loadOf(model, holders + target, plan))
-        return Copies(holders.size.coerceAtMost(MOST_COPIES_TOLD), suffice)
+        if (holders.isEmpty() || holders.any { share(it) < share(target) }) return Replicas(0, suffice = false)
+        val suffice = holders.size >= ReplicaPlan.needed(loadOf(model, holders + target, engine))
+        return Replicas(holders.size.coerceAtMost(MAXIMUM_REPORTED_REPLICAS), suffice)
     }
 
-    /** Returns what callers of all gateways ask of [model], as the keepers of its [holders] tell. */
+    /** Returns the load on [model] from all gateways, as reported by the keepers of its [holders]. */
     fun loadOf(
         model: String,
         holders: List<Target>,
-        plan: EnginePlan,
-    ): ModelLoad {
+        engine: EngineConfiguration,
+    ): ModelWorkload {
         val requestsPerSecond =
             holders.sumOf { holder ->
                 val held = holder.status?.models?.firstOrNull { it.model == model }
                 held?.requestsPerSecond?.toDouble() ?: 0.0
             }
-        return state.work.load(model, requestsPerSecond, TOKENS_READ_PER_MS, plan.batch)
+        return state.workStatistics.workload(model, requestsPerSecond, PROMPT_TOKENS_PER_MS, engine.batch)
     }
 
     private companion object {
-        /** Requests that a plain target may hold for each of its places, counted by this gateway alone. */
+        /** Maximum number of requests of this gateway at a plain target for each of its slots. */
         const val PLAIN_QUEUE_FACTOR = 3
 
-        /** Work of a short request, as on the users' sheets. */
-        const val PLAIN_WORK_MS = 40.0
+        /** Duration of a short request, from the users' requirements. */
+        const val PLAIN_REQUEST_MS = 40.0
 
-        /** Preference for the less busy of two targets with free places. */
-        const val PLAIN_SHARE_MS = 4.0
+        /** Cost of each request in flight; prefers the less busy of two targets with free slots. */
+        const val PLAIN_IN_FLIGHT_COST_MS = 4.0
 
-        /** Speed at which engines read prompts, from the users' sheets. */
-        const val TOKENS_READ_PER_MS = 38.7
+        /** Rate at which engines process prompts, from the users' requirements. */
+        const val PROMPT_TOKENS_PER_MS = 38.7
 
-        /** A request of another gateway is still being read for a part of its time only. */
-        const val OTHERS_READING_MS = 12.0
+        /** Expected prompt processing left for each request of another gateway, most of which are past that stage. */
+        const val OTHERS_PROMPT_MS = 12.0
 
-        /** A request that waits within an engine stands for a prompt that is still to be read. */
-        const val QUEUED_MS = 120.0
+        /** Expected prompt processing for each request that is queued in an engine. */
+        const val QUEUED_PROMPT_MS = 120.0
 
-        /** Leading parts of a prompt that requests share; the last belongs to one session. */
+        /** Number of leading prompt parts that requests have in common; later parts belong to one session. */
         const val SHARED_PARTS = 2
 
-        const val ADAPTER_ASK_INTERVAL_MS = 150L
-        const val ADAPTER_PATIENCE_MS = 2_000L
-        const val ADAPTER_EXPECTED_MS = 40L
+        const val ADAPTER_REQUEST_INTERVAL_MS = 150L
+        const val ADAPTER_TIMEOUT_MS = 2_000L
+        const val ADAPTER_LOAD_MS = 40L
 
-        /** An adapter waits for the load of a model on the same engine; most of those come from its host's own copies. */
+        /** An adapter waits for a model load on the same engine; most of these use a copy on the engine's host. */
         const val ADAPTER_BEHIND_LOAD_MS = 600L
 
-        /** A target that refused a request, for an order or a full queue, is asked again after this. */
-        const val TRY_AGAIN_MS = 150L
-        const val MODEL_ASK_INTERVAL_MS = 400L
+        /** Time after which a request may be sent again to a target that refused it because of a load order or a full queue. */
+        const val RETRY_SAME_TARGET_MS = 150L
+        const val MODEL_REQUEST_INTERVAL_MS = 400L
 
-        /** Part of a target's requests that a load holds up, since it needs an adapter that is not loaded. */
-        const val SHARE_HELD_UP = 0.15
+        /** Share of a target's requests that are delayed by a model load, since they need an adapter that is not loaded. */
+        const val DELAYED_SHARE = 0.15
 
-        /** Least time that a load in progress is expected to take still. */
-        const val SHORTEST_LOAD_MS = 100L
+        /** Minimum of the expected remaining time of a load in progress. */
+        const val MINIMUM_REMAINING_LOAD_MS = 100L
 
-        /** Time in which a gateway that starts meets the keepers, some of which may have the weights at hand. */
-        const val MEETING_MS = 2_000L
+        /** Time after a start in which the gateway connects to keepers, some of which may have local copies of the weights. */
+        const val KEEPER_DISCOVERY_MS = 2_000L
 
-        /** Loads from the weight store at one time, over all engines: the least that the users' stores carry out at full speed. */
-        const val MOST_STORE_LOADS = 2
+        /** Concurrent loads from the weight store over all engines: the fewest that any of the users' stores supports at full speed. */
+        const val MAXIMUM_STORE_LOADS = 2
 
-        /** As above for models that many callers wait for, so that rare ones never hold them up. */
-        const val MOST_STORE_LOADS_WITH_BUSY_MODELS = 4
+        /** The same limit for models with high demand, so that rarely requested models never delay them. */
+        const val MAXIMUM_STORE_LOADS_FOR_BUSY_MODELS = 4
 
-        /** Demand of a model, over all gateways, that is busy: its callers outnumber those of any rare one. */
+        /** Demand over all gateways from which a model counts as busy: above that of any rarely requested model. */
         const val BUSY_REQUESTS_PER_SECOND = 1.0
 
-        /** More copies of a model than this tell a keeper nothing more. */
-        const val MOST_COPIES_TOLD = 3
+        /** Maximum number of replicas reported to a keeper; more make no difference to its decisions. */
+        const val MAXIMUM_REPORTED_REPLICAS = 3
 
-        /** What a load from the weight store costs beyond its time: it occupies the engine's orders and the store. */
-        const val STORE_LOAD_MS = 8_000L
+        /** Cost of a load from the weight store beyond its duration: it occupies the engine's order queue and the store. */
+        const val STORE_LOAD_COST_MS = 8_000L
     }
 }
--- a/gateway/src/test/kotlin/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/GatewayFixture.kt
@@ -8,7 +8,7 @@
 import org.almondjunction.common.ServiceId
 import org.almondjunction.common.TargetId
 import org.almondjunction.common.ZoneId
-import org.almondjunction.decisions.RepeatKind
+import org.almondjunction.decisions.RetrySafety
 import org.almondjunction.network.EventLoop
 import org.almondjunction.network.TcpConnection
 import org.almondjunction.network.TcpListener
@@ -18,7 +18,7 @@
 import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
 
-/** A gateway on loopback before targets that a test plays. */
+/** A gateway on loopback with targets whose connections are served by the test. */
 internal class GatewayFixture(
     graceMs: Long = 8_000,
 ) : AutoCloseable {
@@ -28,9 +28,9 @@
     val settings =
         GatewaySettings(
             name = "g",
-            place = Place(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r"))),
-            callers = Address(LOOPBACK, callersPort),
-            readiness = Address(LOOPBACK, freePort()),
+            topology = Topology(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r"))),
+            callerAddress = Address(LOOPBACK, callersPort),
+            readinessAddress = Address(LOOPBACK, freePort()),
             readinessPath = "/ready",
             keeperPort = freePort(),
             graceMs = graceMs,
@@ -40,25 +40,25 @@
 
     private fun freePort() = ServerSocket(0).use { it.localPort }
 
-    /** Starts the gateway with the one [route] and a target on each of [hosts], whose connections [target] serves. */
+    /** Starts the gateway with a single [route] and a target on each of [hosts]; [target] serves their connections. */
     fun start(
         route: Route,
-        engine: EnginePlan? = null,
+        engine: EngineConfiguration? = null,
         hosts: List<String> = List(TARGETS) { LOOPBACK },
         target: suspend (TcpConnection) -> Unit,
     ): Unit = start(listOf(route), engine, hosts, target)
 
-    /** Starts the gateway with [routes] and a target on each of [hosts], whose connections [target] serves. */
+    /** Starts the gateway with [routes] and a target on each of [hosts]; [target] serves their connections. */
     fun start(
         routes: List<Route>,
-        engine: EnginePlan? = null,
+        engine: EngineConfiguration? = null,
         hosts: List<String> = List(TARGETS) { LOOPBACK },
         target: suspend (TcpConnection) -> Unit,
     ) {
         val started = CountDownLatch(1)
         scope.launch {
             gateway.start()
-            gateway.accept(GatewayConfiguration(1, routes, mapOf(SERVICE to ServicePlan(SERVICE, 9, engine))))
+            gateway.applyConfiguration(GatewayConfiguration(1, routes, mapOf(SERVICE to ServiceConfiguration(SERVICE, 9, engine))))
             hosts.forEachIndexed { index, host ->
                 val listener = TcpListener(loop, Address(host, 0)) { connection -> scope.launch { target(connection) } }
                 val address = Address(host, listener.port)
@@ -71,7 +71,7 @@
 
     fun connect(): Socket = Socket(LOOPBACK, callersPort)
 
-    /** Sends [request] on a connection of its own and returns all that comes back. */
+    /** Sends [request] on a new connection and returns all received bytes as text. */
     fun ask(request: String): String =
         connect().use { socket ->
             socket.getOutputStream().write(request.toByteArray())
@@ -103,22 +103,22 @@
                 setOf("target"),
             )
 
-        /** A route to everything, which a test changes where it needs to. */
+        /** Returns a route for all paths with defaults for the other properties. */
         fun route(
-            repeat: RepeatKind,
+            retryKind: RetrySafety,
             streaming: Boolean,
         ) = Route(
             name = "r",
             host = "h",
             pathPrefix = "/",
-            repeat = repeat,
+            retryKind = retryKind,
             streaming = streaming,
             destinations = listOf(Destination(SERVICE, 1.0)),
             timeoutMs = 20_000,
             latencyObjectiveMs = 10_000,
             priority = 0,
             maximumTargets = 2,
-            callerPatienceMs = 60_000,
+            callerIdleTimeoutMs = 60_000,
         )
     }
 }
