Gateway tests: a start that fails ends the test, and a fixture's ports differ

Cause: a run of the tests ended in GatewayTest with the log line "unexpected error", BindException, and then waited without end. The fixture counts a latch down after gateway.start(); when the start throws, the error goes to the log of the scope and the test's thread waits for ever.

Change, tests only: the three sockets are held until all ports are known; the start is awaited with its error.

--- a/gateway/src/test/kotlin/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/GatewayFixture.kt
@@ -1,6 +1,8 @@
 package org.almondjunction.gateway
 
+import kotlinx.coroutines.async
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
 import org.almondjunction.common.Address
 import org.almondjunction.common.Location
 import org.almondjunction.common.Metrics
@@ -15,7 +17,6 @@
 import org.almondjunction.network.processScope
 import java.net.ServerSocket
 import java.net.Socket
-import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
 
 /** A gateway on loopback with targets whose connections are served by the test. */
@@ -24,22 +25,21 @@
 ) : AutoCloseable {
     val loop = EventLoop()
     val scope = processScope(loop)
-    private val callersPort = freePort()
+    private val ports = unusedPorts(3)
+    private val callersPort = ports[0]
     val settings =
         GatewaySettings(
             name = "g",
             topology = Topology(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r"))),
             callerAddress = Address(LOOPBACK, callersPort),
-            readinessAddress = Address(LOOPBACK, freePort()),
+            readinessAddress = Address(LOOPBACK, ports[1]),
             readinessPath = "/ready",
-            keeperPort = freePort(),
+            keeperPort = ports[2],
             graceMs = graceMs,
         )
     val gateway = Gateway(settings, NAMES, loop, scope, Metrics())
     private val loopThread = thread { loop.run() }
 
-    private fun freePort() = ServerSocket(0).use { it.localPort }
-
     /** Starts the gateway with a single [route] and a target on each of [hosts]; [target] serves their connections. */
     fun start(
         route: Route,
@@ -48,25 +48,27 @@
         target: suspend (TcpConnection) -> Unit,
     ): Unit = start(listOf(route), engine, hosts, target)
 
-    /** Starts the gateway with [routes] and a target on each of [hosts]; [target] serves their connections. */
+    /**
+     * Starts the gateway with [routes] and a target on each of [hosts]; [target] serves their connections.
+     * Throws what the start throws, such as a [java.net.BindException] when a port is in use.
+     */
     fun start(
         routes: List<Route>,
         engine: EngineConfiguration? = null,
         hosts: List<String> = List(TARGETS) { LOOPBACK },
         target: suspend (TcpConnection) -> Unit,
     ) {
-        val started = CountDownLatch(1)
-        scope.launch {
-            gateway.start()
-            gateway.applyConfiguration(GatewayConfiguration(1, routes, mapOf(SERVICE to ServiceConfiguration(SERVICE, 9, engine))))
-            hosts.forEachIndexed { index, host ->
-                val listener = TcpListener(loop, Address(host, 0)) { connection -> scope.launch { target(connection) } }
-                val address = Address(host, listener.port)
-                gateway.directory.put(TargetEntry(TargetId("t$index"), SERVICE, address, ZoneId("z"), true, 4, 1, 1, emptyMap()))
+        val started =
+            scope.async {
+                gateway.start()
+                gateway.applyConfiguration(GatewayConfiguration(1, routes, mapOf(SERVICE to ServiceConfiguration(SERVICE, 9, engine))))
+                hosts.forEachIndexed { index, host ->
+                    val listener = TcpListener(loop, Address(host, 0)) { connection -> scope.launch { target(connection) } }
+                    val address = Address(host, listener.port)
+                    gateway.directory.put(TargetEntry(TargetId("t$index"), SERVICE, address, ZoneId("z"), true, 4, 1, 1, emptyMap()))
+                }
             }
-            started.countDown()
-        }
-        started.await()
+        runBlocking { started.await() }
     }
 
     fun connect(): Socket = Socket(LOOPBACK, callersPort)
@@ -103,6 +105,12 @@
                 setOf("target"),
             )
 
+        /** Returns [count] different ports; all are held until the last is known, since the system may give a released port again. */
+        private fun unusedPorts(count: Int): List<Int> {
+            val sockets = List(count) { ServerSocket(0) }
+            return sockets.map { socket -> socket.use { it.localPort } }
+        }
+
         /** Returns a route for all paths with defaults for the other properties. */
         fun route(
             retryKind: RetrySafety,
