protocol: name messages by their effect

The serialized names stay: each class keeps its @SerialName, and the base class is not written out.

Message.AboutRequest -> Message.RequestMessage Message.GiveBack -> Message.ReleaseRights Message.LastHeardQuery -> Message.LastContactQuery Message.LastHeardReply -> Message.LastContactReply

--- a/agent/src/main/kotlin/ActiveRequest.kt
+++ b/agent/src/main/kotlin/ActiveRequest.kt
@@ -26,7 +26,7 @@
     private val lock = Any()
     private val bytes = ExposedStream()
     private var head: Message.Head? = null
-    private var terminal: Message.AboutRequest? = null
+    private var terminal: Message.RequestMessage? = null
     private var sender: Job? = null
     private var signal = Channel<Unit>(Channel.CONFLATED)
 
@@ -61,7 +61,7 @@
     override fun append(bytes: ByteArray) = change { this.bytes.write(bytes) }
 
     /** Ends the request with [message], unless it has already ended. */
-    fun finish(message: Message.AboutRequest) = change { if (terminal == null) terminal = message }
+    fun finish(message: Message.RequestMessage) = change { if (terminal == null) terminal = message }
 
     private fun change(block: () -> Unit) {
         synchronized(lock) { block() }
@@ -129,7 +129,7 @@
     private class Part(
         val head: Message.Head?,
         val bytes: ByteArray,
-        val terminal: Message.AboutRequest?,
+        val terminal: Message.RequestMessage?,
     )
 
     private fun next(
--- a/agent/src/main/kotlin/RequestServer.kt
+++ b/agent/src/main/kotlin/RequestServer.kt
@@ -219,7 +219,7 @@
 
     private fun end(
         request: ActiveRequest,
-        message: Message.AboutRequest,
+        message: Message.RequestMessage,
         reason: String,
     ) {
         synchronized(registry) { registry.end(request.id, clock.nowMs()) }
@@ -228,7 +228,7 @@
 
     private fun finish(
         request: ActiveRequest,
-        message: Message.AboutRequest,
+        message: Message.RequestMessage,
         outcome: String,
         reason: String,
     ) {
--- a/agent/src/main/kotlin/StateSubscriber.kt
+++ b/agent/src/main/kotlin/StateSubscriber.kt
@@ -40,7 +40,7 @@
 
     /** Notifies the entry host that [rights] are free; the controller repeats this until the accepted state reflects it. */
     suspend fun giveBack(rights: List<RightKey>) {
-        connection?.send(Message.GiveBack(settings.target, rights))
+        connection?.send(Message.ReleaseRights(settings.target, rights))
     }
 
     /** Sends the status immediately if a session is open. */
--- a/entry/src/main/kotlin/DepartureController.kt
+++ b/entry/src/main/kotlin/DepartureController.kt
@@ -16,7 +16,7 @@
 internal class DepartureController(
     private val settlingMs: Long,
     private val clock: Clock,
-    private val lastHeard: suspend (List<HostId>) -> List<Message.LastHeardReply>?,
+    private val lastHeard: suspend (List<HostId>) -> List<Message.LastContactReply>?,
 ) {
     private val missingSinceMs = mutableMapOf<HostId, Long>()
     private var lastQueryMs: Long? = null
--- a/entry/src/main/kotlin/InternalServer.kt
+++ b/entry/src/main/kotlin/InternalServer.kt
@@ -57,10 +57,10 @@
             is Message.Ping -> connection.send(Message.Pong(message.sentMs))
             is Message.SubscribeTarget -> subscribe(connection, message)
             is Message.AgentStatus -> statuses[message.target] = message
-            is Message.GiveBack -> scope.launch { releases.release(message.rights) }
+            is Message.ReleaseRights -> scope.launch { releases.release(message.rights) }
             is Message.SubscribeAll -> subscribeAll(connection)
             is Message.StatusQuery -> connection.send(status())
-            is Message.LastHeardQuery -> connection.send(lastHeard(message))
+            is Message.LastContactQuery -> connection.send(lastHeard(message))
             else -> {
                 metrics.count(MetricName.PROTOCOL_ERRORS, "unexpected")
                 connection.close()
@@ -161,10 +161,10 @@
             crossRegionBytes = metrics.total(MetricName.CROSS_REGION_BYTES).toLong(),
         )
 
-    private fun lastHeard(query: Message.LastHeardQuery): Message.LastHeardReply {
+    private fun lastHeard(query: Message.LastContactQuery): Message.LastContactReply {
         val nowMs = clock.nowMs()
         val ages = query.hosts.mapNotNull { host -> lastHeardMs[host]?.let { host to nowMs - it } }.toMap()
-        return Message.LastHeardReply(settings.host.value, upMs = nowMs - startedMs, agesMs = ages)
+        return Message.LastContactReply(settings.host.value, upMs = nowMs - startedMs, agesMs = ages)
     }
 
     private companion object {
--- a/entry/src/main/kotlin/PeerQueries.kt
+++ b/entry/src/main/kotlin/PeerQueries.kt
@@ -22,11 +22,11 @@
     private val scope: CoroutineScope,
 ) {
     /** Returns every member's reply on when it last heard from [hosts]; null when any member did not answer. */
-    suspend fun lastHeard(hosts: List<HostId>): List<Message.LastHeardReply>? {
+    suspend fun lastHeard(hosts: List<HostId>): List<Message.LastContactReply>? {
         val view = holder.view
         val members = view.members.hosts.filterKeys { it !in view.catalogue.retiredHosts }
         if (settings.host !in members) return null
-        val replies = queryAll(members.values, Message.LastHeardQuery(hosts)) { it as? Message.LastHeardReply }
+        val replies = queryAll(members.values, Message.LastContactQuery(hosts)) { it as? Message.LastContactReply }
         return replies.filterNotNull().takeIf { it.size == members.size }
     }
 
--- a/entry/src/main/kotlin/TargetCall.kt
+++ b/entry/src/main/kotlin/TargetCall.kt
@@ -49,7 +49,7 @@
 
     private var headSeen = false
 
-    fun onMessage(message: Message.AboutRequest) {
+    fun onMessage(message: Message.RequestMessage) {
         when (message) {
             is Message.Head -> if (!headSeen) deliver(CallEvent.Head(message.status, message.contentType)).also { headSeen = true }
             is Message.Chunk -> onChunk(message)
--- a/entry/src/main/kotlin/TargetLink.kt
+++ b/entry/src/main/kotlin/TargetLink.kt
@@ -112,7 +112,7 @@
                     synchronized(health) { health.heard(clock.nowMs()) }
                     when (message) {
                         is Message.Hello -> helloReceived.complete(message)
-                        is Message.AboutRequest -> calls[message.id]?.onMessage(message)
+                        is Message.RequestMessage -> calls[message.id]?.onMessage(message)
                         is Message.Leaving -> session?.let { markDraining(it) }
                         else -> Unit
                     }
--- a/entry/src/test/kotlin/DepartureControllerTest.kt
+++ b/entry/src/test/kotlin/DepartureControllerTest.kt
@@ -25,7 +25,7 @@
     private fun reply(
         upMs: Long = 1_000_000,
         heardMsAgo: Long? = null,
-    ) = Message.LastHeardReply("entry", upMs, listOfNotNull(heardMsAgo?.let { host to it }).toMap())
+    ) = Message.LastContactReply("entry", upMs, listOfNotNull(heardMsAgo?.let { host to it }).toMap())
 
     @Test
     fun `a removed host is proven gone only when every member replies and none has heard from it within the settling time`() =
--- a/protocol/src/main/kotlin/Connection.kt
+++ b/protocol/src/main/kotlin/Connection.kt
@@ -102,7 +102,7 @@
                 val frame = CODEC.encodeToByteArray(Message.serializer(), message)
                 channel.writeInt(frame.size)
                 channel.writeByteArray(frame)
-                if (message !is Message.AboutRequest) metrics.count(MetricName.CONTROL_BYTES, "sent", frame.size.toDouble())
+                if (message !is Message.RequestMessage) metrics.count(MetricName.CONTROL_BYTES, "sent", frame.size.toDouble())
                 message = outgoing.tryReceive().getOrNull()
             }
             channel.flush()
@@ -121,7 +121,7 @@
                 } catch (_: IllegalArgumentException) {
                     return metrics.count(MetricName.PROTOCOL_ERRORS, "unreadable")
                 }
-            if (message !is Message.AboutRequest) metrics.count(MetricName.CONTROL_BYTES, "received", frame.size.toDouble())
+            if (message !is Message.RequestMessage) metrics.count(MetricName.CONTROL_BYTES, "received", frame.size.toDouble())
             onMessage(message)
         }
     }
--- a/protocol/src/main/kotlin/Message.kt
+++ b/protocol/src/main/kotlin/Message.kt
@@ -57,7 +57,7 @@
 
     /** A message about one request. */
     @Serializable
-    public sealed class AboutRequest : Message() {
+    public sealed class RequestMessage : Message() {
         /** Identifier of the request. */
         public abstract val id: RequestId
     }
@@ -71,7 +71,7 @@
         val timeLeftMs: Long,
         val priority: Int,
         val sentMs: Long,
-    ) : AboutRequest()
+    ) : RequestMessage()
 
     /** Requests the rest of an answer, from [offset] on, over this connection. */
     @Serializable
@@ -79,7 +79,7 @@
     public data class Resume(
         override val id: RequestId,
         val offset: Long,
-    ) : AboutRequest()
+    ) : RequestMessage()
 
     /** The entry host has forwarded the answer up to [offset]; the agent sends a limited number of bytes beyond it. */
     @Serializable
@@ -87,28 +87,28 @@
     public data class Acknowledge(
         override val id: RequestId,
         val offset: Long,
-    ) : AboutRequest()
+    ) : RequestMessage()
 
     /** Asks the agent to drop the request if it has not started; the reply is [Refused] or [Running]. */
     @Serializable
     @SerialName("withdraw")
     public data class Withdraw(
         override val id: RequestId,
-    ) : AboutRequest()
+    ) : RequestMessage()
 
     /** The caller has disconnected; the request should be cancelled. */
     @Serializable
     @SerialName("cancel")
     public data class Cancel(
         override val id: RequestId,
-    ) : AboutRequest()
+    ) : RequestMessage()
 
     /** The request has started and can no longer be withdrawn. */
     @Serializable
     @SerialName("running")
     public data class Running(
         override val id: RequestId,
-    ) : AboutRequest()
+    ) : RequestMessage()
 
     /** Status code and content type of the answer. */
     @Serializable
@@ -117,7 +117,7 @@
         override val id: RequestId,
         val status: Int,
         val contentType: String?,
-    ) : AboutRequest()
+    ) : RequestMessage()
 
     /** Part of the answer, starting at [offset]. */
     @OptIn(ExperimentalSerializationApi::class)
@@ -127,7 +127,7 @@
         override val id: RequestId,
         public val offset: Long,
         @ByteString public val bytes: ByteArray,
-    ) : AboutRequest()
+    ) : RequestMessage()
 
     /** The answer is complete and has [length] bytes. */
     @Serializable
@@ -135,7 +135,7 @@
     public data class End(
         override val id: RequestId,
         val length: Long,
-    ) : AboutRequest()
+    ) : RequestMessage()
 
     /** The request did not run at this target and never will. */
     @Serializable
@@ -144,7 +144,7 @@
         override val id: RequestId,
         val reason: RefusalReason,
         val expectedWaitMs: Long = 0,
-    ) : AboutRequest()
+    ) : RequestMessage()
 
     /** The request may have run and cannot be completed. */
     @Serializable
@@ -152,7 +152,7 @@
     public data class Failed(
         override val id: RequestId,
         val reason: UnknownReason,
-    ) : AboutRequest()
+    ) : RequestMessage()
 
     /** An agent subscribes to the part of the accepted state that concerns its target; it is sent now and after each change. */
     @Serializable
@@ -198,7 +198,7 @@
     /** An agent returns rights: nothing is loaded under them, and nothing will be. */
     @Serializable
     @SerialName("give-back")
-    public data class GiveBack(
+    public data class ReleaseRights(
         val target: TargetId,
         val rights: List<RightKey>,
     ) : Message()
@@ -220,14 +220,14 @@
     /** A controller asks when an entry host last heard from the agents on [hosts]. */
     @Serializable
     @SerialName("last-heard-query")
-    public data class LastHeardQuery(
+    public data class LastContactQuery(
         val hosts: List<HostId>,
     ) : Message()
 
-    /** Reply to a [LastHeardQuery], with ages in milliseconds; this process has never heard from a host that is missing. */
+    /** Reply to a [LastContactQuery], with ages in milliseconds; this process has never heard from a host that is missing. */
     @Serializable
     @SerialName("last-heard-reply")
-    public data class LastHeardReply(
+    public data class LastContactReply(
         val process: String,
         val upMs: Long,
         val agesMs: Map<HostId, Long>,
