entry: name members after departed hosts, last contacts and retry budgets

The test class of EntrySettings and TicketDocument is named after the two, and the titles in DepartureControllerTest use the new terms. All of these names are used in entry alone.

DepartureController.provenGone -> DepartureController.departedHosts PeerQueries.lastHeard -> PeerQueries.lastContacts TargetLinks.budget -> TargetLinks.retryBudget EntryDocumentsTest -> EntrySettingsAndTicketDocumentTest

--- a/entry/src/main/kotlin/CallerServer.kt
+++ b/entry/src/main/kotlin/CallerServer.kt
@@ -92,16 +92,16 @@
         val document = runCatching { Json.parseToJsonElement(body.decodeToString()) as? JsonObject }.getOrNull()
         val name = (document?.get("model") as? JsonPrimitive)?.takeIf { it.isString }?.jsonPrimitive?.content
         when {
-            document == null -> Parsed.Bad("The body is not a JSON object.")
-            name.isNullOrBlank() -> Parsed.Bad("The key \"model\" is missing or not a string.")
-            else -> Parsed.Good(RequestTarget.Model(name), path)
+            document == null -> Parsed.Invalid("The body is not a JSON object.")
+            name.isNullOrBlank() -> Parsed.Invalid("The key \"model\" is missing or not a string.")
+            else -> Parsed.Valid(RequestTarget.Model(name), path)
         }
     }
 
     private suspend fun callService(call: ApplicationCall) =
         serve(call) {
             val service = call.parameters["service"].orEmpty()
-            Parsed.Good(
+            Parsed.Valid(
                 RequestTarget.Service(service),
                 call.request.uri
                     .removePrefix("/services/$service")
@@ -110,12 +110,12 @@
         }
 
     private sealed class Parsed {
-        data class Good(
+        data class Valid(
             val target: RequestTarget,
             val path: String,
         ) : Parsed()
 
-        data class Bad(
+        data class Invalid(
             val detail: String,
         ) : Parsed()
     }
@@ -165,8 +165,8 @@
             return Outcome.NotRun(RefusalReason.BODY_TOO_LARGE, "The limit is ${settings.bodyLimitBytes} bytes.")
         }
         return when (val parsed = parse(body)) {
-            is Parsed.Bad -> malformed(parsed.detail)
-            is Parsed.Good ->
+            is Parsed.Invalid -> malformed(parsed.detail)
+            is Parsed.Valid ->
                 handle(
                     Exchange(
                         id = id,
--- a/entry/src/main/kotlin/DepartureController.kt
+++ b/entry/src/main/kotlin/DepartureController.kt
@@ -11,18 +11,18 @@
  * A host is proven gone only if the platform no longer lists it and every entry host replies that it has not heard from it for the
  * settling time. The proof fails if any entry host does not reply.
  *
- * @param lastHeard queries every member; returns null when any of them did not answer
+ * @param lastContacts queries every member; returns null when any of them did not answer
  */
 internal class DepartureController(
     private val settlingMs: Long,
     private val clock: Clock,
-    private val lastHeard: suspend (List<HostId>) -> List<Message.LastContactReply>?,
+    private val lastContacts: suspend (List<HostId>) -> List<Message.LastContactReply>?,
 ) {
     private val missingSinceMs = mutableMapOf<HostId, Long>()
     private var lastQueryMs: Long? = null
     private var proven = emptySet<HostId>()
 
-    suspend fun provenGone(view: ClusterView): Set<HostId> {
+    suspend fun departedHosts(view: ClusterView): Set<HostId> {
         val nowMs = clock.nowMs()
         val missing = missingHosts(view)
         missingSinceMs.keys.retainAll(missing)
@@ -31,7 +31,7 @@
         proven = proven.intersect(due)
         if (due.isEmpty() || lastQueryMs?.let { nowMs - it < QUERY_INTERVAL_MS } == true) return proven
         lastQueryMs = nowMs
-        val replies = lastHeard(due.toList()) ?: return proven
+        val replies = lastContacts(due.toList()) ?: return proven
         proven =
             due
                 .filter { host ->
--- a/entry/src/main/kotlin/Dispatcher.kt
+++ b/entry/src/main/kotlin/Dispatcher.kt
@@ -158,7 +158,7 @@
             RequestMachine(
                 candidates = plan.candidates.map { it.record.target },
                 repeatable = plan.repeatable,
-                retryPermitted = { links.budget(it).withdraw() },
+                retryPermitted = { links.retryBudget(it).withdraw() },
             )
         var step = machine.start()
         while (true) {
@@ -180,7 +180,7 @@
     ) {
         val reason = step.retryReason
         if (reason == null) {
-            links.budget(step.target).deposit()
+            links.retryBudget(step.target).deposit()
         } else {
             metrics.count(MetricName.RETRIES, reason)
             EventLog.info("request retried", LogFields(exchange.id, step.target, reason = reason))
--- a/entry/src/main/kotlin/EntryProcess.kt
+++ b/entry/src/main/kotlin/EntryProcess.kt
@@ -45,7 +45,7 @@
             clock,
             scope,
             SnapshotWriter(store),
-            DepartureController(settings.settlingMs, clock, peers::lastHeard),
+            DepartureController(settings.settlingMs, clock, peers::lastContacts),
         )
     private val drain = DrainState()
     private val dispatcher = Dispatcher(settings, holder, TargetLinks(settings, selector, clock, metrics, scope), drain, clock, metrics)
--- a/entry/src/main/kotlin/InternalServer.kt
+++ b/entry/src/main/kotlin/InternalServer.kt
@@ -20,7 +20,7 @@
     private val settings: EntrySettings,
     private val holder: StateHolder,
     private val state: StateController,
-    private val releases: RightsReleaser,
+    private val rightsReleaser: RightsReleaser,
     private val members: MembershipController,
     private val clock: Clock,
     private val metrics: Metrics,
@@ -29,8 +29,8 @@
     private val startedMs = clock.nowMs()
     private val agents = ConcurrentHashMap<Connection, AgentSession>()
     private val followers = ConcurrentHashMap<Connection, ClusterView>()
-    private val lastHeardMs = ConcurrentHashMap<HostId, Long>()
-    private val sessionHeardMs = ConcurrentHashMap<Connection, Long>()
+    private val lastContactMs = ConcurrentHashMap<HostId, Long>()
+    private val lastReceivedMs = ConcurrentHashMap<Connection, Long>()
     private val statuses = ConcurrentHashMap<TargetId, Message.AgentStatus>()
 
     /** Latest status of each agent with a session at this process. */
@@ -50,17 +50,17 @@
         connection: Connection,
         message: Message,
     ) {
-        agents[connection]?.let { lastHeardMs[it.host] = clock.nowMs() }
-        sessionHeardMs[connection] = clock.nowMs()
+        agents[connection]?.let { lastContactMs[it.host] = clock.nowMs() }
+        lastReceivedMs[connection] = clock.nowMs()
         when (message) {
             is Message.Hello -> checkVersion(connection, message)
             is Message.Ping -> connection.send(Message.Pong(message.sentMs))
             is Message.SubscribeTarget -> subscribe(connection, message)
             is Message.AgentStatus -> statuses[message.target] = message
-            is Message.ReleaseRights -> scope.launch { releases.release(message.rights) }
+            is Message.ReleaseRights -> scope.launch { rightsReleaser.release(message.rights) }
             is Message.SubscribeAll -> subscribeAll(connection)
             is Message.StatusQuery -> connection.send(status())
-            is Message.LastContactQuery -> connection.send(lastHeard(message))
+            is Message.LastContactQuery -> connection.send(lastContacts(message))
             else -> {
                 metrics.count(MetricName.PROTOCOL_ERRORS, "unexpected")
                 connection.close()
@@ -73,7 +73,7 @@
         while (true) {
             delay(SESSION_CHECK_INTERVAL_MS)
             val silentSinceMs = clock.nowMs() - SESSION_TIMEOUT_MS
-            sessionHeardMs.filterValues { it < silentSinceMs }.keys.forEach { connection ->
+            lastReceivedMs.filterValues { it < silentSinceMs }.keys.forEach { connection ->
                 metrics.count(MetricName.RECONNECTIONS, "session-silent")
                 connection.close()
                 onClosed(connection)
@@ -82,7 +82,7 @@
     }
 
     fun onClosed(connection: Connection) {
-        sessionHeardMs.remove(connection)
+        lastReceivedMs.remove(connection)
         agents.remove(connection)
         followers.remove(connection)
     }
@@ -106,7 +106,7 @@
         if (!members.registered) return connection.close()
         val session = AgentSession(message.target, message.host)
         agents[connection] = session
-        lastHeardMs[message.host] = clock.nowMs()
+        lastContactMs[message.host] = clock.nowMs()
         update(connection, session, holder.view)
         if (!message.needConfirmed) return
         scope.launch {
@@ -161,9 +161,9 @@
             crossRegionBytes = metrics.total(MetricName.CROSS_REGION_BYTES).toLong(),
         )
 
-    private fun lastHeard(query: Message.LastContactQuery): Message.LastContactReply {
+    private fun lastContacts(query: Message.LastContactQuery): Message.LastContactReply {
         val nowMs = clock.nowMs()
-        val ages = query.hosts.mapNotNull { host -> lastHeardMs[host]?.let { host to nowMs - it } }.toMap()
+        val ages = query.hosts.mapNotNull { host -> lastContactMs[host]?.let { host to nowMs - it } }.toMap()
         return Message.LastContactReply(settings.host.value, upMs = nowMs - startedMs, agesMs = ages)
     }
 
--- a/entry/src/main/kotlin/LeaderController.kt
+++ b/entry/src/main/kotlin/LeaderController.kt
@@ -120,7 +120,7 @@
             val view = holder.view
             val due = view !== plannedView || clock.nowMs() - plannedMs >= REPLAN_INTERVAL_MS
             if (!leading || !due || !view.ready || view.fleetVersion == 0L) continue
-            place(view, departures.provenGone(view))
+            place(view, departures.departedHosts(view))
             snapshots.writeIfDue(view)
             plannedView = view
             plannedMs = clock.nowMs()
@@ -129,7 +129,7 @@
 
     private suspend fun place(
         view: ClusterView,
-        provenGone: Set<HostId>,
+        departedHosts: Set<HostId>,
     ) {
         val input =
             PlacementInput(
@@ -137,7 +137,7 @@
                 fleet = view.fleet,
                 shards = (0 until RightsShard.COUNT).associateWith { view.shards[it]?.shard ?: RightsShard() },
                 hostOfLostTarget = view.hostOfLostTarget,
-                provenEmptyHosts = provenGone,
+                provenEmptyHosts = departedHosts,
             )
         Placement.plan(input).forEach { (index, shard) ->
             val key = StoreKeys.rights(index)
--- a/entry/src/main/kotlin/PeerQueries.kt
+++ b/entry/src/main/kotlin/PeerQueries.kt
@@ -22,7 +22,7 @@
     private val scope: CoroutineScope,
 ) {
     /** Returns every member's reply on when it last heard from [hosts]; null when any member did not answer. */
-    suspend fun lastHeard(hosts: List<HostId>): List<Message.LastContactReply>? {
+    suspend fun lastContacts(hosts: List<HostId>): List<Message.LastContactReply>? {
         val view = holder.view
         val members = view.members.hosts.filterKeys { it !in view.catalogue.retiredHosts }
         if (settings.host !in members) return null
--- a/entry/src/main/kotlin/StateController.kt
+++ b/entry/src/main/kotlin/StateController.kt
@@ -129,7 +129,7 @@
         val peers = peers()
         if (peers.isEmpty()) return false
         val peer = peers[nextPeer++ % peers.size]
-        var lastHeardMs = clock.nowMs()
+        var lastReceivedMs = clock.nowMs()
         val connection =
             Connection.dial(
                 selector,
@@ -137,7 +137,7 @@
                 scope,
                 metrics,
                 onMessage = { peerConnection, message ->
-                    lastHeardMs = clock.nowMs()
+                    lastReceivedMs = clock.nowMs()
                     if (message is Message.RelayedChange) applyRelayed(peerConnection, message.change)
                 },
                 onClosed = {},
@@ -145,7 +145,7 @@
         val endMs = clock.nowMs() + durationMs
         connection.send(Message.Hello(settings.host.value, incarnation = ""))
         connection.send(Message.SubscribeAll(holder.view.revision))
-        while (!connection.closed && clock.nowMs() - lastHeardMs < PEER_TIMEOUT_MS && clock.nowMs() < endMs) {
+        while (!connection.closed && clock.nowMs() - lastReceivedMs < PEER_TIMEOUT_MS && clock.nowMs() < endMs) {
             connection.send(Message.Ping(clock.nowMs()))
             delay(PEER_PING_INTERVAL_MS)
         }
--- a/entry/src/main/kotlin/TargetLinks.kt
+++ b/entry/src/main/kotlin/TargetLinks.kt
@@ -19,7 +19,7 @@
     private val scope: CoroutineScope,
 ) {
     private val links = ConcurrentHashMap<TargetId, TargetLink>()
-    private val budgets = ConcurrentHashMap<TargetId, RetryBudget>()
+    private val retryBudgets = ConcurrentHashMap<TargetId, RetryBudget>()
     private val warm = ConcurrentHashMap<Pair<TargetId, ModelId>, Boolean>()
     private val suspectUntilMs = ConcurrentHashMap<TargetId, Long>()
 
@@ -28,7 +28,7 @@
             target.record.target,
         ) { TargetLink(settings.host.value, target.record.agent, selector, clock, metrics, scope) }
 
-    fun budget(target: TargetId): RetryBudget = budgets.computeIfAbsent(target) { RetryBudget() }
+    fun retryBudget(target: TargetId): RetryBudget = retryBudgets.computeIfAbsent(target) { RetryBudget() }
 
     fun outstanding(target: TargetId): Int = links[target]?.outstanding ?: 0
 
--- a/entry/src/test/kotlin/DepartureControllerTest.kt
+++ b/entry/src/test/kotlin/DepartureControllerTest.kt
@@ -24,39 +24,39 @@
 
     private fun reply(
         upMs: Long = 1_000_000,
-        heardMsAgo: Long? = null,
-    ) = Message.LastContactReply("entry", upMs, listOfNotNull(heardMsAgo?.let { host to it }).toMap())
+        contactAgeMs: Long? = null,
+    ) = Message.LastContactReply("entry", upMs, listOfNotNull(contactAgeMs?.let { host to it }).toMap())
 
     @Test
-    fun `a removed host is proven gone only when every member replies and none has heard from it within the settling time`() =
+    fun `a removed host counts as departed only when every member replies and none had contact with it within the settling time`() =
         runTest {
             val cases =
                 listOf(
-                    Triple("no member heard from it within the settling time", listOf(reply(), reply(heardMsAgo = 70_000)), setOf(host)),
-                    Triple("one member heard from it within the settling time", listOf(reply(), reply(heardMsAgo = 59_000)), emptySet()),
+                    Triple("no member had contact within the settling time", listOf(reply(), reply(contactAgeMs = 70_000)), setOf(host)),
+                    Triple("one member had contact within the settling time", listOf(reply(), reply(contactAgeMs = 59_000)), emptySet()),
                     Triple("one member has run for less than the settling time", listOf(reply(), reply(upMs = 59_000)), emptySet()),
                     Triple("one member does not answer", null, emptySet()),
                 )
             cases.forEach { (name, replies, expected) ->
                 val clock = VirtualClock()
                 val controller = DepartureController(settlingMs = 60_000, clock) { replies }
-                assertEquals(emptySet(), controller.provenGone(lostView), name)
+                assertEquals(emptySet(), controller.departedHosts(lostView), name)
                 clock.advanceBy(59_999)
-                assertEquals(emptySet(), controller.provenGone(lostView), name)
+                assertEquals(emptySet(), controller.departedHosts(lostView), name)
                 clock.advanceBy(1)
-                assertEquals(expected, controller.provenGone(lostView), name)
+                assertEquals(expected, controller.departedHosts(lostView), name)
             }
         }
 
     @Test
-    fun `a host that is listed again is no longer proven gone`() =
+    fun `a host that is listed again no longer counts as departed`() =
         runTest {
             val clock = VirtualClock()
             val controller = DepartureController(settlingMs = 60_000, clock) { listOf(reply()) }
-            controller.provenGone(lostView)
+            controller.departedHosts(lostView)
             clock.advanceBy(60_000)
-            assertEquals(setOf(host), controller.provenGone(lostView))
-            assertEquals(emptySet(), controller.provenGone(ClusterView(shards = lostView.shards)))
-            assertEquals(emptySet(), controller.provenGone(lostView))
+            assertEquals(setOf(host), controller.departedHosts(lostView))
+            assertEquals(emptySet(), controller.departedHosts(ClusterView(shards = lostView.shards)))
+            assertEquals(emptySet(), controller.departedHosts(lostView))
         }
 }
--- a/entry/src/test/kotlin/EntryDocumentsTest.kt
+++ b/entry/src/test/kotlin/EntrySettingsAndTicketDocumentTest.kt
@@ -7,7 +7,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-class EntryDocumentsTest {
+class EntrySettingsAndTicketDocumentTest {
     private val settings =
         """
         host = "entry-1"
