agent: name the handler of target effects and the release of rights

All of these names are used in agent alone.

TargetActions -> TargetEffectHandler TargetActions.giveBack -> TargetEffectHandler.releaseRights StateSubscriber.giveBack -> StateSubscriber.releaseRights RequestServer.onGiveBack -> RequestServer.onRightsReleased

--- a/agent/src/main/kotlin/AgentProcess.kt
+++ b/agent/src/main/kotlin/AgentProcess.kt
@@ -56,7 +56,7 @@
     private val subscriber = StateSubscriber(settings, incarnation, controller, selector, clock, metrics, scope)
     private val server =
         RequestServer(settings.target, incarnation, controller, backend, clock, metrics, scope) { rights ->
-            scope.launch { subscriber.giveBack(rights) }
+            scope.launch { subscriber.releaseRights(rights) }
         }
     private val stopped = CompletableDeferred<Unit>()
     private val stopping = AtomicBoolean()
--- a/agent/src/main/kotlin/RequestServer.kt
+++ b/agent/src/main/kotlin/RequestServer.kt
@@ -36,8 +36,8 @@
     private val clock: Clock,
     private val metrics: Metrics,
     private val scope: CoroutineScope,
-    private val onGiveBack: (List<RightKey>) -> Unit,
-) : TargetActions {
+    private val onRightsReleased: (List<RightKey>) -> Unit,
+) : TargetEffectHandler {
     private val registry = RequestRegistry()
     private val active = ConcurrentHashMap<RequestId, ActiveRequest>()
     private val guards = ConcurrentHashMap<Connection, TransitGuard>()
@@ -215,7 +215,7 @@
         }
     }
 
-    override fun giveBack(rights: List<RightKey>) = onGiveBack(rights)
+    override fun releaseRights(rights: List<RightKey>) = onRightsReleased(rights)
 
     private fun end(
         request: ActiveRequest,
--- a/agent/src/main/kotlin/StateSubscriber.kt
+++ b/agent/src/main/kotlin/StateSubscriber.kt
@@ -39,7 +39,7 @@
     private var entryStale = false
 
     /** Notifies the entry host that [rights] are free; the controller repeats this until the accepted state reflects it. */
-    suspend fun giveBack(rights: List<RightKey>) {
+    suspend fun releaseRights(rights: List<RightKey>) {
         connection?.send(Message.ReleaseRights(settings.target, rights))
     }
 
--- a/agent/src/main/kotlin/TargetController.kt
+++ b/agent/src/main/kotlin/TargetController.kt
@@ -21,14 +21,14 @@
 import org.almondjunction.decisions.TargetState
 
 /** Effects of a [TargetMachine] that a [TargetController] delegates. */
-internal interface TargetActions {
+internal interface TargetEffectHandler {
     fun dispatch(effect: TargetEffect.Dispatch)
 
     fun refuse(effect: TargetEffect.Refuse)
 
     fun interrupt(effect: TargetEffect.Interrupt)
 
-    fun giveBack(rights: List<RightKey>)
+    fun releaseRights(rights: List<RightKey>)
 }
 
 /** Drives a [TargetMachine]: passes it one event at a time, stores its state, and sends orders to the engine. */
@@ -53,25 +53,25 @@
         events.trySend(event)
     }
 
-    fun start(actions: TargetActions) {
-        scope.launch { for (event in events) handle(event, actions) }
+    fun start(effectHandler: TargetEffectHandler) {
+        scope.launch { for (event in events) handle(event, effectHandler) }
         scope.launch { tick() }
         if (state.kind == TargetKind.ENGINE) scope.launch { poll() }
     }
 
     private fun handle(
         event: TargetEvent,
-        actions: TargetActions,
+        effectHandler: TargetEffectHandler,
     ) {
         val transition = machine.handle(state, event, clock.nowMs())
         state = transition.state
         transition.effects.forEach { effect ->
             when (effect) {
                 is TargetEffect.Send -> send(effect.order)
-                is TargetEffect.Dispatch -> actions.dispatch(effect)
-                is TargetEffect.Refuse -> actions.refuse(effect)
-                is TargetEffect.Interrupt -> actions.interrupt(effect)
-                is TargetEffect.GiveBack -> actions.giveBack(effect.rights)
+                is TargetEffect.Dispatch -> effectHandler.dispatch(effect)
+                is TargetEffect.Refuse -> effectHandler.refuse(effect)
+                is TargetEffect.Interrupt -> effectHandler.interrupt(effect)
+                is TargetEffect.GiveBack -> effectHandler.releaseRights(effect.rights)
             }
         }
     }
