--- a/protocol/src/main/kotlin/Message.kt
+++ b/protocol/src/main/kotlin/Message.kt
@@ -41,14 +41,14 @@
     @SerialName("leaving")
     public data object Leaving : Message()
 
-    /** Checks that the peer responds. [sentMs] is the sender's clock time. */
+    /** Checks that the peer responds. [sentMs] is the sender's clock time, in milliseconds. */
     @Serializable
     @SerialName("ping")
     public data class Ping(
         val sentMs: Long,
     ) : Message()
 
-    /** Reply to a [Ping]. */
+    /** Reply to a [Ping], with its [sentMs]. */
     @Serializable
     @SerialName("pong")
     public data class Pong(
@@ -62,7 +62,12 @@
         public abstract val id: RequestId
     }
 
-    /** Sends a request to the agent of its target. [sentMs] is the sender's clock time. */
+    /**
+     * Sends a request to the agent of its target.
+     *
+     * @property timeLeftMs time until the deadline of the request
+     * @property sentMs the sender's clock time, in milliseconds
+     */
     @Serializable
     @SerialName("start")
     public data class Start(
@@ -73,7 +78,7 @@
         val sentMs: Long,
     ) : RequestMessage()
 
-    /** Requests the rest of an answer, from [offset] on, over this connection. */
+    /** Requests the rest of an answer, from byte [offset] on, over this connection. */
     @Serializable
     @SerialName("resume")
     public data class Resume(
@@ -119,7 +124,7 @@
         val contentType: String?,
     ) : RequestMessage()
 
-    /** Part of the answer, starting at [offset]. */
+    /** Part of the answer, starting at byte [offset]. */
     @OptIn(ExperimentalSerializationApi::class)
     @Serializable
     @SerialName("chunk")
@@ -154,7 +159,11 @@
         val reason: UnknownReason,
     ) : RequestMessage()
 
-    /** An agent subscribes to the part of the accepted state that concerns its target; it is sent now and after each change. */
+    /**
+     * An agent subscribes to the part of the accepted state that concerns its target; it is sent now and after each change.
+     *
+     * @property needConfirmed whether the agent also requests a confirmed state, see [TargetStateUpdate]
+     */
     @Serializable
     @SerialName("subscribe-target")
     public data class SubscribeTarget(
@@ -163,7 +172,12 @@
         val needConfirmed: Boolean,
     ) : Message()
 
-    /** The part of the accepted state that concerns one target. */
+    /**
+     * The part of the accepted state that concerns one target.
+     *
+     * @property offers offers of the models in [rights]
+     * @property confirmed whether the sender has read the object store since the agent requested a confirmed state
+     */
     @Serializable
     @SerialName("target-state")
     public data class TargetStateUpdate(
@@ -181,7 +195,15 @@
         val sequence: Long,
     ) : Message()
 
-    /** An agent reports the memory, requests and residents of its target. */
+    /**
+     * An agent reports the memory, requests and residents of its target.
+     *
+     * @property sequence sequence of the accepted state that the agent has applied
+     * @property draining whether the agent is stopping gracefully
+     * @property reservedMb memory that is or may be occupied, in megabytes
+     * @property waiting number of queued requests
+     * @property running number of running requests
+     */
     @Serializable
     @SerialName("agent-status")
     public data class AgentStatus(
@@ -195,7 +217,7 @@
         val residents: List<ResidentKey>,
     ) : Message()
 
-    /** An agent returns rights: nothing is loaded under them, and nothing will be. */
+    /** An agent releases rights: nothing is loaded under them, and nothing will be. */
     @Serializable
     @SerialName("give-back")
     public data class ReleaseRights(
@@ -217,14 +239,20 @@
         val change: StateChange,
     ) : Message()
 
-    /** A controller asks when an entry host last heard from the agents on [hosts]. */
+    /** A controller asks how long ago an entry host last had contact with the agents on [hosts]. */
     @Serializable
     @SerialName("last-heard-query")
     public data class LastContactQuery(
         val hosts: List<HostId>,
     ) : Message()
 
-    /** Reply to a [LastContactQuery], with ages in milliseconds; this process has never heard from a host that is missing. */
+    /**
+     * Reply to a [LastContactQuery].
+     *
+     * @property process the replying entry host
+     * @property upMs time since the start of the replying process
+     * @property agesMs time since the last message from an agent on each host; a host without a message since the start is missing
+     */
     @Serializable
     @SerialName("last-heard-reply")
     public data class LastContactReply(
@@ -238,7 +266,12 @@
     @SerialName("status-query")
     public data object StatusQuery : Message()
 
-    /** Reply to a [StatusQuery]. */
+    /**
+     * Reply to a [StatusQuery].
+     *
+     * @property sequence sequence of the accepted state at this entry host
+     * @property crossRegionBytes bytes exchanged with targets of other regions since the start of the process
+     */
     @Serializable
     @SerialName("status-reply")
     public data class StatusReply(
