entry: comments and private names without figures of speech

Rights are released and hosts depart, as in the names. DepartureController tells what a missing reply does: hosts that already count as departed stay so, and no further one does.

--- a/entry/src/main/kotlin/DepartureController.kt
+++ b/entry/src/main/kotlin/DepartureController.kt
@@ -8,8 +8,8 @@
 /**
  * Determines which removed hosts provably no longer use any of their rights.
  *
- * A host is proven gone only if the platform no longer lists it and every entry host replies that it has not heard from it for the
- * settling time. The proof fails if any entry host does not reply.
+ * A host counts as departed only if the platform has not listed it for the settling time and every entry host replies that it has had no
+ * contact with the agents on it for that time. While any entry host does not reply, no further host counts as departed.
  *
  * @param lastContacts queries every member; returns null when any of them did not answer
  */
@@ -20,24 +20,25 @@
 ) {
     private val missingSinceMs = mutableMapOf<HostId, Long>()
     private var lastQueryMs: Long? = null
-    private var proven = emptySet<HostId>()
+    private var departed = emptySet<HostId>()
 
+    /** Returns the departed hosts; queries the entry hosts at most once per [QUERY_INTERVAL_MS]. */
     suspend fun departedHosts(view: ClusterView): Set<HostId> {
         val nowMs = clock.nowMs()
         val missing = missingHosts(view)
         missingSinceMs.keys.retainAll(missing)
         missing.forEach { missingSinceMs.putIfAbsent(it, nowMs) }
         val due = missingSinceMs.filterValues { nowMs - it >= settlingMs }.keys.toSet()
-        proven = proven.intersect(due)
-        if (due.isEmpty() || lastQueryMs?.let { nowMs - it < QUERY_INTERVAL_MS } == true) return proven
+        departed = departed.intersect(due)
+        if (due.isEmpty() || lastQueryMs?.let { nowMs - it < QUERY_INTERVAL_MS } == true) return departed
         lastQueryMs = nowMs
-        val replies = lastContacts(due.toList()) ?: return proven
-        proven =
+        val replies = lastContacts(due.toList()) ?: return departed
+        departed =
             due
                 .filter { host ->
                     replies.all { it.upMs >= settlingMs && (it.agesMs[host] ?: Long.MAX_VALUE) >= settlingMs }
                 }.toSet()
-        return proven
+        return departed
     }
 
     private fun missingHosts(view: ClusterView): Set<HostId> {
--- a/entry/src/main/kotlin/Dispatcher.kt
+++ b/entry/src/main/kotlin/Dispatcher.kt
@@ -144,7 +144,7 @@
                 )
             }
         val crossRegion = exchange.deadlineMs - clock.nowMs() >= settings.crossRegionMinimumMs
-        val prefix = exchange.body.decodeToString(endIndex = minOf(exchange.body.size, PREFIX_BYTES))
+        val prefix = exchange.body.decodeToString(endIndex = minOf(exchange.body.size, AFFINITY_PREFIX_BYTES))
         return Router.order(candidates, settings.location, prefix, crossRegion).map { byTarget.getValue(it.target) }
     }
 
@@ -289,7 +289,7 @@
         const val MINIMUM_RETRY_DELAY_MS = 50L
         const val ACKNOWLEDGEMENT_INTERVAL_BYTES = 64 * 1024
         const val DEFAULT_PRIORITY = 5
-        const val PREFIX_BYTES = 256
+        const val AFFINITY_PREFIX_BYTES = 256
         const val FIRST_ERROR_STATUS = 400
         val REPEATABLE_METHODS = setOf("GET", "HEAD", "OPTIONS")
     }
--- a/entry/src/main/kotlin/EntrySettings.kt
+++ b/entry/src/main/kotlin/EntrySettings.kt
@@ -23,7 +23,7 @@
  * @property maximumTimeoutMs longest time limit that a request may specify
  * @property crossRegionMinimumMs remaining time below which a request is not sent to another region
  * @property leaseMs time without renewal after which another entry host may acquire the controller lease
- * @property settlingMs time after which the rights of a removed host may be freed, if no entry host has heard from it for that long
+ * @property settlingMs time after which the rights of a removed host may be released, if no entry host has had contact with it meanwhile
  * @property drainNoticeMs time in a graceful stop between reporting "not ready" and refusing new requests
  * @property drainLimitMs longest time that a graceful stop waits for requests in progress
  */
--- a/entry/src/main/kotlin/InternalServer.kt
+++ b/entry/src/main/kotlin/InternalServer.kt
@@ -173,7 +173,7 @@
     }
 }
 
-/** An agent's subscription. */
+/** Session of an agent, with the state that was last sent to it. */
 internal class AgentSession(
     val target: TargetId,
     val host: HostId,
--- a/entry/src/main/kotlin/MembershipController.kt
+++ b/entry/src/main/kotlin/MembershipController.kt
@@ -15,7 +15,7 @@
     private val holder: StateHolder,
     private val store: ObjectStore,
 ) {
-    /** Whether this process is registered; only then do queries to all members include what it has heard from agents. */
+    /** Whether this process is registered; only then do queries to all members include its contacts with agents. */
     val registered: Boolean get() = holder.view.members.hosts[settings.host] == settings.internal
 
     /** Retries until this process is registered. */
--- a/entry/src/main/kotlin/PeerQueries.kt
+++ b/entry/src/main/kotlin/PeerQueries.kt
@@ -21,7 +21,7 @@
     private val metrics: Metrics,
     private val scope: CoroutineScope,
 ) {
-    /** Returns every member's reply on when it last heard from [hosts]; null when any member did not answer. */
+    /** Returns every member's reply on its last contact with [hosts]; null when any member did not answer. */
     suspend fun lastContacts(hosts: List<HostId>): List<Message.LastContactReply>? {
         val view = holder.view
         val members = view.members.hosts.filterKeys { it !in view.catalogue.retiredHosts }
--- a/entry/src/main/kotlin/RightsReleaser.kt
+++ b/entry/src/main/kotlin/RightsReleaser.kt
@@ -10,7 +10,7 @@
 import org.almondjunction.decisions.StoreReply
 import org.almondjunction.objectstore.ObjectStore
 
-/** Removes rights that an agent returned. Needs no leader: the agent's message is sufficient proof, and the update is conditional. */
+/** Removes rights that an agent released. Needs no leader: the agent's message is sufficient proof, and the update is conditional. */
 internal class RightsReleaser(
     private val store: ObjectStore,
     private val holder: StateHolder,
--- a/entry/src/main/kotlin/SnapshotWriter.kt
+++ b/entry/src/main/kotlin/SnapshotWriter.kt
@@ -29,9 +29,9 @@
     }
 
     private suspend fun writePages(head: TicketHead): Boolean {
-        val first = LogPage.indexOf(head.firstRecentSequence)
-        val beyond = LogPage.indexOf(head.sequence + 1)
-        return (first until beyond).all { page ->
+        val firstPage = LogPage.indexOf(head.firstRecentSequence)
+        val endPage = LogPage.indexOf(head.sequence + 1)
+        return (firstPage until endPage).all { page ->
             val from = (LogPage.firstSequenceOf(page) - head.firstRecentSequence).toInt()
             if (from < 0) return@all true
             val numbers = head.recent.subList(from, from + LogPage.SIZE.toInt())
--- a/entry/src/main/kotlin/TargetLinks.kt
+++ b/entry/src/main/kotlin/TargetLinks.kt
@@ -10,7 +10,7 @@
 import org.almondjunction.decisions.RetryBudget
 import java.util.concurrent.ConcurrentHashMap
 
-/** The links of this entry host, with the observed warmth and reachability of each target. */
+/** The links of this entry host, with what it has observed of each target: whether a model is loaded and whether it can be reached. */
 internal class TargetLinks(
     private val settings: EntrySettings,
     private val selector: SelectorManager,
@@ -32,6 +32,7 @@
 
     fun outstanding(target: TargetId): Int = links[target]?.outstanding ?: 0
 
+    /** Whether [model] is loaded at [target] according to its last answer or refusal; null before the first one. */
     fun isWarm(
         target: TargetId,
         model: ModelId,
