--- a/agent/src/main/kotlin/AgentSettings.kt
+++ b/agent/src/main/kotlin/AgentSettings.kt
@@ -80,7 +80,7 @@
                 strings("entries").mapNotNull { text ->
                     Address.parse(text).also { if (it == null) fault("entries", "Found \"$text\"; expected an IP number and a port.") }
                 }
-            if (entries.isEmpty()) fault("entries", "Name at least one entry host, such as [\"127.0.0.1:7101\"].")
+            if (entries.isEmpty()) fault("entries", "Found no valid address; expected at least one, such as [\"127.0.0.1:7101\"].")
             return entries
         }
 
--- a/agent/src/main/kotlin/Backend.kt
+++ b/agent/src/main/kotlin/Backend.kt
@@ -8,7 +8,7 @@
 import org.almondjunction.decisions.ResidentKey
 import org.almondjunction.protocol.Work
 
-/** The engine or plain service beside an agent. */
+/** The engine or plain service of an agent's target. */
 internal interface Backend {
     /** Sends [order] and returns the reply; a failed call is reported as a reply and does not throw. */
     suspend fun order(order: Order): OrderReply
--- a/agent/src/main/kotlin/Main.kt
+++ b/agent/src/main/kotlin/Main.kt
@@ -19,7 +19,7 @@
 public fun main(arguments: Array<String>): Unit = AgentCommand().subcommands(ServeCommand(), CheckCommand()).main(arguments)
 
 private class AgentCommand : CliktCommand(name = "almondjunction-agent") {
-    override fun help(context: Context) = "Process of the serving system beside one target."
+    override fun help(context: Context) = "Agent of one target: runs its requests and sends orders to its engine."
 
     override fun run() = Unit
 }
--- a/agent/src/main/kotlin/StateSubscriber.kt
+++ b/agent/src/main/kotlin/StateSubscriber.kt
@@ -38,7 +38,7 @@
     @Volatile
     private var entryStale = false
 
-    /** Notifies the entry host that [rights] are free; the controller repeats this until the accepted state reflects it. */
+    /** Notifies the entry host that [rights] are released; repeated by the controller until they are gone from the accepted state. */
     suspend fun releaseRights(rights: List<RightKey>) {
         connection?.send(Message.ReleaseRights(settings.target, rights))
     }
