--- a/agent/src/main/kotlin/StateSubscriber.kt
+++ b/agent/src/main/kotlin/StateSubscriber.kt
@@ -38,9 +38,9 @@
     @Volatile
     private var entryStale = false
 
-    /** Notifies the entry host that [rights] are free; the controller repeats this until the accepted state reflects it. */
-    suspend fun giveBack(rights: List<RightKey>) {
-        connection?.send(Message.GiveBack(settings.target, rights))
+    /** Notifies the entry host that [rights] are released; repeated by the controller until they are gone from the accepted state. */
+    suspend fun releaseRights(rights: List<RightKey>) {
+        connection?.send(Message.ReleaseRights(settings.target, rights))
     }
 
     /** Sends the status immediately if a session is open. */
--- a/entry/src/main/kotlin/Dispatcher.kt
+++ b/entry/src/main/kotlin/Dispatcher.kt
@@ -144,7 +144,7 @@
                 )
             }
         val crossRegion = exchange.deadlineMs - clock.nowMs() >= settings.crossRegionMinimumMs
-        val prefix = exchange.body.decodeToString(endIndex = minOf(exchange.body.size, PREFIX_BYTES))
+        val prefix = exchange.body.decodeToString(endIndex = minOf(exchange.body.size, AFFINITY_PREFIX_BYTES))
         return Router.order(candidates, settings.location, prefix, crossRegion).map { byTarget.getValue(it.target) }
     }
 
@@ -158,7 +158,7 @@
             RequestMachine(
                 candidates = plan.candidates.map { it.record.target },
                 repeatable = plan.repeatable,
-                retryPermitted = { links.budget(it).withdraw() },
+                retryPermitted = { links.retryBudget(it).withdraw() },
             )
         var step = machine.start()
         while (true) {
@@ -180,7 +180,7 @@
     ) {
         val reason = step.retryReason
         if (reason == null) {
-            links.budget(step.target).deposit()
+            links.retryBudget(step.target).deposit()
         } else {
             metrics.count(MetricName.RETRIES, reason)
             EventLog.info("request retried", LogFields(exchange.id, step.target, reason = reason))
@@ -289,7 +289,7 @@
         const val MINIMUM_RETRY_DELAY_MS = 50L
         const val ACKNOWLEDGEMENT_INTERVAL_BYTES = 64 * 1024
         const val DEFAULT_PRIORITY = 5
-        const val PREFIX_BYTES = 256
+        const val AFFINITY_PREFIX_BYTES = 256
         const val FIRST_ERROR_STATUS = 400
         val REPEATABLE_METHODS = setOf("GET", "HEAD", "OPTIONS")
     }
--- a/entry/src/main/kotlin/TargetLinks.kt
+++ b/entry/src/main/kotlin/TargetLinks.kt
@@ -10,7 +10,7 @@
 import org.almondjunction.decisions.RetryBudget
 import java.util.concurrent.ConcurrentHashMap
 
-/** The links of this entry host, with the observed warmth and reachability of each target. */
+/** The links of this entry host, with what it has observed of each target: whether a model is loaded and whether it can be reached. */
 internal class TargetLinks(
     private val settings: EntrySettings,
     private val selector: SelectorManager,
@@ -19,7 +19,7 @@
     private val scope: CoroutineScope,
 ) {
     private val links = ConcurrentHashMap<TargetId, TargetLink>()
-    private val budgets = ConcurrentHashMap<TargetId, RetryBudget>()
+    private val retryBudgets = ConcurrentHashMap<TargetId, RetryBudget>()
     private val warm = ConcurrentHashMap<Pair<TargetId, ModelId>, Boolean>()
     private val suspectUntilMs = ConcurrentHashMap<TargetId, Long>()
 
@@ -28,10 +28,11 @@
             target.record.target,
         ) { TargetLink(settings.host.value, target.record.agent, selector, clock, metrics, scope) }
 
-    fun budget(target: TargetId): RetryBudget = budgets.computeIfAbsent(target) { RetryBudget() }
+    fun retryBudget(target: TargetId): RetryBudget = retryBudgets.computeIfAbsent(target) { RetryBudget() }
 
     fun outstanding(target: TargetId): Int = links[target]?.outstanding ?: 0
 
+    /** Whether [model] is loaded at [target] according to its last answer or refusal; null before the first one. */
     fun isWarm(
         target: TargetId,
         model: ModelId,
