Network: public names in the usual terms of HTTP and sockets

The names below said little to a reader who does not know the project, or meant something else elsewhere in it: a caller is a client of the gateway, and reserve() reserved nothing. Only names, doc comments and import order change.

WholeBody -> BodyResult WholeBody.NoRoom -> BodyResult.BudgetExceeded BodyReader.whole -> BodyReader.readAll launchAlways -> launchRestarting TcpConnection.dial -> TcpConnection.connect TcpConnection.fillNow -> TcpConnection.tryFill HttpCaller -> HttpClient HttpReply -> HttpResponse ByteBudget.takenBytes -> ByteBudget.reservedBytes ByteBudget.reserve -> ByteBudget.newReservation ByteBudget.Reservation.take -> ByteBudget.Reservation.grow ByteBudget.Reservation.hold -> ByteBudget.Reservation.resize

--- a/gateway/src/main/kotlin/CallerConnection.kt
+++ b/gateway/src/main/kotlin/CallerConnection.kt
@@ -11,13 +11,13 @@
 import org.almondjunction.common.MetricName
 import org.almondjunction.common.Metrics
 import org.almondjunction.network.BodyFraming
+import org.almondjunction.network.BodyResult
 import org.almondjunction.network.HeadResult
 import org.almondjunction.network.HttpHeadParser
 import org.almondjunction.network.HttpReader
 import org.almondjunction.network.ReadResult
 import org.almondjunction.network.RequestHead
 import org.almondjunction.network.TcpConnection
-import org.almondjunction.network.WholeBody
 
 /** Serves the requests on one connection of a caller sequentially. */
 internal class CallerConnection(
@@ -86,13 +86,13 @@
             return refuse(head, answer, CONTENT_TOO_LARGE, "the body is too large", null)
         }
         if (head.headers.hasToken("Expect", "100-continue")) connection.write(CONTINUE)
-        return state.buffered.reserve().use { reservation ->
-            val read = withTimeoutOrNull(BODY_TIMEOUT_MS) { reader.body(framing).whole(limits.maximumBodyBytes, reservation) }
+        return state.buffered.newReservation().use { reservation ->
+            val read = withTimeoutOrNull(BODY_TIMEOUT_MS) { reader.body(framing).readAll(limits.maximumBodyBytes, reservation) }
             when (read) {
-                is WholeBody.Read -> answer(head, read.bytes, arrivedMs, answer, hosts.single())
-                WholeBody.TooLarge -> refuse(head, answer, CONTENT_TOO_LARGE, "the body is too large", null)
-                WholeBody.NoRoom -> refuse(head, answer, SERVICE_UNAVAILABLE, "too many bodies at once", RETRY_AFTER_OVERLOAD_MS)
-                is WholeBody.Broken -> refuse(head, answer, BAD_REQUEST, read.detail, null)
+                is BodyResult.Read -> answer(head, read.bytes, arrivedMs, answer, hosts.single())
+                BodyResult.TooLarge -> refuse(head, answer, CONTENT_TOO_LARGE, "the body is too large", null)
+                BodyResult.BudgetExceeded -> refuse(head, answer, SERVICE_UNAVAILABLE, "too many bodies at once", RETRY_AFTER_OVERLOAD_MS)
+                is BodyResult.Broken -> refuse(head, answer, BAD_REQUEST, read.detail, null)
                 null -> refuse(head, answer, REQUEST_TIMEOUT, "the body took too long", null)
             }
         }
--- a/gateway/src/main/kotlin/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/ConnectionPool.kt
@@ -26,7 +26,7 @@
         val nowMs = clock.nowMs()
         while (true) {
             val newest = idle.removeLastOrNull() ?: return null
-            val usable = newest.expiresMs > nowMs && newest.connection.fillNow() == null
+            val usable = newest.expiresMs > nowMs && newest.connection.tryFill() == null
             if (usable && nowMs - newest.idleSinceMs <= maximumIdleMs) return newest.connection
             if (usable) {
                 idle.addLast(newest)
@@ -36,7 +36,7 @@
         }
     }
 
-    suspend fun dial(timeoutMs: Long): TcpConnection? = TcpConnection.dial(loop, address, minOf(timeoutMs, CONNECT_TIMEOUT_MS))
+    suspend fun dial(timeoutMs: Long): TcpConnection? = TcpConnection.connect(loop, address, minOf(timeoutMs, CONNECT_TIMEOUT_MS))
 
     fun release(
         connection: TcpConnection,
--- a/gateway/src/main/kotlin/Exchange.kt
+++ b/gateway/src/main/kotlin/Exchange.kt
@@ -8,6 +8,7 @@
 import org.almondjunction.decisions.SendResult
 import org.almondjunction.network.BodyFraming
 import org.almondjunction.network.BodyReader
+import org.almondjunction.network.BodyResult
 import org.almondjunction.network.HeadResult
 import org.almondjunction.network.HttpHeadParser
 import org.almondjunction.network.HttpHeader
@@ -15,7 +16,6 @@
 import org.almondjunction.network.HttpWriter
 import org.almondjunction.network.ResponseHead
 import org.almondjunction.network.TcpConnection
-import org.almondjunction.network.WholeBody
 
 /** Result of sending one request to a target, before the body of the response is read. */
 internal sealed class ExchangeResult {
@@ -100,7 +100,7 @@
             if (head.headers[names.requestId] == null && head.headers[names.notExecuted] != null) {
                 return classify(head, reader.body(bodyFraming), bodyFraming)
             }
-            if (bodyFraming == BodyFraming.UntilEnd || reader.body(bodyFraming).whole(MAXIMUM_STRAY_BYTES) !is WholeBody.Read) {
+            if (bodyFraming == BodyFraming.UntilEnd || reader.body(bodyFraming).readAll(MAXIMUM_STRAY_BYTES) !is BodyResult.Read) {
                 return lost("an answer to another request came")
             }
         }
@@ -139,7 +139,7 @@
         val head = answer
         val unread = body.takeUnless { bodyRead }
         val drained =
-            unread == null || withTimeoutOrNull(DRAIN_TIMEOUT_MS) { unread.whole(MAXIMUM_STRAY_BYTES) is WholeBody.Read } == true
+            unread == null || withTimeoutOrNull(DRAIN_TIMEOUT_MS) { unread.readAll(MAXIMUM_STRAY_BYTES) is BodyResult.Read } == true
         val reusable = head != null && drained && requestSent && !mustClose && framing != BodyFraming.UntilEnd && opened.input.size == 0
         if (reusable && head != null && !head.headers.hasToken("Connection", "close")) {
             connection = null
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -13,8 +13,8 @@
 import org.almondjunction.decisions.SendResult
 import org.almondjunction.decisions.SharedRetryBudget
 import org.almondjunction.network.BodyPart
+import org.almondjunction.network.BodyResult
 import org.almondjunction.network.HttpHeader
-import org.almondjunction.network.WholeBody
 
 /** Forwards requests to targets and relays the responses. */
 internal class Forwarder(
@@ -33,7 +33,7 @@
         request: ForwardedRequest,
         answer: CallerAnswer,
     ) {
-        val context = ForwardingContext(request, answer, state.buffered.reserve(), clock)
+        val context = ForwardingContext(request, answer, state.buffered.newReservation(), clock)
         retryBudget.recordFirstSend(clock.nowMs())
         metrics.count(MetricName.REQUESTS)
         request.model?.let { state.demand.record(it, clock.nowMs()) }
@@ -265,8 +265,8 @@
             target.recordResult(failed = true)
             return decide(context, SendResult.Lost).orTruncated(context)
         }
-        val body = answer.body.whole(MAXIMUM_ANSWER_BYTES, context.buffered)
-        if (body !is WholeBody.Read) {
+        val body = answer.body.readAll(MAXIMUM_ANSWER_BYTES, context.buffered)
+        if (body !is BodyResult.Read) {
             context.detail = unusableReason(body)
             target.recordResult(failed = true)
             return decide(context, SendResult.Lost)
@@ -287,12 +287,12 @@
         return null
     }
 
-    private fun unusableReason(body: WholeBody): String =
+    private fun unusableReason(body: BodyResult): String =
         when (body) {
-            is WholeBody.Read -> "the answer cannot be handed on"
-            WholeBody.TooLarge -> "the answer is too large"
-            WholeBody.NoRoom -> "too many answers at once"
-            is WholeBody.Broken -> "the answer broke off"
+            is BodyResult.Read -> "the answer cannot be handed on"
+            BodyResult.TooLarge -> "the answer is too large"
+            BodyResult.BudgetExceeded -> "too many answers at once"
+            is BodyResult.Broken -> "the answer broke off"
         }
 
     private suspend fun relayStream(
@@ -307,7 +307,7 @@
             when (part) {
                 is BodyPart.Data -> {
                     val complete = context.events.feed(part.bytes)
-                    val room = context.buffered.hold(context.events.pendingBytes.toLong())
+                    val room = context.buffered.resize(context.events.pendingBytes.toLong())
                     if (!room || context.events.pendingBytes > EventSplitter.MAXIMUM_EVENT_BYTES) {
                         return handleBrokenStream(target, context, "an event does not end")
                     }
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -16,7 +16,7 @@
 import org.almondjunction.network.HttpWriter
 import org.almondjunction.network.TcpConnection
 import org.almondjunction.network.TcpListener
-import org.almondjunction.network.launchAlways
+import org.almondjunction.network.launchRestarting
 
 /**
  * HTTP reverse proxy between callers and targets.
@@ -52,13 +52,13 @@
         TcpListener(loop, settings.callerAddress) { serve(it) }
         TcpListener(loop, settings.readinessAddress) { connection -> scope.launch { answerReadiness(connection) } }
         registry.start()
-        scope.launchAlways("expiry of entries") {
+        scope.launchRestarting("expiry of entries") {
             while (true) {
                 delay(EXPIRY_INTERVAL_MS)
                 directory.expire()
             }
         }
-        scope.launchAlways("preparation") { preloader.run() }
+        scope.launchRestarting("preparation") { preloader.run() }
     }
 
     /** Puts [configuration] into force, unless the same or a later version is in force. */
--- a/gateway/src/main/kotlin/KeeperLink.kt
+++ b/gateway/src/main/kotlin/KeeperLink.kt
@@ -14,7 +14,7 @@
 import org.almondjunction.keeper.MessageChannel
 import org.almondjunction.network.EventLoop
 import org.almondjunction.network.TcpConnection
-import org.almondjunction.network.launchAlways
+import org.almondjunction.network.launchRestarting
 
 /** Connection to the keeper of [target]; reconnects when it is closed or silent. */
 internal class KeeperLink(
@@ -28,14 +28,14 @@
 ) : AutoCloseable {
     private var channel: MessageChannel? = null
     private var lastMessageMs = 0L
-    private val job: Job = scope.launchAlways("keeper link") { run() }
+    private val job: Job = scope.launchRestarting("keeper link") { run() }
 
     /** Sends [message] if the keeper is connected; returns whether it was written to the connection. */
     suspend fun send(message: KeeperMessage): Boolean = channel?.send(message) ?: false
 
     private suspend fun run() {
         while (true) {
-            val connection = TcpConnection.dial(loop, address, CONNECT_TIMEOUT_MS)
+            val connection = TcpConnection.connect(loop, address, CONNECT_TIMEOUT_MS)
             if (connection != null) {
                 serve(connection)
                 target.update(null)
--- a/gateway/src/main/kotlin/TargetRegistry.kt
+++ b/gateway/src/main/kotlin/TargetRegistry.kt
@@ -7,7 +7,7 @@
 import org.almondjunction.common.TargetId
 import org.almondjunction.keeper.Demand
 import org.almondjunction.network.EventLoop
-import org.almondjunction.network.launchAlways
+import org.almondjunction.network.launchRestarting
 
 /**
  * Registry of the targets that this gateway may use.
@@ -41,13 +41,13 @@
         }
 
     fun start() {
-        scope.launchAlways("sweep of idle connections") {
+        scope.launchRestarting("sweep of idle connections") {
             while (true) {
                 delay(SWEEP_INTERVAL_MS)
                 targets.values.forEach { it.pool.sweep() }
             }
         }
-        scope.launchAlways("silence check") { checkSilence() }
+        scope.launchRestarting("silence check") { checkSilence() }
     }
 
     private suspend fun checkSilence() {
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -57,7 +57,7 @@
         val reader = HttpReader(connection)
         while (true) {
             val head = (reader.requestHead(9_999) as? HeadResult.Read)?.head ?: break
-            reader.body(HttpHeadParser.framingOf(head) ?: BodyFraming.None).whole(9_999)
+            reader.body(HttpHeadParser.framingOf(head) ?: BodyFraming.None).readAll(9_999)
             seen += head
             script.removeFirst()(connection, head)
         }
--- a/gateway/src/test/kotlin/TroubledTargetTest.kt
+++ b/gateway/src/test/kotlin/TroubledTargetTest.kt
@@ -80,7 +80,7 @@
         ).forEach { (pattern, flood) ->
             script += flood
             assertEquals("HTTP/1.1 502", ask().take("HTTP/1.1 502".length), pattern)
-            assertEquals(0, gateway.state.buffered.takenBytes, pattern)
+            assertEquals(0, gateway.state.buffered.reservedBytes, pattern)
         }
     }
 
@@ -89,15 +89,15 @@
         start(RetrySafety.ONCE, streaming = true)
         script += endless(streamHead + chunk(events(1) + "data: "), chunk("x".repeat(999)))
         assertEquals(events(1) + "|cut", unchunk(ask()))
-        assertEquals(0, gateway.state.buffered.takenBytes)
+        assertEquals(0, gateway.state.buffered.reservedBytes)
     }
 
     @Test
     fun `responses that together exceed the memory budget are discarded instead of buffered`() {
         start(RetrySafety.IDEMPOTENT, streaming = false)
-        val others = gateway.state.buffered.reserve()
+        val others = gateway.state.buffered.newReservation()
         val room = (Runtime.getRuntime().maxMemory() / 4).toInt()
-        assertTrue(others.take(room - 10))
+        assertTrue(others.grow(room - 10))
         val answer = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\nContent-Length: 20\r\n\r\n" + "x".repeat(20)
         repeat(GatewayFixture.TARGETS) { script += { connection -> connection.write(answer.toByteArray()) } }
         assertEquals("HTTP/1.1 502", ask().take("HTTP/1.1 502".length))
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -14,7 +14,7 @@
 import org.almondjunction.decisions.EvictionPlan
 import org.almondjunction.decisions.LoadValue
 import org.almondjunction.network.TcpConnection
-import org.almondjunction.network.launchAlways
+import org.almondjunction.network.launchRestarting
 
 /**
  * Controls one engine: is the only process that gives it orders, and reports its state to every gateway.
@@ -68,7 +68,7 @@
 
     /** Starts to poll the engine. */
     public fun start() {
-        scope.launchAlways("engine poll") {
+        scope.launchRestarting("engine poll") {
             while (true) {
                 refresh()
                 delay(pollMs())
--- a/keeper/src/test/kotlin/KeeperTest.kt
+++ b/keeper/src/test/kotlin/KeeperTest.kt
@@ -199,7 +199,7 @@
         requests: List<KeeperMessage.LoadRequest>,
         wanted: (KeeperMessage.Status) -> Boolean,
     ) {
-        val connection = checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), 10_000))
+        val connection = checkNotNull(TcpConnection.connect(loop, Address("127.0.0.1", port), 10_000))
         val channel = MessageChannel(connection)
         channel.send(KeeperMessage.Greeting(name))
         val sending: Job =
@@ -252,7 +252,7 @@
     ) {
         engine.held["m2"] = mutableSetOf()
         engine.inUse = setOf("m1", "m2")
-        val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), 10_000)))
+        val channel = MessageChannel(checkNotNull(TcpConnection.connect(loop, Address("127.0.0.1", port), 10_000)))
         channel.send(KeeperMessage.Greeting("g"))
         channel.send(KeeperMessage.Usage(listOf("m1", "m2").map { Use(it, null, 1, inFlight = 1) }))
         val sending =
@@ -276,7 +276,7 @@
     fun `each usage report is answered, so that a gateway detects an engine that failed with its host`() {
         var answers = 0
         withKeeper(seed = 1) { loop, port, _ ->
-            val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), HANG_TIMEOUT_MS)))
+            val channel = MessageChannel(checkNotNull(TcpConnection.connect(loop, Address("127.0.0.1", port), HANG_TIMEOUT_MS)))
             channel.send(KeeperMessage.Greeting("g"))
             withTimeoutOrNull(HANG_TIMEOUT_MS) {
                 while (channel.receive() as? KeeperMessage.Status == null) continue
@@ -293,7 +293,7 @@
     fun `usage rates are reported repeatedly, even while usage reports are answered with the load only`() {
         val rates = mutableListOf<Float>()
         withKeeper(seed = 1, BoundedStepClock()) { loop, port, _ ->
-            val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), HANG_TIMEOUT_MS)))
+            val channel = MessageChannel(checkNotNull(TcpConnection.connect(loop, Address("127.0.0.1", port), HANG_TIMEOUT_MS)))
             channel.send(KeeperMessage.Greeting("g"))
             val reporting =
                 launch {
@@ -318,7 +318,7 @@
         val clock = FailingClock()
         var ended = false
         withKeeper(seed = 1, clock) { loop, port, _ ->
-            val channel = MessageChannel(checkNotNull(TcpConnection.dial(loop, Address("127.0.0.1", port), HANG_TIMEOUT_MS)))
+            val channel = MessageChannel(checkNotNull(TcpConnection.connect(loop, Address("127.0.0.1", port), HANG_TIMEOUT_MS)))
             channel.send(KeeperMessage.Greeting("g"))
             channel.receive()
             clock.failing = true
--- a/network/src/main/kotlin/ByteBudget.kt
+++ b/network/src/main/kotlin/ByteBudget.kt
@@ -5,30 +5,30 @@
     private val totalBytes: Long,
 ) {
     /** Number of bytes currently reserved. */
-    public var takenBytes: Long = 0
+    public var reservedBytes: Long = 0
         private set
 
     /** Returns an empty reservation. */
-    public fun reserve(): Reservation = Reservation()
+    public fun newReservation(): Reservation = Reservation()
 
     /** Bytes reserved for one message; must be closed when the buffer is released. */
     public inner class Reservation : AutoCloseable {
-        private var heldBytes = 0L
+        private var sizeBytes = 0L
 
         /** Reserves [bytes] more; returns false, and changes nothing, when the budget has no room for them. */
-        public fun take(bytes: Int): Boolean = hold(heldBytes + bytes)
+        public fun grow(bytes: Int): Boolean = resize(sizeBytes + bytes)
 
         /** Sets the size of this reservation to [bytes]; returns false, and changes nothing, when the budget has no room for them. */
-        public fun hold(bytes: Long): Boolean {
-            if (takenBytes - heldBytes + bytes > totalBytes) return false
-            takenBytes += bytes - heldBytes
-            heldBytes = bytes
+        public fun resize(bytes: Long): Boolean {
+            if (reservedBytes - sizeBytes + bytes > totalBytes) return false
+            reservedBytes += bytes - sizeBytes
+            sizeBytes = bytes
             return true
         }
 
         override fun close() {
-            takenBytes -= heldBytes
-            heldBytes = 0
+            reservedBytes -= sizeBytes
+            sizeBytes = 0
         }
     }
 }
--- a/network/src/main/kotlin/HttpCall.kt
+++ b/network/src/main/kotlin/HttpClient.kt
@@ -5,8 +5,8 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.almondjunction.common.Address
 
-/** Complete response to a call of [HttpCaller]. */
-public class HttpReply(
+/** Complete response to a call of [HttpClient]. */
+public class HttpResponse(
     public val status: Int,
     public val headers: HttpHeaders,
     public val body: ByteArray,
@@ -17,7 +17,7 @@
  *
  * A call without a response may have been executed. A connection on which a response was lost is never reused.
  */
-public class HttpCaller(
+public class HttpClient(
     private val loop: EventLoop,
     private val address: Address,
     private val connectTimeoutMs: Long = CONNECT_TIMEOUT_MS,
@@ -32,7 +32,7 @@
         body: ByteArray? = null,
         headers: List<HttpHeader> = emptyList(),
         timeoutMs: Long,
-    ): HttpReply? = mutex.withLock { callLocked(method, target, body, headers, timeoutMs) }
+    ): HttpResponse? = mutex.withLock { callLocked(method, target, body, headers, timeoutMs) }
 
     private suspend fun callLocked(
         method: String,
@@ -40,16 +40,16 @@
         body: ByteArray?,
         headers: List<HttpHeader>,
         timeoutMs: Long,
-    ): HttpReply? {
-        val reused = idleConnection?.takeUnless { it.closed || it.fillNow() != null }
+    ): HttpResponse? {
+        val reused = idleConnection?.takeUnless { it.closed || it.tryFill() != null }
         idleConnection = null
-        val connection = reused ?: TcpConnection.dial(loop, address, connectTimeoutMs) ?: return null
+        val connection = reused ?: TcpConnection.connect(loop, address, connectTimeoutMs) ?: return null
         var complete = false
         try {
-            val reply = withTimeoutOrNull(timeoutMs) { exchange(connection, method, target, body, headers) } ?: return null
+            val response = withTimeoutOrNull(timeoutMs) { exchange(connection, method, target, body, headers) } ?: return null
             complete = true
-            if (!reply.headers.hasToken("Connection", "close") && connection.input.size == 0) idleConnection = connection
-            return reply
+            if (!response.headers.hasToken("Connection", "close") && connection.input.size == 0) idleConnection = connection
+            return response
         } finally {
             if (!complete) {
                 connection.abort()
@@ -65,7 +65,7 @@
         target: String,
         body: ByteArray?,
         headers: List<HttpHeader>,
-    ): HttpReply? {
+    ): HttpResponse? {
         val allHeaders = mutableListOf(HttpHeader("Host", address.toString()))
         allHeaders += headers
         if (body != null) allHeaders += HttpHeader("Content-Length", body.size.toString())
@@ -73,9 +73,9 @@
         val reader = HttpReader(connection)
         val head = (reader.responseHead(MAXIMUM_HEAD_BYTES) as? HeadResult.Read)?.head ?: return null
         val framing = HttpHeadParser.framingOf(head, method) ?: return null
-        val content = reader.body(framing).whole(MAXIMUM_BODY_BYTES) as? WholeBody.Read ?: return null
+        val content = reader.body(framing).readAll(MAXIMUM_BODY_BYTES) as? BodyResult.Read ?: return null
         if (framing == BodyFraming.UntilEnd) connection.close()
-        return HttpReply(head.status, head.headers, content.bytes)
+        return HttpResponse(head.status, head.headers, content.bytes)
     }
 
     override fun close() {
--- a/network/src/main/kotlin/HttpReader.kt
+++ b/network/src/main/kotlin/HttpReader.kt
@@ -173,22 +173,22 @@
     public suspend fun next(): BodyPart = read()
 
     /** Reads the whole body, unless it is truncated, is longer than [maximumBytes] or exceeds the budget of [reservation]. */
-    public suspend fun whole(
+    public suspend fun readAll(
         maximumBytes: Long,
         reservation: ByteBudget.Reservation? = null,
-    ): WholeBody {
+    ): BodyResult {
         val parts = mutableListOf<ByteArray>()
         var size = 0L
         while (true) {
             when (val part = next()) {
                 is BodyPart.Data -> {
                     size += part.bytes.size
-                    if (size > maximumBytes) return WholeBody.TooLarge
-                    if (reservation?.take(part.bytes.size) == false) return WholeBody.NoRoom
+                    if (size > maximumBytes) return BodyResult.TooLarge
+                    if (reservation?.grow(part.bytes.size) == false) return BodyResult.BudgetExceeded
                     parts += part.bytes
                 }
-                BodyPart.Complete -> return WholeBody.Read(parts.singleOrNull() ?: join(parts, size.toInt()))
-                is BodyPart.Broken -> return WholeBody.Broken(part.detail)
+                BodyPart.Complete -> return BodyResult.Read(parts.singleOrNull() ?: join(parts, size.toInt()))
+                is BodyPart.Broken -> return BodyResult.Broken(part.detail)
             }
         }
     }
@@ -208,20 +208,20 @@
 }
 
 /** Outcome of reading a whole body. */
-public sealed class WholeBody {
+public sealed class BodyResult {
     /** The complete body. */
     public class Read(
         public val bytes: ByteArray,
-    ) : WholeBody()
+    ) : BodyResult()
 
     /** The body exceeds the size limit. */
-    public data object TooLarge : WholeBody()
+    public data object TooLarge : BodyResult()
 
     /** The [ByteBudget] of the process has no room for the body. */
-    public data object NoRoom : WholeBody()
+    public data object BudgetExceeded : BodyResult()
 
     /** The body is truncated or its framing is invalid. */
     public data class Broken(
         val detail: String,
-    ) : WholeBody()
+    ) : BodyResult()
 }
--- a/network/src/main/kotlin/ProcessScope.kt
+++ b/network/src/main/kotlin/ProcessScope.kt
@@ -26,7 +26,7 @@
 }
 
 /** Runs [work], which is not expected to return, and restarts it [RESTART_DELAY_MS] after each unexpected error. */
-public fun CoroutineScope.launchAlways(
+public fun CoroutineScope.launchRestarting(
     name: String,
     onFailure: () -> Unit = {},
     work: suspend () -> Unit,
--- a/network/src/main/kotlin/TcpConnection.kt
+++ b/network/src/main/kotlin/TcpConnection.kt
@@ -68,7 +68,7 @@
     /** Reads the available bytes into [input]; suspends until there is at least one, an end or a failure. */
     public suspend fun fill(): ReadResult {
         while (true) {
-            val result = fillNow()
+            val result = tryFill()
             if (result != null) return result
             if (key.interestOps() and SelectionKey.OP_READ == 0) key.interestOpsOr(SelectionKey.OP_READ)
             suspendCancellableCoroutine { continuation ->
@@ -79,7 +79,7 @@
     }
 
     /** Reads the available bytes into [input] without suspending; returns null when there are none. */
-    public fun fillNow(): ReadResult? {
+    public fun tryFill(): ReadResult? {
         if (closed) return ReadResult.RESET
         val count =
             try {
@@ -146,7 +146,7 @@
 
     public companion object {
         /** Connects to [address]; returns null when that fails or takes longer than [timeoutMs]. */
-        public suspend fun dial(
+        public suspend fun connect(
             loop: EventLoop,
             address: Address,
             timeoutMs: Long,
--- a/network/src/test/kotlin/DescriptorShortage.kt
+++ b/network/src/test/kotlin/DescriptorShortage.kt
@@ -6,7 +6,7 @@
 import java.io.FileInputStream
 import java.io.IOException
 
-/** Process that exhausts its file descriptors, dials, and prints [DescriptorShortage.NO_CONNECTION] when the dial returns null. */
+/** Process that exhausts its file descriptors, connects, and prints [DescriptorShortage.NO_CONNECTION] when that returns null. */
 internal object DescriptorShortage {
     const val NO_CONNECTION = "no connection"
 
@@ -18,7 +18,7 @@
                 val unusedAddress = Address("127.0.0.1", 1)
                 loadClasses(loop, unusedAddress)
                 val openStreams = exhaustDescriptors()
-                val connection = TcpConnection.dial(loop, unusedAddress, DIAL_TIMEOUT_MS)
+                val connection = TcpConnection.connect(loop, unusedAddress, CONNECT_TIMEOUT_MS)
                 openStreams.forEach { it.close() }
                 if (connection == null) println(NO_CONNECTION)
             } finally {
@@ -33,7 +33,7 @@
         loop: EventLoop,
         address: Address,
     ) {
-        TcpConnection.dial(loop, address, DIAL_TIMEOUT_MS)
+        TcpConnection.connect(loop, address, CONNECT_TIMEOUT_MS)
         EventLog.warn("started")
     }
 
@@ -48,5 +48,5 @@
         }
     }
 
-    private const val DIAL_TIMEOUT_MS = 1_000L
+    private const val CONNECT_TIMEOUT_MS = 1_000L
 }
--- a/network/src/test/kotlin/HttpReaderTest.kt
+++ b/network/src/test/kotlin/HttpReaderTest.kt
@@ -47,11 +47,11 @@
                 when (val framing = HttpHeadParser.framingOf(result.head)) {
                     null -> "contradictory"
                     else ->
-                        when (val body = reader.body(framing).whole(MAXIMUM_BYTES.toLong())) {
-                            is WholeBody.Read -> "${result.head.method} ${result.head.target} [${body.bytes.decodeToString()}]"
-                            WholeBody.TooLarge -> "body too large"
-                            WholeBody.NoRoom -> "no room"
-                            is WholeBody.Broken -> "body broken"
+                        when (val body = reader.body(framing).readAll(MAXIMUM_BYTES.toLong())) {
+                            is BodyResult.Read -> "${result.head.method} ${result.head.target} [${body.bytes.decodeToString()}]"
+                            BodyResult.TooLarge -> "body too large"
+                            BodyResult.BudgetExceeded -> "budget exceeded"
+                            is BodyResult.Broken -> "body broken"
                         }
                 }
             }
--- a/network/src/test/kotlin/ProcessScopeTest.kt
+++ b/network/src/test/kotlin/ProcessScopeTest.kt
@@ -37,9 +37,9 @@
     }
 
     @Test
-    fun `work started with launchAlways is restarted after an error`() {
+    fun `work started with launchRestarting is restarted after an error`() {
         val started = CountDownLatch(2)
-        scope.launchAlways("work") {
+        scope.launchRestarting("work") {
             started.countDown()
             error("a bug")
         }
--- a/network/src/test/kotlin/TcpConnectionTest.kt
+++ b/network/src/test/kotlin/TcpConnectionTest.kt
@@ -5,7 +5,7 @@
 
 class TcpConnectionTest {
     @Test
-    fun `dial returns null instead of throwing when no file descriptor is free`() {
+    fun `connect returns null instead of throwing when no file descriptor is free`() {
         val java = "exec \"\$0\" -cp \"\$1\" ${DescriptorShortage::class.java.name}"
         val arguments = listOf("${System.getProperty("java.home")}/bin/java", System.getProperty("java.class.path"))
         val process =
