--- a/network/src/main/kotlin/HttpReader.kt
+++ b/network/src/main/kotlin/HttpReader.kt
@@ -1,21 +1,5 @@
 package org.almondjunction.network
 
-/** Result of one read from a body: a part of it, or how it ended. */
-public sealed class BodyPart {
-    /** Bytes of the body, in order. */
-    public class Data(
-        public val bytes: ByteArray,
-    ) : BodyPart()
-
-    /** The body is complete. */
-    public data object Complete : BodyPart()
-
-    /** The body is truncated or its framing is invalid. */
-    public data class Broken(
-        val detail: String,
-    ) : BodyPart()
-}
-
 /** Reads heads and bodies of HTTP/1.1 messages from [connection]; rejects messages that are ambiguous. */
 public class HttpReader(
     private val connection: TcpConnection,
@@ -164,64 +148,3 @@
         const val MAXIMUM_TRAILERS = 64
     }
 }
-
-/** Reads one body part by part. */
-public class BodyReader(
-    private val read: suspend () -> BodyPart,
-) {
-    /** Returns the next part; no part follows [BodyPart.Complete] or [BodyPart.Broken]. */
-    public suspend fun next(): BodyPart = read()
-
-    /** Reads the whole body, unless it is truncated, is longer than [maximumBytes] or exceeds the budget of [reservation]. */
-    public suspend fun readAll(
-        maximumBytes: Long,
-        reservation: ByteBudget.Reservation? = null,
-    ): BodyResult {
-        val parts = mutableListOf<ByteArray>()
-        var size = 0L
-        while (true) {
-            when (val part = next()) {
-                is BodyPart.Data -> {
-                    size += part.bytes.size
-                    if (size > maximumBytes) return BodyResult.TooLarge
-                    if (reservation?.grow(part.bytes.size) == false) return BodyResult.BudgetExceeded
-                    parts += part.bytes
-                }
-                BodyPart.Complete -> return BodyResult.Read(parts.singleOrNull() ?: join(parts, size.toInt()))
-                is BodyPart.Broken -> return BodyResult.Broken(part.detail)
-            }
-        }
-    }
-
-    private fun join(
-        parts: List<ByteArray>,
-        size: Int,
-    ): ByteArray {
-        val bytes = ByteArray(size)
-        var position = 0
-        parts.forEach { part ->
-            part.copyInto(bytes, position)
-            position += part.size
-        }
-        return bytes
-    }
-}
-
-/** Outcome of reading a whole body. */
-public sealed class BodyResult {
-    /** The complete body. */
-    public class Read(
-        public val bytes: ByteArray,
-    ) : BodyResult()
-
-    /** The body exceeds the size limit. */
-    public data object TooLarge : BodyResult()
-
-    /** The [ByteBudget] of the process has no room for the body. */
-    public data object BudgetExceeded : BodyResult()
-
-    /** The body is truncated or its framing is invalid. */
-    public data class Broken(
-        val detail: String,
-    ) : BodyResult()
-}
