Keeper: plain outcomes of load requests, and tests named after what they test

The outcome of a load request in the log states the condition that ended it, such as a time-out or too little memory. No test or script matches these texts. LoadQueueTest tests LoadQueue and had kept the name of an earlier class.

WishQueueTest -> LoadQueueTest

--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -309,7 +309,7 @@
                 Step.Wait -> delay(BUSY_POLL_MS)
             }
         }
-        return "patience ended"
+        return "timed out"
     }
 
     private sealed class Step {
@@ -327,7 +327,7 @@
         val adapter = checkNotNull(request.adapter)
         val adapters = report.models[request.model]
         return when {
-            adapters == null -> Step.Impossible("model is not held")
+            adapters == null -> Step.Impossible("the model is not loaded")
             adapter in adapters -> Step.Done
             (request.model to adapter) in report.loadingAdapters || report.busy -> Step.Wait
             else -> loadAdapter(request, adapter, report)
@@ -341,8 +341,8 @@
             usage.touch(request.model, null, clock.nowMs())
             return Step.Done
         }
-        val neededMb = (sizes[request.model] ?: return Step.Impossible("size of the model is unknown")).weightsMb
-        val usedMb = usedMb(report) ?: return Step.Impossible("size of a held model is unknown")
+        val neededMb = (sizes[request.model] ?: return Step.Impossible("the size of the model is unknown")).weightsMb
+        val usedMb = usedMb(report) ?: return Step.Impossible("the size of a loaded model is unknown")
         val reserveMb = (sizes.values.maxOf { it.adapterMb } * request.adapterSlots - adapterMb(report)).coerceAtLeast(0)
         val missingMb = usedMb + neededMb + reserveMb - request.memoryMb
         val victim = draining.keys.firstOrNull { it in report.models }
@@ -350,7 +350,7 @@
             missingMb > 0 && request.mayEvict && victim == null -> chooseVictim(load, report, missingMb)
             report.busy -> Step.Wait
             missingMb <= 0 -> order(request, report, EngineOrder.Kind.LOAD, request.model, null)
-            victim == null -> Step.Impossible("no room")
+            victim == null -> Step.Impossible("not enough memory")
             else -> unloadOnceDrained(request, report, victim)
         }
     }
@@ -366,8 +366,8 @@
         val candidates = evictionCandidates(load.request, report)
         val chosen =
             EvictionPlan.choose(candidates, missingMb, LoadValue.callersOf(load.valueMs))
-                ?: return Step.Impossible("all that is held is too small")
-        if (chosen.costMs > load.valueMs) return Step.Impossible("what is held is worth more")
+                ?: return Step.Impossible("evicting all models would not free enough memory")
+        if (chosen.costMs > load.valueMs) return Step.Impossible("the models to evict have a higher value")
         val victim = candidates.first { it.model == chosen.models.first() }
         val recentlyUsed = victim.inFlight == 0 && EvictionPlan.waitMs(victim) > 0
         if (recentlyUsed) return Step.Wait
@@ -411,8 +411,8 @@
         adapter: String,
         report: EngineSnapshot,
     ): Step {
-        val usedMb = usedMb(report) ?: return Step.Impossible("size of a held model is unknown")
-        val adapterMb = (sizes[request.model] ?: return Step.Impossible("size of the model is unknown")).adapterMb
+        val usedMb = usedMb(report) ?: return Step.Impossible("the size of a loaded model is unknown")
+        val adapterMb = (sizes[request.model] ?: return Step.Impossible("the size of the model is unknown")).adapterMb
         if (report.loadingAdapters.size >= MAXIMUM_LOADING_ADAPTERS) return Step.Wait
         val held = report.models.flatMap { (model, adapters) -> adapters.map { model to it } }
         val full = held.size + report.loadingAdapters.size + 1 > request.adapterSlots || usedMb + adapterMb > request.memoryMb
--- a/keeper/src/main/kotlin/UsageStatistics.kt
+++ b/keeper/src/main/kotlin/UsageStatistics.kt
@@ -54,7 +54,7 @@
     ): Int = entries[model to adapter]?.inFlight?.values?.sum() ?: 0
 
     private companion object {
-        /** Time constant of the usage rate; a few intervals between requests for a rarely used model in the users' load descriptions. */
+        /** Time constant of the usage rate; a few times the interval between requests for a rarely used model. */
         const val RATE_TIME_CONSTANT_MS = 10_000.0
 
         /** Idle time reported for a model or adapter that was never used; one hour. */
--- a/keeper/src/test/kotlin/WishQueueTest.kt
+++ b/keeper/src/test/kotlin/LoadQueueTest.kt
@@ -4,8 +4,8 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
 
-/** Order in which models that were requested at one engine are loaded, under request patterns of days with heavy load. */
-class WishQueueTest {
+/** Order in which the models that gateways request at one engine are loaded while the engine is in high demand. */
+class LoadQueueTest {
     /** [gateway] requests [model] at [atMs], with [callers] that wait and a demand of [requestsPerSecond]. */
     private data class Request(
         val gateway: String,
