--- a/network/src/main/kotlin/HttpReader.kt
+++ b/network/src/main/kotlin/HttpReader.kt
@@ -1,21 +1,5 @@
 package org.almondjunction.network
 
-/** Result of one read from a body: a part of it, or how it ended. */
-public sealed class BodyPart {
-    /** Bytes of the body, in order. */
-    public class Data(
-        public val bytes: ByteArray,
-    ) : BodyPart()
-
-    /** The body is complete. */
-    public data object Complete : BodyPart()
-
-    /** The body is truncated or its framing is invalid. */
-    public data class Broken(
-        val detail: String,
-    ) : BodyPart()
-}
-
 /** Reads heads and bodies of HTTP/1.1 messages from [connection]; rejects messages that are ambiguous. */
 public class HttpReader(
     private val connection: TcpConnection,
@@ -164,64 +148,3 @@
         const val MAXIMUM_TRAILERS = 64
     }
 }
-
-/** Reads one body part by part. */
-public class BodyReader(
-    private val read: suspend () -> BodyPart,
-) {
-    /** Returns the next part; no part follows [BodyPart.Complete] or [BodyPart.Broken]. */
-    public suspend fun next(): BodyPart = read()
-
-    /** Reads the whole body, unless it is truncated, is longer than [maximumBytes] or exceeds the budget of [reservation]. */
-    public suspend fun whole(
-        maximumBytes: Long,
-        reservation: ByteBudget.Reservation? = null,
-    ): WholeBody {
-        val parts = mutableListOf<ByteArray>()
-        var size = 0L
-        while (true) {
-            when (val part = next()) {
-                is BodyPart.Data -> {
-                    size += part.bytes.size
-                    if (size > maximumBytes) return WholeBody.TooLarge
-                    if (reservation?.take(part.bytes.size) == false) return WholeBody.NoRoom
-                    parts += part.bytes
-                }
-                BodyPart.Complete -> return WholeBody.Read(parts.singleOrNull() ?: join(parts, size.toInt()))
-                is BodyPart.Broken -> return WholeBody.Broken(part.detail)
-            }
-        }
-    }
-
-    private fun join(
-        parts: List<ByteArray>,
-        size: Int,
-    ): ByteArray {
-        val bytes = ByteArray(size)
-        var position = 0
-        parts.forEach { part ->
-            part.copyInto(bytes, position)
-            position += part.size
-        }
-        return bytes
-    }
-}
-
-/** Outcome of reading a whole body. */
-public sealed class WholeBody {
-    /** The complete body. */
-    public class Read(
-        public val bytes: ByteArray,
-    ) : WholeBody()
-
-    /** The body exceeds the size limit. */
-    public data object TooLarge : WholeBody()
-
-    /** The [ByteBudget] of the process has no room for the body. */
-    public data object NoRoom : WholeBody()
-
-    /** The body is truncated or its framing is invalid. */
-    public data class Broken(
-        val detail: String,
-    ) : WholeBody()
-}
