Common: plain wording of comments, messages and names

Comments and messages state what the code does in the usual terms: identifier instead of identity, IP address instead of IP number. Doc comments name units, ranges and the meaning of null or empty values; comments that restated a name are gone.

--- a/common/src/main/kotlin/DocumentNode.kt
+++ b/common/src/main/kotlin/DocumentNode.kt
@@ -13,41 +13,42 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 
-/** Immutable node of a TOML document; every node knows its place. */
+/**
+ * Immutable node of a TOML document.
+ *
+ * @property path dotted path from the root; empty for the root
+ * @property line line number in the document, starting at 1; less than 1 for the root
+ */
 internal sealed class DocumentNode {
     abstract val path: String
     abstract val line: Int
 
-    /** A single value. */
     data class Scalar(
         override val path: String,
         override val line: Int,
         val value: Any?,
     ) : DocumentNode()
 
-    /** An array of values. */
     data class Sequence(
         override val path: String,
         override val line: Int,
         val values: List<Any?>,
     ) : DocumentNode()
 
-    /** A table. */
     data class Table(
         override val path: String,
         override val line: Int,
         val entries: Map<String, DocumentNode>,
     ) : DocumentNode()
 
-    /** An array of tables. */
-    data class Tables(
+    data class TableArray(
         override val path: String,
         override val line: Int,
         val elements: List<Table>,
     ) : DocumentNode()
 
     companion object {
-        /** Parses [text]; [file] is used in the fault only. */
+        /** Parses [text]; [file] appears only in the fault that is returned if the text is not valid TOML. */
         fun parse(
             file: String,
             text: String,
@@ -64,7 +65,7 @@
                                 ?.get(1)
                                 ?.toInt(),
                             "",
-                            "This is not TOML: ${it.message}",
+                            "Invalid TOML: ${it.message}",
                         ),
                     )
                 },
@@ -90,13 +91,13 @@
                 is TomlKeyValuePrimitive -> value.toNode(path, lineNo)
                 is TomlKeyValueArray -> value.toNode(path, lineNo)
                 is TomlFile -> toTable(path)
-                else -> toTableOrTables(path)
+                else -> toTableOrTableArray(path)
             }
 
-        private fun TomlNode.toTableOrTables(path: String): DocumentNode {
+        private fun TomlNode.toTableOrTableArray(path: String): DocumentNode {
             val elements = children.filterIsInstance<TomlArrayOfTablesElement>()
             if (elements.isEmpty()) return toTable(path)
-            return Tables(path, lineNo, elements.mapIndexed { index, element -> element.toTable("$path[$index]") })
+            return TableArray(path, lineNo, elements.mapIndexed { index, element -> element.toTable("$path[$index]") })
         }
 
         private fun TomlValue.toNode(
--- a/common/src/main/kotlin/DocumentReader.kt
+++ b/common/src/main/kotlin/DocumentReader.kt
@@ -8,7 +8,7 @@
 /**
  * Reads a TOML document key by key and collects every fault instead of stopping at the first.
  *
- * A getter that finds a fault records it and returns a harmless value; [read] discards the result when any fault was recorded.
+ * A getter that finds a fault records it and returns a placeholder value; [read] discards the result when any fault was recorded.
  */
 public class DocumentReader private constructor(
     private val file: String,
@@ -16,7 +16,7 @@
     private val faults: MutableList<Fault>,
     private val unknownKeys: UnknownKeys,
 ) {
-    private val known = mutableSetOf<String>()
+    private val requestedKeys = mutableSetOf<String>()
 
     /** Records [message] as a fault at [key]. */
     public fun fault(
@@ -69,28 +69,26 @@
         default: Boolean? = null,
     ): Boolean = scalar(key, default, "true or false") { it as? Boolean } ?: false
 
-    /** Reads an address written as an IP number and a port; without [default] the key is required. */
+    /** Reads an address written as an IP address and a port; without [default] the key is required. */
     public fun address(
         key: String,
         default: Address? = null,
     ): Address {
         val text = string(key, default?.toString())
-        return Address.parse(text) ?: UNREADABLE_ADDRESS.also {
-            if (key in
-                table.entries
-            ) {
-                fault(key, "Found \"$text\"; expected an IP number and a port from 1 to 65535, such as \"127.0.0.1:8080\".")
+        return Address.parse(text) ?: PLACEHOLDER_ADDRESS.also {
+            if (key in table.entries) {
+                fault(key, "Found \"$text\"; expected an IP address and a port from 1 to 65535, such as \"127.0.0.1:8080\".")
             }
         }
     }
 
     /** Reads an array of strings; a missing key is an empty list. */
     public fun strings(key: String): List<String> {
-        known += key
+        requestedKeys += key
         return when (val node = table.entries[key]) {
             null -> emptyList()
             is DocumentNode.Sequence -> node.values.map { it as? String ?: "".also { fault(key, "Found a value that is not a string.") } }
-            is DocumentNode.Scalar, is DocumentNode.Table, is DocumentNode.Tables ->
+            is DocumentNode.Scalar, is DocumentNode.Table, is DocumentNode.TableArray ->
                 emptyList<String>().also {
                     fault(key, "Expected an array of strings.")
                 }
@@ -99,16 +97,16 @@
 
     /** Reads an array of whole numbers; a missing key is an empty list. */
     public fun longs(key: String): List<Long> {
-        known += key
+        requestedKeys += key
         val node = table.entries[key] ?: return emptyList()
         val values = (node as? DocumentNode.Sequence)?.values?.map { it as? Long }
         if (values != null && null !in values) return values.filterNotNull()
         return emptyList<Long>().also { fault(key, "Found ${describe(node)}; expected an array of whole numbers.") }
     }
 
-    /** Reads a table whose keys are free and whose values are strings; a missing key is an empty map. */
+    /** Reads a table with arbitrary keys and string values; a missing key is an empty map. */
     public fun stringTable(key: String): Map<String, String> {
-        known += key
+        requestedKeys += key
         val node = table.entries[key] ?: return emptyMap()
         val entries = (node as? DocumentNode.Table)?.entries?.mapValues { (it.value as? DocumentNode.Scalar)?.value as? String }
         if (entries != null && null !in entries.values) return entries.mapValues { it.value.orEmpty() }
@@ -120,10 +118,10 @@
         key: String,
         read: DocumentReader.() -> T,
     ): List<T> {
-        known += key
+        requestedKeys += key
         return when (val node = table.entries[key]) {
             null -> emptyList()
-            is DocumentNode.Tables -> node.elements.map { nested(it, read) }
+            is DocumentNode.TableArray -> node.elements.map { nested(it, read) }
             is DocumentNode.Scalar, is DocumentNode.Sequence, is DocumentNode.Table ->
                 emptyList<T>().also { fault(key, "Expected an array of tables, written as [[${path(key)}]].") }
         }
@@ -134,11 +132,11 @@
         key: String,
         read: DocumentReader.() -> T,
     ): T {
-        known += key
+        requestedKeys += key
         return when (val node = table.entries[key]) {
             is DocumentNode.Table -> nested(node, read)
             null -> nested(DocumentNode.Table(path(key), table.line, emptyMap()), read)
-            is DocumentNode.Scalar, is DocumentNode.Sequence, is DocumentNode.Tables -> {
+            is DocumentNode.Scalar, is DocumentNode.Sequence, is DocumentNode.TableArray -> {
                 fault(key, "Expected a table, written as [${path(key)}].")
                 nested(DocumentNode.Table(path(key), node.line, emptyMap()), read)
             }
@@ -156,7 +154,7 @@
         expected: String,
         convert: (Any?) -> T?,
     ): T? {
-        known += key
+        requestedKeys += key
         val node = table.entries[key]
         if (node == null) {
             if (default == null) fault(key, "The key is missing; expected $expected.")
@@ -171,18 +169,20 @@
             is DocumentNode.Scalar -> if (node.value is String) "\"${node.value}\"" else node.value.toString()
             is DocumentNode.Sequence -> "an array"
             is DocumentNode.Table -> "a table"
-            is DocumentNode.Tables -> "an array of tables"
+            is DocumentNode.TableArray -> "an array of tables"
         }
 
     private fun reportUnknownKeys() {
         if (unknownKeys == UnknownKeys.IGNORED) return
-        (table.entries.keys - known).forEach { fault(it, "The key is unknown; expected one of ${known.sorted().joinToString()}.") }
+        (table.entries.keys - requestedKeys).forEach {
+            fault(it, "The key is unknown; expected one of ${requestedKeys.sorted().joinToString()}.")
+        }
     }
 
     private fun path(key: String) = if (table.path.isEmpty()) key else "${table.path}.$key"
 
     public companion object {
-        private val UNREADABLE_ADDRESS = Address("0.0.0.0", 1)
+        private val PLACEHOLDER_ADDRESS = Address("0.0.0.0", 1)
 
         /** Reads [text] with [read]; the error holds every fault found, in the order of reading. */
         public fun <T> read(
@@ -199,11 +199,11 @@
     }
 }
 
-/** What a key means that the reader of a document does not ask for. */
+/** Handling of keys in a document that are not read. */
 public enum class UnknownKeys {
-    /** It is a fault, such as a spelling mistake. */
+    /** Each such key is a fault, so that misspelled keys are found. */
     FAULTS,
 
-    /** It belongs to somebody else. */
+    /** Such keys are allowed; they belong to other programs. */
     IGNORED,
 }
--- a/common/src/main/kotlin/Fault.kt
+++ b/common/src/main/kotlin/Fault.kt
@@ -3,9 +3,9 @@
 /**
  * One fault in a settings or ticket file.
  *
- * @property file path of the file as the user named it
- * @property line line within the file, from 1; null where the fault has no place
- * @property path dotted path of the key
+ * @property file path of the file as the user specified it
+ * @property line line number in the file, starting at 1; null if unknown
+ * @property path dotted path of the key; empty if the file is not valid TOML
  * @property message what was found and what is expected
  */
 public data class Fault(
--- a/common/src/main/kotlin/JsonLinesWriter.kt
+++ b/common/src/main/kotlin/JsonLinesWriter.kt
@@ -13,8 +13,9 @@
 /**
  * Writes each log entry as one JSON object on a line of the standard error stream, or of the standard output stream.
  *
- * Whoever logs never waits: a thread of its own writes, and lines beyond [capacity] waiting ones are dropped; the next line that is
- * written tells how many, in the field `dropped`. The library's own JSON writer needs a file that it can seek in, and hosts have no disks.
+ * Logging never blocks the caller: a background thread writes the entries, and further entries are dropped while [capacity] entries are
+ * queued. The next line written has the number of dropped entries in the field `dropped`. This class replaces the JSON writer of tinylog,
+ * which needs a seekable file, since hosts have no disks.
  */
 public class JsonLinesWriter(
     private val output: PrintStream,
@@ -24,13 +25,13 @@
     @Suppress("unused")
     public constructor(properties: Map<String, String>) : this(if (properties["stream"] == "out") System.out else System.err)
 
-    /** Entries, and [End] to wake the worker when nothing else will come. */
-    private val waiting = ArrayBlockingQueue<Any>(capacity)
+    /** Log entries, and [EndMarker], which wakes the worker when the writer is closed. */
+    private val queue = ArrayBlockingQueue<Any>(capacity)
     private val dropped = AtomicLong()
 
     @Volatile
     private var closed = false
-    private val worker = thread(name = "log", isDaemon = true) { run() }
+    private val worker = thread(name = "log", isDaemon = true) { writeQueuedEntries() }
 
     init {
         Runtime.getRuntime().addShutdownHook(Thread { close() })
@@ -40,12 +41,12 @@
         setOf(LogEntryValue.DATE, LogEntryValue.LEVEL, LogEntryValue.CONTEXT, LogEntryValue.MESSAGE, LogEntryValue.EXCEPTION)
 
     override fun write(logEntry: LogEntry) {
-        if (!waiting.offer(logEntry)) dropped.incrementAndGet()
+        if (!queue.offer(logEntry)) dropped.incrementAndGet()
     }
 
-    private fun run() {
-        while (!closed || waiting.isNotEmpty()) {
-            val entry = waiting.take()
+    private fun writeQueuedEntries() {
+        while (!closed || queue.isNotEmpty()) {
+            val entry = queue.take()
             if (entry is LogEntry) output.println(encode(entry, dropped.getAndSet(0)))
         }
         output.flush()
@@ -53,31 +54,31 @@
 
     private fun encode(
         entry: LogEntry,
-        lost: Long,
+        droppedCount: Long,
     ) = buildJsonObject {
         put("time", entry.timestamp.toInstant().toString())
         put("level", entry.level.name.lowercase())
         put("message", entry.message)
         entry.context.forEach { (key, value) -> put(key, value) }
         entry.exception?.let { put("exception", it.stackTraceToString()) }
-        if (lost > 0) put("dropped", lost)
+        if (droppedCount > 0) put("dropped", droppedCount)
     }
 
     override fun flush(): Unit = Unit
 
     override fun close() {
         closed = true
-        waiting.offer(End)
-        worker.join(LONGEST_CLOSE_MS)
+        queue.offer(EndMarker)
+        worker.join(CLOSE_TIMEOUT_MS)
     }
 
-    private object End
+    private object EndMarker
 
     private companion object {
-        /** Lines of about two seconds at the rate of a host under full load. */
+        /** About two seconds of entries on a host under full load. */
         const val DEFAULT_CAPACITY = 2_048
 
-        /** Time for the last lines at the end of the process; far above what the queue takes to write. */
-        const val LONGEST_CLOSE_MS = 500L
+        /** Limit for writing the queued entries when the process ends; writing a full queue takes far less. */
+        const val CLOSE_TIMEOUT_MS = 500L
     }
 }
--- a/common/src/main/kotlin/Metrics.kt
+++ b/common/src/main/kotlin/Metrics.kt
@@ -13,7 +13,7 @@
     private val counters = ConcurrentHashMap<Pair<String, String>, Counter>()
     private val timers = ConcurrentHashMap<String, Timer>()
 
-    /** Adds [amount] to the counter [name]; [reason] becomes its label. */
+    /** Adds [amount] to the counter [name]; [reason] is the value of its label `reason`. */
     public fun count(
         name: MetricName,
         reason: String = "none",
@@ -21,13 +21,13 @@
     ) {
         counters
             .computeIfAbsent(
-                name.label to reason,
-            ) { registry.counter("almondjunction.${name.label}", "reason", reason) }
+                name.meterName to reason,
+            ) { registry.counter("almondjunction.${name.meterName}", "reason", reason) }
             .increment(amount)
     }
 
-    /** Returns the sum of the counter [name] over all its reasons. */
-    public fun total(name: MetricName): Double = counters.filterKeys { it.first == name.label }.values.sumOf { it.count() }
+    /** Returns the sum of the counter [name] over all reasons. */
+    public fun total(name: MetricName): Double = counters.filterKeys { it.first == name.meterName }.values.sumOf { it.count() }
 
     /** Records [durationMs] in the histogram [name]. */
     public fun record(
@@ -35,7 +35,7 @@
         durationMs: Long,
     ) {
         timers
-            .computeIfAbsent(name.label) { Timer.builder("almondjunction.$it").publishPercentileHistogram().register(registry) }
+            .computeIfAbsent(name.meterName) { Timer.builder("almondjunction.$it").publishPercentileHistogram().register(registry) }
             .record(durationMs, TimeUnit.MILLISECONDS)
     }
 
@@ -44,16 +44,20 @@
         name: MetricName,
         value: () -> Number,
     ) {
-        registry.gauge("almondjunction.${name.label}", this) { value().toDouble() }
+        registry.gauge("almondjunction.${name.meterName}", this) { value().toDouble() }
     }
 
     /** Returns all metrics in the Prometheus text format. */
     public fun export(): String = registry.scrape()
 }
 
-/** Every metric of the product. */
+/**
+ * Names of all metrics.
+ *
+ * @property meterName name of the Micrometer meter without the prefix `almondjunction.`
+ */
 public enum class MetricName(
-    public val label: String,
+    public val meterName: String,
 ) {
     REQUESTS("requests"),
     REFUSALS("refusals"),
--- a/common/src/main/kotlin/Outcome.kt
+++ b/common/src/main/kotlin/Outcome.kt
@@ -1,16 +1,16 @@
 package org.almondjunction.common
 
-/** What became of one request, as its caller hears it. */
+/** Outcome of one request, as reported to its caller. */
 public sealed class Outcome {
     /** Value of the `X-Outcome` header. */
     public abstract val headerValue: String
 
-    /** The whole answer was delivered. */
+    /** The complete answer was delivered. */
     public data object Served : Outcome() {
         override val headerValue: String get() = "served"
     }
 
-    /** The request did not run and never will under its identity. */
+    /** The request has not run and will not run later under the same request id. */
     public data class NotRun(
         val reason: RefusalReason,
         val detail: String = "",
@@ -57,7 +57,7 @@
     public val worthAnotherTarget: Boolean
         get() = this in setOf(QUEUE_FULL, LEAVING, NO_RIGHT, NO_MEMORY, NOT_READY, NO_TARGET, DEADLINE_TOO_SHORT)
 
-    /** Whether the reason is expected to pass within seconds, while a process restarts or a ticket spreads. */
+    /** Whether the condition is expected to clear within seconds, such as during a process restart or while a ticket propagates. */
     public val passing: Boolean get() = this in setOf(LEAVING, NO_RIGHT, NOT_READY, NO_TARGET)
 }
 
--- a/common/src/test/kotlin/DocumentReaderTest.kt
+++ b/common/src/test/kotlin/DocumentReaderTest.kt
@@ -44,7 +44,7 @@
     }
 
     @Test
-    fun `reports every fault with its place`() {
+    fun `reports every fault with its file, line and path`() {
         val base = "name = \"x\"\nlisten = \"127.0.0.1:80\"\n"
         val cases =
             listOf(
@@ -56,9 +56,9 @@
                 "name = \"x\"\nlisten = \"127.0.0.1:65536\"" to listOf("sample.toml:2:listen"),
                 "$base[[child]]\nid = \"a\"\n[[child]]\nsize = 1" to listOf("sample.toml:5:child[1].id", "sample.toml:6:child[1].size"),
             )
-        cases.forEach { (text, places) ->
+        cases.forEach { (text, positions) ->
             val faults = read(text).getError().orEmpty()
-            assertEquals(places, faults.map { listOfNotNull(it.file, it.line, it.path).joinToString(":") }, faults.joinToString())
+            assertEquals(positions, faults.map { listOfNotNull(it.file, it.line, it.path).joinToString(":") }, faults.joinToString())
         }
     }
 }
--- a/common/src/test/kotlin/JsonLinesWriterTest.kt
+++ b/common/src/test/kotlin/JsonLinesWriterTest.kt
@@ -12,10 +12,10 @@
 import kotlin.test.assertTrue
 
 class JsonLinesWriterTest {
-    /** A stream whose reader does not read until it is told to. */
-    private class StuckStream : OutputStream() {
+    /** Stream whose writes block until [released] is counted down. */
+    private class BlockedStream : OutputStream() {
         val written = ByteArrayOutputStream()
-        val reached = CountDownLatch(1)
+        val writeStarted = CountDownLatch(1)
         val released = CountDownLatch(1)
 
         override fun write(byte: Int) = write(byteArrayOf(byte.toByte()), 0, 1)
@@ -25,7 +25,7 @@
             offset: Int,
             length: Int,
         ) {
-            reached.countDown()
+            writeStarted.countDown()
             released.await()
             written.write(bytes, offset, length)
         }
@@ -35,11 +35,11 @@
         LogEntry(RuntimeProvider.createTimestamp(), null, emptyMap(), null, null, null, -1, null, Level.INFO, message, null)
 
     @Test
-    fun `whoever logs never waits, and what is dropped is counted`() {
-        val stream = StuckStream()
+    fun `logging never blocks the caller and dropped entries are counted`() {
+        val stream = BlockedStream()
         val writer = JsonLinesWriter(PrintStream(stream, true), capacity = 3)
         writer.write(entry("first"))
-        stream.reached.await()
+        stream.writeStarted.await()
         repeat(10) { writer.write(entry("line $it")) }
         stream.released.countDown()
         writer.close()
