Object store: plain wording of comments and names

Doc comments say that null stands for a failed call, which includes refusals, and that long polls add their wait time to the timeout of a call.

--- a/objectstore/src/main/kotlin/HttpObjectStore.kt
+++ b/objectstore/src/main/kotlin/HttpObjectStore.kt
@@ -31,7 +31,7 @@
 /**
  * Client of the platform's object service over HTTP, with conditional requests as in RFC 9110.
  *
- * @param callTimeoutMs time after which a call counts as lost
+ * @param callTimeoutMs timeout of one call; [watch] and [hosts] add their wait time to it
  */
 public class HttpObjectStore(
     private val address: Address,
@@ -56,7 +56,7 @@
         } ?: StoreReply.Lost
 
     private suspend fun read(call: StoreCall.Read): StoreReply {
-        val response = client.get(url(call.key)) { limit(callTimeoutMs) }
+        val response = client.get(objectUrl(call.key)) { limitRequestTime(callTimeoutMs) }
         return when {
             response.status == HttpStatusCode.NotFound -> StoreReply.Absent
             response.status.isSuccess() -> StoreReply.Found(response.bodyAsText(), response.version())
@@ -70,8 +70,8 @@
         condition: HttpRequestBuilder.() -> Unit,
     ): StoreReply {
         val response =
-            client.put(url(call.key)) {
-                limit(callTimeoutMs)
+            client.put(objectUrl(call.key)) {
+                limitRequestTime(callTimeoutMs)
                 condition()
                 setBody(value)
             }
@@ -86,7 +86,7 @@
         attempt("list") {
             client
                 .get("http://$address/v1/objects") {
-                    limit(callTimeoutMs)
+                    limitRequestTime(callTimeoutMs)
                     parameter("prefix", prefix)
                 }.listing()
         }
@@ -99,7 +99,7 @@
         attempt("watch") {
             client
                 .get("http://$address/v1/watch") {
-                    limit(waitMs + callTimeoutMs)
+                    limitRequestTime(waitMs + callTimeoutMs)
                     parameter("prefix", prefix)
                     parameter("after", revision)
                     parameter("wait-ms", waitMs)
@@ -113,7 +113,7 @@
         attempt("hosts") {
             val response =
                 client.get("http://$address/v1/hosts") {
-                    limit(waitMs + callTimeoutMs)
+                    limitRequestTime(waitMs + callTimeoutMs)
                     parameter("after", version)
                     parameter("wait-ms", waitMs)
                 }
@@ -126,11 +126,12 @@
         return json.decodeFromString<ObjectsDocument>(bodyAsText()).let { ObjectListing(it.revision, it.objects) }
     }
 
-    private fun HttpRequestBuilder.limit(durationMs: Long) = timeout { requestTimeoutMillis = durationMs }
+    private fun HttpRequestBuilder.limitRequestTime(durationMs: Long) = timeout { requestTimeoutMillis = durationMs }
 
-    private fun url(key: String) = "http://$address/v1/objects/${key.encodeURLPath()}"
+    private fun objectUrl(key: String) = "http://$address/v1/objects/${key.encodeURLPath()}"
 
-    private fun HttpResponse.version(): Long = headers[HttpHeaders.ETag]?.trim('"')?.toLongOrNull() ?: error("The service sent no version.")
+    private fun HttpResponse.version(): Long =
+        headers[HttpHeaders.ETag]?.trim('"')?.toLongOrNull() ?: error("The object service sent no numeric ETag.")
 
     private suspend fun <T> attempt(
         kind: String,
--- a/objectstore/src/main/kotlin/ObjectStore.kt
+++ b/objectstore/src/main/kotlin/ObjectStore.kt
@@ -5,18 +5,18 @@
 import org.almondjunction.decisions.StoreReply
 import org.almondjunction.decisions.StoredObject
 
-/** The platform's object service, as the system uses it. */
+/** Access to the platform's object service. */
 public interface ObjectStore {
-    /** Makes [call]; a failed call is [StoreReply.Lost] and never throws. */
+    /** Performs [call]; a failed call returns [StoreReply.Lost] instead of throwing. */
     public suspend fun call(call: StoreCall): StoreReply
 
-    /** Returns all objects whose keys begin with [prefix]; null when the service did not answer. */
+    /** Returns all objects whose keys begin with [prefix]; null if the call failed. */
     public suspend fun list(prefix: String): ObjectListing?
 
     /**
-     * Waits until an object whose key begins with [prefix] changes after [revision], for [waitMs] at most.
+     * Waits up to [waitMs] for a change, after [revision], of an object whose key begins with [prefix].
      *
-     * Returns the changed objects, possibly none; null when the service did not answer.
+     * Returns the changed objects, possibly none; null if the call failed.
      */
     public suspend fun watch(
         prefix: String,
@@ -24,7 +24,7 @@
         waitMs: Long,
     ): ObjectListing?
 
-    /** Waits until the list of hosts has a version above [version], for [waitMs] at most; null when the service did not answer. */
+    /** Waits up to [waitMs] for a version of the host list above [version]; null if the call failed. */
     public suspend fun hosts(
         version: Long,
         waitMs: Long,
@@ -37,7 +37,7 @@
     val objects: List<StoredObject>,
 )
 
-/** The list of hosts at one [version]. */
+/** Host list at one [version]. */
 public data class FleetListing(
     val version: Long,
     val fleet: Fleet,
