Common: rename properties of refusal reasons

The old names were figures of speech.

RefusalReason.worthAnotherTarget -> RefusalReason.retryableOnAnotherTarget RefusalReason.passing -> RefusalReason.transient

--- a/common/src/main/kotlin/Outcome.kt
+++ b/common/src/main/kotlin/Outcome.kt
@@ -54,11 +54,11 @@
     public val code: String get() = name.lowercase().replace('_', '-')
 
     /** Whether another target may still serve the request. */
-    public val worthAnotherTarget: Boolean
+    public val retryableOnAnotherTarget: Boolean
         get() = this in setOf(QUEUE_FULL, LEAVING, NO_RIGHT, NO_MEMORY, NOT_READY, NO_TARGET, DEADLINE_TOO_SHORT)
 
     /** Whether the condition is expected to clear within seconds, such as during a process restart or while a ticket propagates. */
-    public val passing: Boolean get() = this in setOf(LEAVING, NO_RIGHT, NOT_READY, NO_TARGET)
+    public val transient: Boolean get() = this in setOf(LEAVING, NO_RIGHT, NOT_READY, NO_TARGET)
 }
 
 /** Why the outcome of a request is not known. [httpStatus] is the status its caller gets. */
--- a/decisions/src/main/kotlin/RequestMachine.kt
+++ b/decisions/src/main/kotlin/RequestMachine.kt
@@ -103,8 +103,8 @@
         }
 
     private fun afterRefusal(reason: RefusalReason): RequestStep =
-        if (reason.worthAnotherTarget) {
-            notRun(reason, retryReason = reason.code, costly = !reason.passing)
+        if (reason.retryableOnAnotherTarget) {
+            notRun(reason, retryReason = reason.code, costly = !reason.transient)
         } else {
             heldByTarget = false
             RequestStep.Conclude(notRunOutcome(reason))
--- a/entry/src/main/kotlin/Dispatcher.kt
+++ b/entry/src/main/kotlin/Dispatcher.kt
@@ -58,7 +58,7 @@
         while (true) {
             // Each round uses its own request id, since a target never runs an id that it has refused.
             val outcome = runRound(if (round == 1) exchange else exchange.copy(id = RequestId("${exchange.id}.$round")), answer)
-            if (outcome !is Outcome.NotRun || !outcome.reason.passing) return outcome
+            if (outcome !is Outcome.NotRun || !outcome.reason.transient) return outcome
             val delayMs = MINIMUM_RETRY_DELAY_MS + backoff.nextDelayMs()
             if (clock.nowMs() + delayMs >= endMs) return outcome
             metrics.count(MetricName.RETRIES, "round-${outcome.reason.code}")
