--- a/common/src/main/kotlin/Outcome.kt
+++ b/common/src/main/kotlin/Outcome.kt
@@ -1,16 +1,16 @@
 package org.almondjunction.common
 
-/** What became of one request, as its caller hears it. */
+/** Outcome of one request, as reported to its caller. */
 public sealed class Outcome {
     /** Value of the `X-Outcome` header. */
     public abstract val headerValue: String
 
-    /** The whole answer was delivered. */
+    /** The complete answer was delivered. */
     public data object Served : Outcome() {
         override val headerValue: String get() = "served"
     }
 
-    /** The request did not run and never will under its identity. */
+    /** The request has not run and will not run later under the same request id. */
     public data class NotRun(
         val reason: RefusalReason,
         val detail: String = "",
@@ -54,11 +54,11 @@
     public val code: String get() = name.lowercase().replace('_', '-')
 
     /** Whether another target may still serve the request. */
-    public val worthAnotherTarget: Boolean
+    public val retryableOnAnotherTarget: Boolean
         get() = this in setOf(QUEUE_FULL, LEAVING, NO_RIGHT, NO_MEMORY, NOT_READY, NO_TARGET, DEADLINE_TOO_SHORT)
 
-    /** Whether the reason is expected to pass within seconds, while a process restarts or a ticket spreads. */
-    public val passing: Boolean get() = this in setOf(LEAVING, NO_RIGHT, NOT_READY, NO_TARGET)
+    /** Whether the condition is expected to clear within seconds, such as during a process restart or while a ticket propagates. */
+    public val transient: Boolean get() = this in setOf(LEAVING, NO_RIGHT, NOT_READY, NO_TARGET)
 }
 
 /** Why the outcome of a request is not known. [httpStatus] is the status its caller gets. */
