Decisions: names of three declarations that other modules use

These names were figurative, or named one operation by a second word.

TargetEffect.GiveBack -> TargetEffect.ReleaseRights ForwardingStep.PassFailure -> ForwardingStep.RelayFailure ConnectionHealth.heard -> ConnectionHealth.recordActivity

--- a/agent/src/main/kotlin/TargetController.kt
+++ b/agent/src/main/kotlin/TargetController.kt
@@ -71,7 +71,7 @@
                 is TargetEffect.Dispatch -> actions.dispatch(effect)
                 is TargetEffect.Refuse -> actions.refuse(effect)
                 is TargetEffect.Interrupt -> actions.interrupt(effect)
-                is TargetEffect.GiveBack -> actions.giveBack(effect.rights)
+                is TargetEffect.ReleaseRights -> actions.giveBack(effect.rights)
             }
         }
     }
--- a/decisions/src/main/kotlin/ConnectionHealth.kt
+++ b/decisions/src/main/kotlin/ConnectionHealth.kt
@@ -28,14 +28,14 @@
     private val closeIdleAfterMs: Long = 60_000,
     startMs: Long,
 ) {
-    private var lastHeardMs = startMs
+    private var lastActivityMs = startMs
     private var lastProbeMs = startMs
     private var lastWorkMs = startMs
     private var wasWorking = false
 
-    /** Records that data arrived at [nowMs]. */
-    public fun heard(nowMs: Long) {
-        lastHeardMs = nowMs
+    /** Records activity of the peer at [nowMs], such as the arrival of data. */
+    public fun recordActivity(nowMs: Long) {
+        lastActivityMs = nowMs
     }
 
     /** Returns the action at [nowMs]; must be called several times within the probe time. [working] tells whether work is outstanding. */
@@ -43,7 +43,7 @@
         nowMs: Long,
         working: Boolean,
     ): ConnectionAction {
-        if (working && !wasWorking) lastHeardMs = nowMs
+        if (working && !wasWorking) lastActivityMs = nowMs
         if (working) lastWorkMs = nowMs
         wasWorking = working
         return action(nowMs)
@@ -52,8 +52,8 @@
     private fun action(nowMs: Long): ConnectionAction =
         when {
             !wasWorking -> if (nowMs - lastWorkMs >= closeIdleAfterMs) ConnectionAction.CLOSE_IDLE else ConnectionAction.KEEP
-            nowMs - lastHeardMs >= replaceAfterMs -> ConnectionAction.REPLACE
-            nowMs - lastHeardMs >= probeAfterMs && nowMs - lastProbeMs >= probeAfterMs ->
+            nowMs - lastActivityMs >= replaceAfterMs -> ConnectionAction.REPLACE
+            nowMs - lastActivityMs >= probeAfterMs && nowMs - lastProbeMs >= probeAfterMs ->
                 ConnectionAction.PROBE.also {
                     lastProbeMs = nowMs
                 }
--- a/decisions/src/main/kotlin/ForwardingDecision.kt
+++ b/decisions/src/main/kotlin/ForwardingDecision.kt
@@ -51,8 +51,8 @@
     /** Report to the caller that the outcome is unknown. */
     public data object AnswerUnknown : ForwardingStep()
 
-    /** Forward the failure of the target to the caller. */
-    public data object PassFailure : ForwardingStep()
+    /** Relay the failure response of the target to the caller. */
+    public data object RelayFailure : ForwardingStep()
 }
 
 /**
@@ -87,7 +87,7 @@
         val costsRetry = result != SendResult.NotSent
         if (allowed && state.timeLeftMs >= MINIMUM_TIME_LEFT_MS && (!costsRetry || takeRetry())) return ForwardingStep.Retry
         return when {
-            result == SendResult.Failed -> ForwardingStep.PassFailure
+            result == SendResult.Failed -> ForwardingStep.RelayFailure
             mayHaveRun -> ForwardingStep.AnswerUnknown
             else -> ForwardingStep.AnswerNotRun
         }
--- a/decisions/src/main/kotlin/TargetEffect.kt
+++ b/decisions/src/main/kotlin/TargetEffect.kt
@@ -28,8 +28,8 @@
         val id: RequestId,
     ) : TargetEffect()
 
-    /** Notify an entry host that nothing is loaded under [rights] and nothing will be. */
-    public data class GiveBack(
+    /** Notify an entry host that [rights] are released: nothing is loaded under them, and nothing will be. */
+    public data class ReleaseRights(
         val rights: List<RightKey>,
     ) : TargetEffect()
 }
--- a/decisions/src/main/kotlin/UnloadPlanner.kt
+++ b/decisions/src/main/kotlin/UnloadPlanner.kt
@@ -89,7 +89,7 @@
         val keys = releasable.map { it.key() }
         if (state.released.containsAll(keys) && step.nowMs - state.lastGiveBackMs < GIVE_BACK_RETRY_MS) return
         step.state = state.copy(released = state.released + keys, lastGiveBackMs = step.nowMs)
-        step.effects += TargetEffect.GiveBack(keys)
+        step.effects += TargetEffect.ReleaseRights(keys)
     }
 
     private companion object {
--- a/decisions/src/test/kotlin/ForwardingDecisionTest.kt
+++ b/decisions/src/test/kotlin/ForwardingDecisionTest.kt
@@ -20,7 +20,7 @@
     private val cases =
         listOf(
             Case(RetrySafety.ONCE, SendResult.Lost, ForwardingStep.AnswerUnknown),
-            Case(RetrySafety.ONCE, SendResult.Failed, ForwardingStep.PassFailure),
+            Case(RetrySafety.ONCE, SendResult.Failed, ForwardingStep.RelayFailure),
             Case(RetrySafety.ONCE, refused, ForwardingStep.Retry),
             Case(RetrySafety.ONCE, refused, ForwardingStep.AnswerNotRun, refusalsLeft = 0),
             Case(RetrySafety.ONCE, refused, ForwardingStep.AnswerNotRun, budget = false),
@@ -30,7 +30,7 @@
             Case(RetrySafety.IDEMPOTENT, SendResult.Lost, ForwardingStep.AnswerUnknown, runsLeft = 0),
             Case(RetrySafety.IDEMPOTENT, SendResult.Lost, ForwardingStep.AnswerUnknown, budget = false),
             Case(RetrySafety.IDEMPOTENT, SendResult.Failed, ForwardingStep.Retry),
-            Case(RetrySafety.IDEMPOTENT, SendResult.Failed, ForwardingStep.PassFailure, runsLeft = 0),
+            Case(RetrySafety.IDEMPOTENT, SendResult.Failed, ForwardingStep.RelayFailure, runsLeft = 0),
             Case(RetrySafety.IDEMPOTENT, refused, ForwardingStep.AnswerUnknown, mayHaveRun = true, refusalsLeft = 0),
             Case(RetrySafety.RESUMABLE, SendResult.Lost, ForwardingStep.Retry),
             Case(RetrySafety.RESUMABLE, SendResult.Lost, ForwardingStep.AnswerUnknown, timeLeftMs = 10),
--- a/decisions/src/test/kotlin/RightsWorld.kt
+++ b/decisions/src/test/kotlin/RightsWorld.kt
@@ -303,7 +303,7 @@
         transition.effects.forEach { effect ->
             when (effect) {
                 is TargetEffect.Send -> send(target, effect.order)
-                is TargetEffect.GiveBack -> target.givenBack += effect.rights
+                is TargetEffect.ReleaseRights -> target.givenBack += effect.rights
                 is TargetEffect.Interrupt -> handle(target, TargetEvent.Finished(effect.id))
                 is TargetEffect.Dispatch -> assertServable(target, effect)
                 is TargetEffect.Refuse -> Unit
--- a/decisions/src/test/kotlin/TargetMachineTest.kt
+++ b/decisions/src/test/kotlin/TargetMachineTest.kt
@@ -46,7 +46,7 @@
                 is TargetEffect.Dispatch -> dispatched += effect.id.value
                 is TargetEffect.Refuse -> refused[effect.id.value] = effect.reason
                 is TargetEffect.Interrupt -> handle(TargetEvent.Finished(effect.id))
-                is TargetEffect.GiveBack -> Unit
+                is TargetEffect.ReleaseRights -> Unit
             }
         }
 
--- a/entry/src/main/kotlin/TargetLink.kt
+++ b/entry/src/main/kotlin/TargetLink.kt
@@ -109,7 +109,7 @@
                 scope,
                 metrics,
                 onMessage = { _, message ->
-                    synchronized(health) { health.heard(clock.nowMs()) }
+                    synchronized(health) { health.recordActivity(clock.nowMs()) }
                     when (message) {
                         is Message.Hello -> helloReceived.complete(message)
                         is Message.AboutRequest -> calls[message.id]?.onMessage(message)
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -75,7 +75,7 @@
                 ForwardingStep.Retry -> metrics.count(MetricName.RETRIES, context.detail.take(MAXIMUM_REASON_CHARACTERS))
                 ForwardingStep.AnswerNotRun -> return respondNotRun(context, RETRY_AFTER_REFUSAL_MS)
                 ForwardingStep.AnswerUnknown -> return respondUnknown(context, BAD_GATEWAY)
-                ForwardingStep.PassFailure -> return relayFailure(context)
+                ForwardingStep.RelayFailure -> return relayFailure(context)
             }
         }
     }
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -102,14 +102,14 @@
     /** Records activity of the target or its keeper. */
     fun recordActivity() {
         lastActivityMs = clock.nowMs()
-        health?.heard(lastActivityMs)
+        health?.recordActivity(lastActivityMs)
         if (silent) EventLog.info("target active again", LogFields(target = entry.target))
         silent = false
     }
 
     /** Resets the silence measured so far, for example after this process was suspended. */
     fun resetSilence() {
-        health?.heard(clock.nowMs())
+        health?.recordActivity(clock.nowMs())
         silent = false
     }
 
