Decisions: one term for released rights, the object store and test simulations

Comments and private names use the terms of the surrounding code: rights are released, objects are kept in the object store, simulations of tests are named so. Three test classes get the names of what they test.

CopyPlanTest -> ReplicaPlanTest RepeatAllowanceTest -> SharedRetryBudgetTest RightsWorld -> RightsSimulation TargetState.lastGiveBackMs -> TargetState.lastReleaseMs

--- a/decisions/src/main/kotlin/Catalogue.kt
+++ b/decisions/src/main/kotlin/Catalogue.kt
@@ -11,7 +11,7 @@
  *
  * @property sequence number of tickets applied; orders all states of the catalogue
  * @property lastNumber number of the last ticket applied
- * @property retiredHosts hosts stated to be switched off for good
+ * @property retiredHosts hosts declared permanently shut down
  */
 @Serializable
 public data class Catalogue(
--- a/decisions/src/main/kotlin/CatalogueSnapshot.kt
+++ b/decisions/src/main/kotlin/CatalogueSnapshot.kt
@@ -5,7 +5,7 @@
 import org.almondjunction.common.TicketNumber
 
 /**
- * One part of a complete catalogue, small enough for one object of the platform's service.
+ * One part of a complete catalogue, small enough for one object of the platform's object store.
  *
  * The parts of a sequence depend on the accepted tickets only, so that all writers write the same content.
  *
--- a/decisions/src/main/kotlin/ClusterView.kt
+++ b/decisions/src/main/kotlin/ClusterView.kt
@@ -7,7 +7,7 @@
 import org.almondjunction.common.TargetId
 
 /**
- * An object as read from the platform's service.
+ * An object as read from the platform's object store.
  *
  * @property version version of this object; the condition of a later replacement
  */
@@ -19,9 +19,9 @@
 )
 
 /**
- * A change of the accepted state, from the platform's service or from another entry host.
+ * A change of the accepted state, from the platform's object store or from another entry host.
  *
- * @property revision revision of the platform's service after the change
+ * @property revision revision of the platform's object store after the change
  * @property objects objects below [StoreKeys.WATCHED_PREFIX] with their new content
  * @property catalogue change that brings the catalogue to the head among [objects], or to a later one
  * @property fleet the platform's list of hosts, if it is newer than [fleetVersion]
--- a/decisions/src/main/kotlin/Right.kt
+++ b/decisions/src/main/kotlin/Right.kt
@@ -8,8 +8,8 @@
  * The right of one target to hold one replica of a model.
  *
  * @property rank position among the model's replicas, from 0; invalid while the accepted ticket allows [rank] replicas or fewer
- * @property epoch unique within its shard, never reused; a right given back is never valid again under the same epoch
- * @property recalled whether the target must unload and give the right back
+ * @property epoch unique within its shard, never reused; a released right is never valid again under the same epoch
+ * @property recalled whether the target must unload the model and release the right
  */
 @Serializable
 public data class Right(
@@ -20,7 +20,7 @@
     val recalled: Boolean = false,
 )
 
-/** Identity of a right that is being given back. */
+/** Identity of a right. */
 @Serializable
 public data class RightKey(
     val model: ModelId,
@@ -32,7 +32,7 @@
 public fun Right.key(): RightKey = RightKey(model, rank, epoch)
 
 /**
- * The rights of all models whose names hash to one shard; one object of the platform's service.
+ * The rights of all models whose names hash to one shard; one object of the platform's object store.
  *
  * @property nextEpoch epoch of the next right granted in this shard; only increases
  */
--- a/decisions/src/main/kotlin/StoreCall.kt
+++ b/decisions/src/main/kotlin/StoreCall.kt
@@ -1,6 +1,6 @@
 package org.almondjunction.decisions
 
-/** A call to the platform's object service, requested by decisions that make no calls themselves. */
+/** A call to the platform's object store, requested by decisions that make no calls themselves. */
 public sealed class StoreCall {
     /** Key of the object. */
     public abstract val key: String
--- a/decisions/src/main/kotlin/StoreKeys.kt
+++ b/decisions/src/main/kotlin/StoreKeys.kt
@@ -2,7 +2,7 @@
 
 import org.almondjunction.common.TicketNumber
 
-/** Keys of the objects that the system keeps in the platform's service. */
+/** Keys of the objects that the system keeps in the platform's object store. */
 public object StoreKeys {
     /** Prefix of the objects that entry hosts watch. */
     public const val WATCHED_PREFIX: String = "state/"
--- a/decisions/src/main/kotlin/TargetEvent.kt
+++ b/decisions/src/main/kotlin/TargetEvent.kt
@@ -8,8 +8,8 @@
     /**
      * An entry host sent the part of the accepted state that concerns this target.
      *
-     * @property revision revision of the platform's service; older revisions are ignored
-     * @property confirmed whether the state was read from the platform's service after this process requested it
+     * @property revision revision of the platform's object store; older revisions are ignored
+     * @property confirmed whether the state was read from the platform's object store after this process requested it
      */
     public data class StateReceived(
         val revision: Long,
--- a/decisions/src/main/kotlin/TargetState.kt
+++ b/decisions/src/main/kotlin/TargetState.kt
@@ -90,9 +90,9 @@
 /**
  * Complete state on which the agent of a target bases its decisions.
  *
- * @property confirmed whether the rights were read from the platform's service after this process began; needed for every load
- * @property released rights given back; never valid again for this process
- * @property lastGiveBackMs when rights were last given back; repeated until the state from an entry host confirms it
+ * @property confirmed whether the rights were read from the platform's object store after this process began; needed for every load
+ * @property released rights that this process has released; never valid again for it
+ * @property lastReleaseMs when rights were last released; the release is repeated until the state from an entry host confirms it
  * @property lastContactMs when a message from an entry host last arrived
  * @property settled whether a report was requested so long after the start that no order of an earlier process can still take effect
  * @property loadTimesMs moving average of observed load times from each tier
@@ -107,7 +107,7 @@
     val rights: List<Right> = emptyList(),
     val confirmed: Boolean = false,
     val released: Set<RightKey> = emptySet(),
-    val lastGiveBackMs: Long = startedMs,
+    val lastReleaseMs: Long = startedMs,
     val lastContactMs: Long = startedMs,
     val settled: Boolean = false,
     val lastReportRequestedMs: Long = startedMs,
@@ -124,7 +124,7 @@
     /** Memory that is or may be occupied, in megabytes. */
     val reservedMb: Long get() = residents.values.sumOf { it.memoryMb }
 
-    /** Returns the right to hold [model] that this process has not given back; it may be recalled. */
+    /** Returns the right to hold [model] that this process has not released; it may be recalled. */
     public fun heldRight(model: ModelId): Right? = rights.firstOrNull { it.model == model && it.key() !in released }
 
     /** Returns the offer of [model] if its right is valid under the accepted state. */
--- a/decisions/src/main/kotlin/Ticket.kt
+++ b/decisions/src/main/kotlin/Ticket.kt
@@ -16,7 +16,7 @@
  * @property number given by operators; must be above the number of the last accepted ticket
  * @property models models offered from now on, each with its complete state
  * @property withdrawn models no longer offered
- * @property retiredHosts hosts that the operators state to be switched off for good; their rights to load become free
+ * @property retiredHosts hosts that operators declare permanently shut down; the rights of their targets may be granted to others
  */
 @Serializable
 public data class Ticket(
--- a/decisions/src/main/kotlin/TicketAcceptance.kt
+++ b/decisions/src/main/kotlin/TicketAcceptance.kt
@@ -33,7 +33,7 @@
     @Serializable
     public data object NotKnownYet : TicketOutcome()
 
-    /** The ticket order is full until a snapshot is written; the ticket was not accepted. */
+    /** The list of recent tickets is full until a snapshot is written; the ticket was not accepted. */
     @Serializable
     public data object OrderFull : TicketOutcome()
 }
@@ -52,7 +52,7 @@
 }
 
 /**
- * Accepts one ticket by a sequence of calls to the platform's object service.
+ * Accepts one ticket by a sequence of calls to the platform's object store.
  *
  * The ticket object is created first under its number and never changes. The ticket is accepted by the one conditional update of the
  * head that appends its number. Every lost reply is followed by a read before an outcome is reported to the operator. The submission may
--- a/decisions/src/main/kotlin/TransitGuard.kt
+++ b/decisions/src/main/kotlin/TransitGuard.kt
@@ -1,7 +1,7 @@
 package org.almondjunction.decisions
 
 /**
- * Detects messages that were delayed in transit for so long that their sender may have given them up.
+ * Detects messages that were delayed in transit for so long that their sender may no longer expect a reply.
  *
  * Works without synchronized clocks: the smallest observed difference between the receiver's and the sender's clock counts as no delay.
  *
--- a/decisions/src/main/kotlin/UnloadPlanner.kt
+++ b/decisions/src/main/kotlin/UnloadPlanner.kt
@@ -1,6 +1,6 @@
 package org.almondjunction.decisions
 
-/** Unloads residents that the accepted state no longer requires or that were idle too long, and gives rights back. */
+/** Unloads residents that the accepted state no longer requires or that were idle too long, and releases rights. */
 internal class UnloadPlanner(
     private val limits: TargetLimits,
     private val policy: ResidencyPolicy,
@@ -11,7 +11,7 @@
         unloadSurplus(step)
         unloadIdle(step)
         retryUnloads(step)
-        giveBack(step)
+        releaseRights(step)
     }
 
     private fun markSurplus(step: TargetStep) {
@@ -77,7 +77,7 @@
         }
     }
 
-    private fun giveBack(step: TargetStep) {
+    private fun releaseRights(step: TargetStep) {
         val state = step.state
         if (!state.settled) return
         val releasable =
@@ -87,13 +87,13 @@
             }
         if (releasable.isEmpty()) return
         val keys = releasable.map { it.key() }
-        if (state.released.containsAll(keys) && step.nowMs - state.lastGiveBackMs < GIVE_BACK_RETRY_MS) return
-        step.state = state.copy(released = state.released + keys, lastGiveBackMs = step.nowMs)
+        if (state.released.containsAll(keys) && step.nowMs - state.lastReleaseMs < RELEASE_RETRY_MS) return
+        step.state = state.copy(released = state.released + keys, lastReleaseMs = step.nowMs)
         step.effects += TargetEffect.ReleaseRights(keys)
     }
 
     private companion object {
-        const val GIVE_BACK_RETRY_MS = 1_000L
+        const val RELEASE_RETRY_MS = 1_000L
     }
 }
 
--- a/decisions/src/test/kotlin/CopyPlanTest.kt
+++ b/decisions/src/test/kotlin/ReplicaPlanTest.kt
@@ -4,7 +4,7 @@
 import kotlin.test.assertEquals
 
 /** Workloads under high load: a rare model, a busy one, a burst, and the load on one engine after an outage of all hosts. */
-class CopyPlanTest {
+class ReplicaPlanTest {
     private data class Case(
         val pattern: String,
         val requestsPerSecond: Double,
--- a/decisions/src/test/kotlin/RequestOutcomeTest.kt
+++ b/decisions/src/test/kotlin/RequestOutcomeTest.kt
@@ -48,7 +48,7 @@
         }
     }
 
-    private class World(
+    private class Simulation(
         private val random: Random,
         private val repeatable: Boolean,
         private val processEndsMs: Long = Long.MAX_VALUE / 2,
@@ -59,7 +59,7 @@
         private val machine = RequestMachine(agents.indices.map { TargetId(it.toString()) }, repeatable)
         private var nowMs = 0L
         private var current = -1
-        private var sentTo = 0
+        private var sentToIncarnation = 0
         private var silentUntilMs = 0L
         private var withdrawn = false
         var outcome: Outcome? = null
@@ -85,7 +85,7 @@
         private fun send(target: Int) {
             if (ending()) return perform(machine.next(RequestEvent.GivenUp))
             current = target
-            sentTo = agents[target].incarnation
+            sentToIncarnation = agents[target].incarnation
             if (random.nextInt(8) == 0) return perform(machine.next(RequestEvent.NotSent))
             post(Kind.START)
             if (random.nextInt(6) == 0) post(Kind.START)
@@ -94,7 +94,7 @@
         /** A connection may be silent for long; data written to it can still arrive later, unless the process is killed. */
         private fun post(kind: Kind) {
             val delayMs = if (random.nextInt(6) == 0) random.nextLong(1_000, 20_000) else random.nextLong(50)
-            agents[current].inbox += Packet(kind, sentTo, nowMs + delayMs)
+            agents[current].inbox += Packet(kind, sentToIncarnation, nowMs + delayMs)
             if (delayMs > 1_000) silentUntilMs = nowMs + 1_500
         }
 
@@ -109,7 +109,7 @@
                     withdrawn = true
                     perform(machine.next(RequestEvent.DeadlineNear))
                 }
-                agent.incarnation != sentTo -> perform(machine.next(RequestEvent.Lost))
+                agent.incarnation != sentToIncarnation -> perform(machine.next(RequestEvent.Lost))
                 silentUntilMs in 1..nowMs -> {
                     silentUntilMs = 0
                     post(Kind.RESUME)
@@ -211,10 +211,10 @@
             val seen = mutableMapOf<String, Int>()
             checkAll(PropTestConfig(seed = 5_101, iterations = 20_000), Arb.long()) { seed ->
                 val random = Random(seed)
-                val world = World(random, repeatable = random.nextBoolean())
-                world.run()
-                world.verify()
-                seen.merge(checkNotNull(world.outcome).headerValue, 1, Int::plus)
+                val simulation = Simulation(random, repeatable = random.nextBoolean())
+                simulation.run()
+                simulation.verify()
+                seen.merge(checkNotNull(simulation.outcome).headerValue, 1, Int::plus)
             }
             assertTrue(seen.keys.size == 3 && seen.values.all { it > 500 }, "The schedules reach too few outcomes: $seen")
         }
@@ -226,10 +226,10 @@
             val seen = mutableMapOf<String, Int>()
             checkAll(PropTestConfig(seed = 5_102, iterations = 20_000), Arb.long()) { seed ->
                 val random = Random(seed)
-                val world = World(random, repeatable = random.nextBoolean(), processEndsMs = random.nextLong(1_000))
-                world.run()
-                world.verify()
-                seen.merge(checkNotNull(world.outcome).headerValue, 1, Int::plus)
+                val simulation = Simulation(random, repeatable = random.nextBoolean(), processEndsMs = random.nextLong(1_000))
+                simulation.run()
+                simulation.verify()
+                seen.merge(checkNotNull(simulation.outcome).headerValue, 1, Int::plus)
             }
             assertTrue(seen.keys.size == 3 && seen.values.all { it > 500 }, "The schedules reach too few outcomes: $seen")
         }
--- a/decisions/src/test/kotlin/RightsPropertyTest.kt
+++ b/decisions/src/test/kotlin/RightsPropertyTest.kt
@@ -16,10 +16,10 @@
         runBlocking<Unit> {
             var loads = 0
             checkAll(PropTestConfig(seed = 4_201, iterations = 400), Arb.long()) { seed ->
-                val world = RightsWorld(Random(seed))
-                world.run(steps = 600)
-                assertEquals(0, world.settleAndCountSurplus(), "seed $seed")
-                loads += world.loadsSeen
+                val simulation = RightsSimulation(Random(seed))
+                simulation.run(steps = 600)
+                assertEquals(0, simulation.settleAndCountSurplus(), "seed $seed")
+                loads += simulation.loadsSeen
             }
             assertTrue(loads > 1_000, "Only $loads loads were ordered; the schedules cover too little.")
         }
--- a/decisions/src/test/kotlin/RightsWorld.kt
+++ b/decisions/src/test/kotlin/RightsSimulation.kt
@@ -90,11 +90,11 @@
     var pausedUntilMs = 0L
     val inTransit = mutableListOf<SentOrder>()
     val replies = mutableListOf<Reply>()
-    val givenBack = mutableListOf<RightKey>()
+    val releasedKeys = mutableListOf<RightKey>()
 }
 
 /** Targets, an object store with rights and tickets, entry hosts with views of different age, and a controller, simulated from a seed. */
-class RightsWorld(
+class RightsSimulation(
     private val random: Random,
 ) {
     private var nowMs = 100_000L
@@ -229,7 +229,7 @@
         target.incarnation++
         target.fence = 0
         target.pausedUntilMs = 0
-        target.givenBack.clear()
+        target.releasedKeys.clear()
     }
 
     private fun advance() {
@@ -284,9 +284,9 @@
 
     /** Conditional update by the entry host; it may fail and is then retried by the agent. */
     private fun release(target: FakeTarget) {
-        if (target.givenBack.isEmpty() || random.nextInt(3) == 0) return
-        val keys = target.givenBack.toSet()
-        target.givenBack.clear()
+        if (target.releasedKeys.isEmpty() || random.nextInt(3) == 0) return
+        val keys = target.releasedKeys.toSet()
+        target.releasedKeys.clear()
         val released = shards.mapValues { it.value.release(keys) }
         if (released == shards) return
         shards = released
@@ -303,7 +303,7 @@
         transition.effects.forEach { effect ->
             when (effect) {
                 is TargetEffect.Send -> send(target, effect.order)
-                is TargetEffect.ReleaseRights -> target.givenBack += effect.rights
+                is TargetEffect.ReleaseRights -> target.releasedKeys += effect.rights
                 is TargetEffect.Interrupt -> handle(target, TargetEvent.Finished(effect.id))
                 is TargetEffect.Dispatch -> assertServable(target, effect)
                 is TargetEffect.Refuse -> Unit
--- a/decisions/src/test/kotlin/RepeatAllowanceTest.kt
+++ b/decisions/src/test/kotlin/SharedRetryBudgetTest.kt
@@ -10,7 +10,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-class RepeatAllowanceTest {
+class SharedRetryBudgetTest {
     @Test
     fun `retries of all gateways together stay within the ratio and the common extra in every window`() =
         runBlocking<Unit> {
@@ -39,10 +39,10 @@
 
     @Test
     fun `a spent budget is available again after its window`() {
-        val allowance = SharedRetryBudget(RetryLimits(ratio = 0.0, extra = 10.0, windowMs = 1_000))
-        val granted = (0 until 20).count { allowance.tryRetry(nowMs = 0, gateways = 1) }
+        val budget = SharedRetryBudget(RetryLimits(ratio = 0.0, extra = 10.0, windowMs = 1_000))
+        val granted = (0 until 20).count { budget.tryRetry(nowMs = 0, gateways = 1) }
         assertEquals(6, granted)
-        assertEquals(false, allowance.tryRetry(nowMs = 999, gateways = 1))
-        assertEquals(true, allowance.tryRetry(nowMs = 1_000, gateways = 1))
+        assertEquals(false, budget.tryRetry(nowMs = 999, gateways = 1))
+        assertEquals(true, budget.tryRetry(nowMs = 1_000, gateways = 1))
     }
 }
