Gateway: plain names for limits of an exchange, local values and a test class

The limits on responses that belong to no request are named by what they bound. A setting is described by the list that it concerns, as in the target directory. Local names in tests say what they hold.

TroubledTargetTest -> FaultyTargetTest

--- a/gateway/src/main/kotlin/Exchange.kt
+++ b/gateway/src/main/kotlin/Exchange.kt
@@ -85,7 +85,7 @@
         opened: TcpConnection,
     ): ExchangeResult {
         val reader = HttpReader(opened)
-        repeat(MAXIMUM_STRAY_ANSWERS) {
+        repeat(MAXIMUM_UNMATCHED_ANSWERS) {
             val head =
                 when (val result = reader.responseHead(MAXIMUM_ANSWER_HEAD_BYTES)) {
                     is HeadResult.Read -> result.head.also { target.recordActivity() }
@@ -100,7 +100,7 @@
             if (head.headers[names.requestId] == null && head.headers[names.notExecuted] != null) {
                 return classify(head, reader.body(bodyFraming), bodyFraming)
             }
-            if (bodyFraming == BodyFraming.UntilEnd || reader.body(bodyFraming).whole(MAXIMUM_STRAY_BYTES) !is WholeBody.Read) {
+            if (bodyFraming == BodyFraming.UntilEnd || reader.body(bodyFraming).whole(MAXIMUM_DISCARDED_BYTES) !is WholeBody.Read) {
                 return lost("an answer to another request came")
             }
         }
@@ -139,7 +139,7 @@
         val head = answer
         val unread = body.takeUnless { bodyRead }
         val drained =
-            unread == null || withTimeoutOrNull(DRAIN_TIMEOUT_MS) { unread.whole(MAXIMUM_STRAY_BYTES) is WholeBody.Read } == true
+            unread == null || withTimeoutOrNull(DRAIN_TIMEOUT_MS) { unread.whole(MAXIMUM_DISCARDED_BYTES) is WholeBody.Read } == true
         val reusable = head != null && drained && requestSent && !mustClose && framing != BodyFraming.UntilEnd && opened.input.size == 0
         if (reusable && head != null && !head.headers.hasToken("Connection", "close")) {
             connection = null
@@ -158,12 +158,12 @@
     }
 
     private companion object {
-        const val MAXIMUM_STRAY_ANSWERS = 4
+        const val MAXIMUM_UNMATCHED_ANSWERS = 4
         const val FIRST_FINAL_STATUS = 200
         const val MISDIRECTED = 421
         val SUCCESS = 200..299
         const val MAXIMUM_ANSWER_HEAD_BYTES = 32_768
-        const val MAXIMUM_STRAY_BYTES = 256L * 1024
+        const val MAXIMUM_DISCARDED_BYTES = 256L * 1024
         const val DRAIN_TIMEOUT_MS = 200L
     }
 }
--- a/gateway/src/main/kotlin/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/GatewaySettings.kt
@@ -13,7 +13,7 @@
  * @property keeperPort port of the keeper next to each engine
  * @property graceMs time between a request to stop and the end of the process
  * @property retryLimits retries that all gateways together may make
- * @property entryRetentionMs time for which an entry is kept after it disappeared while the platform's store was not trusted
+ * @property entryRetentionMs time for which an entry is kept after it disappeared while the platform's list of targets was not trusted
  */
 public data class GatewaySettings(
     val name: String,
--- a/gateway/src/main/kotlin/TargetDirectory.kt
+++ b/gateway/src/main/kotlin/TargetDirectory.kt
@@ -63,9 +63,9 @@
     public fun put(entry: TargetEntry) {
         val known = entries[entry.target]
         if (known != null && isOlder(entry, known)) return
-        val occupant = targetsByAddress[entry.address]?.takeIf { it != entry.target }?.let { entries[it] }
-        if (occupant != null && occupant.startedMs > entry.startedMs) return drop(entry.target)
-        if (occupant != null && occupant.startedMs < entry.startedMs) drop(occupant.target)
+        val entryAtAddress = targetsByAddress[entry.address]?.takeIf { it != entry.target }?.let { entries[it] }
+        if (entryAtAddress != null && entryAtAddress.startedMs > entry.startedMs) return drop(entry.target)
+        if (entryAtAddress != null && entryAtAddress.startedMs < entry.startedMs) drop(entryAtAddress.target)
         if (known != null && known.address != entry.address) targetsByAddress.remove(known.address, entry.target)
         targetsByAddress[entry.address] = entry.target
         retained -= entry.target
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -189,7 +189,7 @@
             target.status
                 ?.pendingLoads
                 .orEmpty()
-                .sumOf { wished -> engine.models[ModelId(wished)]?.let { loadMs(target, it) } ?: 0 }
+                .sumOf { pending -> engine.models[ModelId(pending)]?.let { loadMs(target, it) } ?: 0 }
         return currentLoadMs(target, engine) + queuedMs
     }
 
--- a/gateway/src/test/kotlin/TroubledTargetTest.kt
+++ b/gateway/src/test/kotlin/FaultyTargetTest.kt
@@ -11,7 +11,7 @@
 import kotlin.test.assertTrue
 
 /** Tests faulty targets: endless bytes that are no response, stalled streams that send single bytes, and slow but intact streams. */
-class TroubledTargetTest {
+class FaultyTargetTest {
     private val fixture = GatewayFixture()
     private val gateway get() = fixture.gateway
     private val script = ArrayDeque<suspend (TcpConnection) -> Unit>()
@@ -77,8 +77,8 @@
             "the size of a chunk" to endless("${signedHead}Transfer-Encoding: chunked\r\n\r\n", "0"),
             "an extension of a chunk" to endless("${signedHead}Transfer-Encoding: chunked\r\n\r\n1;", "x"),
             "trailers" to endless("${signedHead}Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"),
-        ).forEach { (pattern, flood) ->
-            script += flood
+        ).forEach { (pattern, response) ->
+            script += response
             assertEquals("HTTP/1.1 502", ask().take("HTTP/1.1 502".length), pattern)
             assertEquals(0, gateway.state.buffered.takenBytes, pattern)
         }
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -88,7 +88,7 @@
     private val truncated = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\nContent-Length: 9\r\n\r\nok"
     private val unsigned = "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nok"
     private val otherRequest = "HTTP/1.1 200 OK\r\nId: 6\r\nSignature: o\r\nContent-Length: 5\r\n\r\nother"
-    private val another = "HTTP/1.1 421 X\r\nId: 7\r\nAnswering: t9\r\nContent-Length: 0\r\n\r\n"
+    private val otherTarget = "HTTP/1.1 421 X\r\nId: 7\r\nAnswering: t9\r\nContent-Length: 0\r\n\r\n"
 
     private data class Case(
         val kind: RetrySafety,
@@ -114,7 +114,7 @@
         listOf(
             Case(RetrySafety.ONCE, listOf(served), 200, "ok"),
             Case(RetrySafety.ONCE, listOf(refused, served), 200, "ok"),
-            Case(RetrySafety.ONCE, listOf(another, served), 200, "ok"),
+            Case(RetrySafety.ONCE, listOf(otherTarget, served), 200, "ok"),
             Case(RetrySafety.ONCE, listOf(failed), 500, "bad"),
             Case(RetrySafety.ONCE, listOf(truncated), 502),
             Case(RetrySafety.ONCE, listOf(unsigned), 502),
@@ -164,18 +164,18 @@
     fun `a caller's disconnect resets the connection to the target, so that delayed bytes never arrive`() {
         start(RetrySafety.ONCE, streaming = false)
         val working = CountDownLatch(1)
-        val left = CountDownLatch(1)
+        val disconnected = CountDownLatch(1)
         var end: ReadResult? = null
         script += { connection, _ ->
             working.countDown()
             end = connection.fill()
-            left.countDown()
+            disconnected.countDown()
         }
         fixture.connect().use { socket ->
             socket.getOutputStream().write("GET /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\n\r\n".toByteArray())
             working.await()
         }
-        left.await()
+        disconnected.await()
         assertEquals(ReadResult.RESET, end)
     }
 
@@ -408,7 +408,7 @@
         start(RetrySafety.ONCE, streaming = false)
         script += { connection, _ ->
             scope.launch { gateway.shutDown() }
-            repeat(ROUNDS_OF_THE_LOOP) { yield() }
+            repeat(LOOP_ITERATIONS) { yield() }
             connection.write(served.toByteArray())
         }
         fixture.connect().use { socket ->
@@ -431,7 +431,7 @@
                 gateway.shutDown()
                 secondReturned.set(true)
             }
-            repeat(ROUNDS_OF_THE_LOOP) { yield() }
+            repeat(LOOP_ITERATIONS) { yield() }
             returnedBeforeAnswer.complete(secondReturned.get())
             connection.write(served.toByteArray())
         }
@@ -472,7 +472,7 @@
         const val HOST_WITHOUT_KEEPER = "127.0.0.2"
 
         /** Enough for a previously launched coroutine to run until it suspends. */
-        const val ROUNDS_OF_THE_LOOP = 9
+        const val LOOP_ITERATIONS = 9
 
         /** Ends a test that would hang; far longer than any machine needs. */
         const val TEST_TIMEOUT_S = 300L
--- a/gateway/src/test/kotlin/TargetSilenceTest.kt
+++ b/gateway/src/test/kotlin/TargetSilenceTest.kt
@@ -22,24 +22,24 @@
     private fun target() = Target(EventLoop(clock), entry("t"), promptCacheTokens = 1)
 
     /** An event at [atMs], in milliseconds. */
-    private data class Step(
+    private data class Event(
         val atMs: Long,
-        val what: What,
+        val kind: EventKind,
     )
 
-    private enum class What { SEND, END, TOKEN, KEEPER_ANSWER }
+    private enum class EventKind { SEND, END, TOKEN, KEEPER_ANSWER }
 
     /** @property silentChangesMs when [Target.silent] changes, beginning with the first change to true */
     private data class Case(
         val pattern: String,
         val model: String?,
-        val steps: List<Step>,
+        val events: List<Event>,
         val silentChangesMs: List<Long>,
-        val givenUpMs: List<Long>,
+        val cancelledMs: List<Long>,
         val retryable: Boolean = true,
     )
 
-    private val send = Step(0, What.SEND)
+    private val send = Event(0, EventKind.SEND)
 
     private val cases =
         listOf(
@@ -49,35 +49,35 @@
             Case(
                 "an engine that generates until it becomes silent",
                 "m",
-                listOf(send) + (1..20L).map { Step(it * 250, What.TOKEN) },
+                listOf(send) + (1..20L).map { Event(it * 250, EventKind.TOKEN) },
                 listOf(6_300),
                 listOf(6_300),
             ),
             Case(
                 "a long prompt is being processed, and the keeper answers until its host is lost",
                 "m",
-                listOf(send) + (1..10L).map { Step(it * 500, What.KEEPER_ANSWER) },
+                listOf(send) + (1..10L).map { Event(it * 500, EventKind.KEEPER_ANSWER) },
                 listOf(6_300),
                 listOf(6_300),
             ),
             Case(
                 "an engine that recovers",
                 "m",
-                listOf(send, Step(5_000, What.KEEPER_ANSWER), Step(5_050, What.END)),
+                listOf(send, Event(5_000, EventKind.KEEPER_ANSWER), Event(5_050, EventKind.END)),
                 listOf(1_300, 5_000),
                 listOf(1_300),
             ),
             Case(
                 "a request that arrived recently is not cancelled yet",
                 "m",
-                listOf(send, Step(1_250, What.SEND)),
+                listOf(send, Event(1_250, EventKind.SEND)),
                 listOf(1_300),
                 listOf(1_300, 2_550),
             ),
             Case(
                 "a silent target is tried again once its requests have ended",
                 null,
-                listOf(send, Step(700, What.END)),
+                listOf(send, Event(700, EventKind.END)),
                 listOf(600, 2_650),
                 listOf(600),
             ),
@@ -89,14 +89,14 @@
     private fun check(case: Case) {
         val target = target()
         val begun = mutableListOf<InFlightRequest>()
-        val givenUpMs = mutableMapOf<InFlightRequest, Long>()
+        val cancelledMs = mutableMapOf<InFlightRequest, Long>()
         val changesMs = mutableListOf<Long>()
         val startMs = clock.nowMs()
         for (atMs in 0..LENGTH_MS step CHECK_INTERVAL_MS) {
             val before = target.silent
-            case.steps.filter { it.atMs == atMs }.forEach { step ->
-                when (step.what) {
-                    What.SEND -> {
+            case.events.filter { it.atMs == atMs }.forEach { event ->
+                when (event.kind) {
+                    EventKind.SEND -> {
                         val send =
                             InFlightRequest(
                                 model = case.model,
@@ -106,13 +106,13 @@
                                 callerIdleTimeoutMs = 3_200,
                                 lastProgressMs = clock.nowMs(),
                             )
-                        send.cancel = { givenUpMs.putIfAbsent(send, clock.nowMs() - startMs) }
+                        send.cancel = { cancelledMs.putIfAbsent(send, clock.nowMs() - startMs) }
                         begun += send
                         target.begin(send)
                     }
-                    What.END -> target.end(begun.removeFirst())
-                    What.TOKEN -> target.recordActivity()
-                    What.KEEPER_ANSWER -> target.update(KeeperMessage.EngineLoad())
+                    EventKind.END -> target.end(begun.removeFirst())
+                    EventKind.TOKEN -> target.recordActivity()
+                    EventKind.KEEPER_ANSWER -> target.update(KeeperMessage.EngineLoad())
                 }
             }
             target.checkSilence()
@@ -120,7 +120,7 @@
             clock.advanceBy(CHECK_INTERVAL_MS)
         }
         assertEquals(case.silentChangesMs, changesMs, case.pattern)
-        assertEquals(case.givenUpMs, givenUpMs.values.toList(), case.pattern)
+        assertEquals(case.cancelledMs, cancelledMs.values.toList(), case.pattern)
     }
 
     @Test
