--- a/decisions/src/main/kotlin/StableHash.kt
+++ b/decisions/src/main/kotlin/StableHash.kt
@@ -17,11 +17,11 @@
     ): List<T> = candidates.sortedWith(compareByDescending<T> { StableHash.of(key, identity(it)) }.thenBy(identity))
 
     /** Returns the score of [identity] for [key], from 0 until 1. */
-    public fun share(
+    public fun score(
         key: String,
         identity: String,
-    ): Double = (StableHash.of(key, identity) ushr UNUSED_BITS) / DISTINCT_SHARES
+    ): Double = (StableHash.of(key, identity) ushr UNUSED_BITS) / DISTINCT_SCORES
 
     private const val UNUSED_BITS = 11
-    private const val DISTINCT_SHARES = 9.007199254740992E15
+    private const val DISTINCT_SCORES = 9.007199254740992E15
 }
--- a/gateway/src/main/kotlin/GatewayConfiguration.kt
+++ b/gateway/src/main/kotlin/GatewayConfiguration.kt
@@ -53,7 +53,7 @@
     public fun serviceFor(requestId: String): ServiceId {
         val total = destinations.sumOf { it.weight }
         if (destinations.size == 1 || total <= 0) return destinations.first().service
-        var position = Rendezvous.share("split", requestId) * total
+        var position = Rendezvous.score("split", requestId) * total
         destinations.forEach { destination ->
             position -= destination.weight
             if (position < 0) return destination.service
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -121,7 +121,7 @@
             waitMs = waitMs,
             workMs = if (model == null) 0.0 else target.uncachedTokens(request) / PROMPT_TOKENS_PER_MS,
             failureShare = target.failureShare(),
-            affinity = Rendezvous.share(key, target.entry.target.value),
+            affinity = Rendezvous.score(key, target.entry.target.value),
         )
     }
 
@@ -134,7 +134,7 @@
         val connected = holders.filter { it.status != null }
         val free = connected.filter { it.status?.busy == false && it.status?.loading == null }
         val chosen =
-            free.ifEmpty { connected }.maxByOrNull { Rendezvous.share("$model/$adapter", it.entry.target.value) - it.failureShare() }
+            free.ifEmpty { connected }.maxByOrNull { Rendezvous.score("$model/$adapter", it.entry.target.value) - it.failureShare() }
         if (chosen == null) return Choice.None("no keeper in touch")
         if (chosen.mayRequestLoad(model, adapter, ADAPTER_REQUEST_INTERVAL_MS)) {
             requestLoad(chosen, engine, model, adapter, ADAPTER_TIMEOUT_MS, mayEvict = true)
@@ -231,7 +231,7 @@
             EvictionPlan.choose(evictionCandidates(target, status, engine), missingMb, LoadValue.callersOf(valueMs)) ?: return null
         if (eviction.costMs > valueMs) return null
         val storeMs = if (target.hasLocalCopy(model.model.value)) 0 else STORE_LOAD_COST_MS
-        val tieBreak = Rendezvous.share(model.model.value, target.entry.target.value)
+        val tieBreak = Rendezvous.score(model.model.value, target.entry.target.value)
         val failures = target.failureShare() * model.loadMs
         val delayOfOthersMs = loadMs(target, model) * status.models.sumOf { it.requestsPerSecond.toDouble() } * DELAYED_SHARE
         return remainingLoadMs(target, engine) + loadMs(target, model) + storeMs + eviction.costMs + eviction.waitMs + tieBreak + failures +
@@ -322,8 +322,8 @@
         engine: EngineConfiguration,
     ): Replicas {
         val holders = others.filter { model in it.models }
-        val share = { holder: Target -> Rendezvous.share(model, holder.entry.target.value) }
-        if (holders.isEmpty() || holders.any { share(it) < share(target) }) return Replicas(0, suffice = false)
+        val score = { holder: Target -> Rendezvous.score(model, holder.entry.target.value) }
+        if (holders.isEmpty() || holders.any { score(it) < score(target) }) return Replicas(0, suffice = false)
         val suffice = holders.size >= ReplicaPlan.needed(loadOf(model, holders + target, engine))
         return Replicas(holders.size.coerceAtMost(MAXIMUM_REPORTED_REPLICAS), suffice)
     }
