--- a/agent/src/main/kotlin/TargetController.kt
+++ b/agent/src/main/kotlin/TargetController.kt
@@ -71,7 +71,7 @@
                 is TargetEffect.Dispatch -> effectHandler.dispatch(effect)
                 is TargetEffect.Refuse -> effectHandler.refuse(effect)
                 is TargetEffect.Interrupt -> effectHandler.interrupt(effect)
-                is TargetEffect.GiveBack -> effectHandler.releaseRights(effect.rights)
+                is TargetEffect.ReleaseRights -> effectHandler.releaseRights(effect.rights)
             }
         }
     }
