bench: plain wording and names

Comments, help texts and error messages say what the code does, with units, ranges and errors; messages of failed waits tell the limit. Test documentation names the failure that each test guards against. Assertions and behaviour are unchanged. None of the renamed names is used outside of bench:

LightAgents -> SimulatedAgents LightAgents.reached -> SimulatedAgents.arrivalTimesMs LocalCluster.submitOnce -> LocalCluster.submitUntilAccepted LocalCluster.direct -> LocalCluster.directChat LocalCluster.raw -> LocalCluster.rawChat Meter.Use -> Meter.ResourceUsage

--- a/bench/src/main/kotlin/LoadCommand.kt
+++ b/bench/src/main/kotlin/LoadCommand.kt
@@ -13,7 +13,7 @@
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 
-/** `load`: time that the system adds to streams, and what they cost, against calling the engine directly in the same run. */
+/** `load`: measures the latency and processor time that the system adds to streams, against direct calls of the engine in the same run. */
 internal class LoadCommand : CliktCommand(name = "load") {
     private val requests by option("--requests", help = "Requests at each level").int().default(400)
     private val tokens by option("--tokens", help = "Tokens of each answer").int().default(64)
@@ -25,13 +25,13 @@
     override fun run() {
         LocalCluster(engines = 1, entries = 1, tokenMs = tokenMs, optimized = true).use { cluster ->
             cluster.apply(number = 1, replicas = 1)
-            val direct = cluster.direct(tokens)
-            val through = cluster.chat(entry = 0, tokens = tokens)
-            cluster.send(through)
-            repeat(2) { Round(cluster, WARM_UP_STREAMS, WARM_UP_REQUESTS).run(through) }
+            val direct = cluster.directChat(tokens)
+            val throughSystem = cluster.chat(entry = 0, tokens = tokens)
+            cluster.send(throughSystem)
+            repeat(2) { Round(cluster, WARM_UP_STREAMS, WARM_UP_REQUESTS).run(throughSystem) }
             levels.split(',').map { it.trim().toInt() }.forEach { streams ->
                 val engine = Round(cluster, streams, requests).run(direct)
-                val system = Round(cluster, streams, requests).run(through)
+                val system = Round(cluster, streams, requests).run(throughSystem)
                 echo("$streams streams, $requests requests of $tokens tokens")
                 echo("  engine alone: ${engine.describe()}")
                 echo("  through:      ${system.describe()}")
@@ -51,13 +51,13 @@
         private val streams: Int,
         private val requests: Int,
     ) {
-        val first = Histogram(HIGHEST_US, 3)
-        val between = Histogram(HIGHEST_US, 3)
+        val timeToFirstToken = Histogram(HIGHEST_LATENCY_US, 3)
+        val timeBetweenTokens = Histogram(HIGHEST_LATENCY_US, 3)
         val failed = AtomicInteger()
         val events = AtomicLong()
         var seconds = 0.0
-        var entryMs = 0L
-        var agentMs = 0L
+        var entryProcessorMs = 0L
+        var agentProcessorMs = 0L
 
         fun run(request: HttpRequest): Round {
             val startNs = System.nanoTime()
@@ -67,36 +67,36 @@
             val pool = Executors.newFixedThreadPool(streams)
             repeat(requests) { pool.execute { runCatching { stream(request) }.onFailure { failed.incrementAndGet() } } }
             pool.shutdown()
-            pool.awaitTermination(LIMIT_MINUTES, TimeUnit.MINUTES)
+            pool.awaitTermination(ROUND_LIMIT_MINUTES, TimeUnit.MINUTES)
             seconds = (System.nanoTime() - startNs) / NANOSECONDS_PER_SECOND
-            entryMs = Meter.processorMs(cluster.entryNodes.single()) - entryBefore
-            agentMs = Meter.processorMs(cluster.agentNodes.single()) - agentBefore
+            entryProcessorMs = Meter.processorMs(cluster.entryNodes.single()) - entryBefore
+            agentProcessorMs = Meter.processorMs(cluster.agentNodes.single()) - agentBefore
             return this
         }
 
         private fun stream(request: HttpRequest) {
             var lastNs = System.nanoTime()
-            var seen = 0
-            var whole = false
+            var eventCount = 0
+            var complete = false
             cluster.lines(request).forEach { line ->
                 if (!line.startsWith("data: ")) return@forEach
                 val nowNs = System.nanoTime()
-                val histogram = if (seen++ == 0) first else between
+                val histogram = if (eventCount++ == 0) timeToFirstToken else timeBetweenTokens
                 synchronized(histogram) { histogram.recordValue((nowNs - lastNs) / NANOSECONDS_PER_MICROSECOND) }
                 lastNs = nowNs
-                whole = whole || line == "data: [DONE]"
+                complete = complete || line == "data: [DONE]"
             }
-            events.addAndGet(seen.toLong())
-            if (!whole) failed.incrementAndGet()
+            events.addAndGet(eventCount.toLong())
+            if (!complete) failed.incrementAndGet()
         }
 
         fun describe(): String =
             "first token median %.2f ms, 99th %.2f ms; between tokens median %.2f ms, 99th %.2f ms; %.0f requests/s, %.0f tokens/s, %d failed"
                 .format(
-                    first.ms(50.0),
-                    first.ms(99.0),
-                    between.ms(50.0),
-                    between.ms(99.0),
+                    timeToFirstToken.percentileMs(50.0),
+                    timeToFirstToken.percentileMs(99.0),
+                    timeBetweenTokens.percentileMs(50.0),
+                    timeBetweenTokens.percentileMs(99.0),
                     requests / seconds,
                     events.get() / seconds,
                     failed.get(),
@@ -108,20 +108,20 @@
         ): String =
             "entry host %.2f ms per request (%.1f us per token), agent %.2f ms per request (%.1f us per token)"
                 .format(
-                    entryMs.toDouble() / requests,
-                    entryMs * MICROSECONDS_PER_MILLISECOND / requests / tokens,
-                    agentMs.toDouble() / requests,
-                    agentMs * MICROSECONDS_PER_MILLISECOND / requests / tokens,
+                    entryProcessorMs.toDouble() / requests,
+                    entryProcessorMs * MICROSECONDS_PER_MILLISECOND / requests / tokens,
+                    agentProcessorMs.toDouble() / requests,
+                    agentProcessorMs * MICROSECONDS_PER_MILLISECOND / requests / tokens,
                 )
 
-        private fun Histogram.ms(percentile: Double) = getValueAtPercentile(percentile) / MICROSECONDS_PER_MILLISECOND
+        private fun Histogram.percentileMs(percentile: Double) = getValueAtPercentile(percentile) / MICROSECONDS_PER_MILLISECOND
     }
 
     private companion object {
         const val WARM_UP_STREAMS = 16
         const val WARM_UP_REQUESTS = 300
-        const val HIGHEST_US = 600_000_000L
-        const val LIMIT_MINUTES = 10L
+        const val HIGHEST_LATENCY_US = 600_000_000L
+        const val ROUND_LIMIT_MINUTES = 10L
         const val NANOSECONDS_PER_SECOND = 1e9
         const val NANOSECONDS_PER_MICROSECOND = 1_000L
         const val MICROSECONDS_PER_MILLISECOND = 1_000.0
--- a/bench/src/main/kotlin/LocalCluster.kt
+++ b/bench/src/main/kotlin/LocalCluster.kt
@@ -41,11 +41,16 @@
 import kotlin.io.path.writeText
 
 /**
- * Real entry hosts and agents as processes on loopback, before stand-ins in this process.
+ * A cluster on loopback: entry hosts and agents run as processes of their own; the platform, the engines and the plain service are
+ * stand-ins in this process.
  *
- * @param withAgents whether agents are started; without them the caller plays their part
- * @param optimized whether the processes run with all levels of the compiler, as in production
- * @param relayed whether entry hosts reach agents through a [SilencingRelay] each
+ * @param engines number of engines, each with an agent
+ * @param entries number of entry hosts
+ * @param tokenMs time between two tokens of an engine
+ * @param fencingMs fencing time of the agents
+ * @param withAgents whether engines and their agents are started; without them the caller connects its own clients to the entry hosts
+ * @param optimized whether the processes use all tiers of the JIT compiler, as in production
+ * @param relayed whether entry hosts reach each agent through a [SilencingRelay]
  * @param drainLimitMs longest graceful stop of every process
  * @param serviceWorkMs time that a call of the plain service takes
  */
@@ -60,6 +65,7 @@
     withAgents: Boolean = true,
     private val optimized: Boolean = false,
 ) : AutoCloseable {
+    /** A process of the cluster, with its output appended to [log]. */
     internal class Node(
         val name: String,
         private val command: List<String>,
@@ -79,7 +85,9 @@
 
         fun signal(signal: String) = ProcessBuilder("kill", "-$signal", process.pid().toString()).start().waitFor()
 
-        fun awaitExit(): Int = if (process.waitFor(EXIT_LIMIT_S, TimeUnit.SECONDS)) process.exitValue() else error("$name did not exit.")
+        /** Waits for the process to end and returns its exit status. Throws [IllegalStateException] after [EXIT_LIMIT_S] seconds. */
+        fun awaitExit(): Int =
+            if (process.waitFor(EXIT_LIMIT_S, TimeUnit.SECONDS)) process.exitValue() else error("$name did not exit in $EXIT_LIMIT_S s.")
 
         fun restart() {
             process = launch()
@@ -122,7 +130,7 @@
                 )
             }
         serviceAgent = node("agent", "booking", agentSettings("booking", "plain", serviceAgentAddress, serviceAddress, address()))
-        watchdog.schedule({ endHungRun() }, HUNG_RUN_MIN, TimeUnit.MINUTES)
+        watchdog.schedule({ abortHungRun() }, RUN_LIMIT_MINUTES, TimeUnit.MINUTES)
         repeat(entries) { awaitReady(it) }
     }
 
@@ -142,9 +150,9 @@
                 },
                 listOf(record),
             )
-        val reachedAt = if (relays.isEmpty()) agentAddresses else relays.map { it.address }
+        val advertisedAddresses = if (relays.isEmpty()) agentAddresses else relays.map { it.address }
         val records =
-            reachedAt.mapIndexed { index, agent ->
+            advertisedAddresses.mapIndexed { index, agent ->
                 host(TargetRecord(TargetId("engine-$index"), ServiceId("wax-advisor"), TargetKind.ENGINE, agent, ENGINE_MEMORY_MB))
             } +
                 host(TargetRecord(TargetId("booking"), ServiceId("bench-booking"), TargetKind.PLAIN, serviceAgentAddress)) +
@@ -227,7 +235,7 @@
 
     fun metrics(entry: Int): String = get("http://${adminAddresses[entry]}/metrics").body()
 
-    /** Submits a ticket and waits until every engine has its sequence. */
+    /** Submits a ticket and waits until it is in force at every engine. */
     fun apply(
         number: Long,
         replicas: Int,
@@ -254,8 +262,8 @@
         return Ticket(TicketNumber(number), offers)
     }
 
-    /** Submits a ticket and returns when it is accepted. */
-    fun submitOnce(
+    /** Submits a ticket until it is accepted, without waiting for it to be in force. */
+    fun submitUntilAccepted(
         number: Long,
         replicas: Int,
         models: List<String>,
@@ -303,8 +311,8 @@
             .POST(HttpRequest.BodyPublishers.ofString("""{"model":"$model","stream":$stream,"max_tokens":$tokens}"""))
             .build()
 
-    /** Builds the same request to the first engine without the system between. */
-    fun direct(tokens: Int): HttpRequest =
+    /** Builds the streaming chat request that goes to the first engine directly, bypassing entry hosts and agents. */
+    fun directChat(tokens: Int): HttpRequest =
         HttpRequest
             .newBuilder(URI("http://${engineAddresses.first()}/v1/chat/completions"))
             .header("X-Model", "wax")
@@ -312,8 +320,8 @@
             .POST(HttpRequest.BodyPublishers.ofString("""{"model":"wax","stream":true,"max_tokens":$tokens}"""))
             .build()
 
-    /** Builds a chat request with a body and a deadline as given. */
-    fun raw(
+    /** Builds a chat request with [body] and the timeout header as given, valid or not. */
+    fun rawChat(
         entry: Int,
         body: String,
         timeout: String = "10000",
@@ -324,14 +332,14 @@
             .POST(HttpRequest.BodyPublishers.ofString(body))
             .build()
 
-    /** Opens a connection to the callers' port of an entry host; it takes few bytes that are not read. */
+    /** Opens a connection to the callers' port of an entry host, with a small receive buffer so that few bytes arrive unread. */
     fun connect(entry: Int): Socket =
         Socket().apply {
-            receiveBufferSize = SMALL_BUFFER_BYTES
+            receiveBufferSize = RECEIVE_BUFFER_BYTES
             connect(InetSocketAddress(callerAddresses[entry].ip, callerAddresses[entry].port))
         }
 
-    /** Writes [bytes] to the internal port of an entry host and waits until it ends the connection. */
+    /** Writes [bytes] to the internal port of an entry host and waits until the entry host closes the connection. */
     fun writeInternal(
         entry: Int,
         bytes: ByteArray,
@@ -340,7 +348,7 @@
         runCatching { socket.getInputStream().readAllBytes() }
     }
 
-    /** Replaces what the platform's service has under [key]; returns whether nobody else changed it meanwhile. */
+    /** Overwrites the object under [key] in the platform's store; returns false if a concurrent write changed its version. */
     fun overwrite(
         key: String,
         value: String,
@@ -351,7 +359,7 @@
         return client.send(request.build(), HttpResponse.BodyHandlers.ofString()).statusCode() == HTTP_OK
     }
 
-    /** Builds a booking. */
+    /** Builds a booking request with the idempotency key [key]. */
     fun booking(
         entry: Int,
         key: String,
@@ -370,9 +378,9 @@
     /** Sends a streaming request and returns its lines as they arrive. */
     fun lines(request: HttpRequest): Iterator<String> = client.send(request, HttpResponse.BodyHandlers.ofLines()).body().iterator()
 
-    /** Ends every wait on a cluster that has hung, so that its test fails and says where it was. */
-    private fun endHungRun() {
-        System.err.println("The cluster in $directory has run for $HUNG_RUN_MIN minutes. What every thread waits for:")
+    /** Prints the stack of every thread and kills the processes, so that a run that hangs fails and shows where it waits. */
+    private fun abortHungRun() {
+        System.err.println("The cluster in $directory has run for $RUN_LIMIT_MINUTES minutes and is stopped. Stacks of all threads:")
         Thread.getAllStackTraces().forEach { (thread, frames) -> System.err.println("$thread\n  ${frames.joinToString("\n  ")}") }
         (entryNodes + agentNodes + serviceAgent).forEach { it.kill() }
     }
@@ -389,22 +397,22 @@
         const val ENGINE_MEMORY_MB = 100L
         private const val EXIT_LIMIT_S = 120L
         private const val HTTP_OK = 200
-        private const val SMALL_BUFFER_BYTES = 16 * 1024
+        private const val RECEIVE_BUFFER_BYTES = 16 * 1024
 
-        /** Far beyond the seconds that any run on a cluster takes, also on a busy machine. */
-        private const val HUNG_RUN_MIN = 20L
+        /** A run takes seconds, so that this limit is not reached on a busy host either. */
+        private const val RUN_LIMIT_MINUTES = 20L
         private const val EVENTUALLY_LIMIT_MS = 90_000L
-        private const val EVENTUALLY_STEP_MS = 50L
+        private const val EVENTUALLY_INTERVAL_MS = 50L
 
-        /** Waits until [condition] holds. The limit only ends a run that would hang. */
+        /** Waits until [condition] holds. Throws [IllegalStateException] after [EVENTUALLY_LIMIT_MS], which only guards against hangs. */
         fun eventually(
-            what: String,
+            description: String,
             condition: () -> Boolean,
         ) {
             val endMs = System.currentTimeMillis() + EVENTUALLY_LIMIT_MS
             while (!condition()) {
-                check(System.currentTimeMillis() < endMs) { "It never happened that $what." }
-                Thread.sleep(EVENTUALLY_STEP_MS)
+                check(System.currentTimeMillis() < endMs) { "Condition not met within $EVENTUALLY_LIMIT_MS ms: $description" }
+                Thread.sleep(EVENTUALLY_INTERVAL_MS)
             }
         }
     }
--- a/bench/src/main/kotlin/Main.kt
+++ b/bench/src/main/kotlin/Main.kt
@@ -10,7 +10,7 @@
     BenchCommand().subcommands(ControlCommand(), LoadCommand(), PolicyCommand()).main(arguments)
 
 private class BenchCommand : CliktCommand(name = "bench") {
-    override fun help(context: Context) = "Measures the product on loopback and replays traces over its decisions."
+    override fun help(context: Context) = "Measures the system on loopback and replays request traces against its residency policies."
 
     override fun run() = Unit
 }
--- a/bench/src/main/kotlin/Meter.kt
+++ b/bench/src/main/kotlin/Meter.kt
@@ -3,7 +3,7 @@
 import org.almondjunction.common.SystemClock
 import java.io.File
 
-/** Measures what the entry hosts of a cluster use while something happens. */
+/** Measures the resources that the entry hosts of a cluster use while a block runs. */
 internal class Meter(
     private val cluster: LocalCluster,
 ) {
@@ -14,8 +14,8 @@
         val platformCalls: Long,
     )
 
-    /** Use per second; processor time and bytes are per entry host. */
-    data class Use(
+    /** Resource use per second; processor time and bytes are averages over the entry hosts, platform calls are a total. */
+    data class ResourceUsage(
         val seconds: Double,
         val processorMsPerSecond: Double,
         val controlBytesPerSecond: Double,
@@ -26,13 +26,13 @@
                 .format(seconds, processorMsPerSecond, controlBytesPerSecond, platformCallsPerSecond)
     }
 
-    fun measure(block: () -> Unit): Use {
+    fun measure(block: () -> Unit): ResourceUsage {
         val before = sample()
         block()
         val after = sample()
         val seconds = (after.timeMs - before.timeMs) / 1_000.0
         val hosts = cluster.entryNodes.size
-        return Use(
+        return ResourceUsage(
             seconds,
             (after.processorMs - before.processorMs) / seconds / hosts,
             (after.controlBytes - before.controlBytes) / seconds / hosts,
@@ -54,7 +54,7 @@
         metrics.lines().filter { it.startsWith("almondjunction_control_bytes_total") }.sumOf { it.substringAfterLast(' ').toDouble() }
 
     companion object {
-        /** Returns the processor time that a process has used, in milliseconds. */
+        /** Returns the processor time that a process has used, in milliseconds, or 0 if the system does not report it. */
         fun processorMs(node: LocalCluster.Node): Long =
             node.process
                 .info()
--- a/bench/src/main/kotlin/PolicyCommand.kt
+++ b/bench/src/main/kotlin/PolicyCommand.kt
@@ -9,12 +9,12 @@
 import org.almondjunction.decisions.ResidencyPolicy
 import java.io.File
 
-/** `policy`: cost of the residency policy against its baselines and against one that knows the future. */
+/** `policy`: compares the cost of the residency policy with its baselines and with the clairvoyant policy, which knows all arrivals. */
 internal class PolicyCommand : CliktCommand(name = "policy") {
     private val seeds by option("--seeds", help = "Number of traces, drawn with seeds from 1").int().default(10)
     private val output by option("--csv", help = "File for the figures of each trace").file(canBeDir = false)
 
-    override fun help(context: Context) = "Replay traces over the residency policy and its baselines."
+    override fun help(context: Context) = "Replay request traces against the residency policy and its baselines."
 
     private class Deployment(
         val name: String,
@@ -38,11 +38,11 @@
             (1..seeds).forEach { seed ->
                 val trace = deployment.generator.generate(seed)
                 val endMs = deployment.days * TraceGenerator.DAY_MS
-                val best = Replay.clairvoyant(trace, endMs, deployment.idleMsPerColdMs)
+                val optimal = Replay.clairvoyant(trace, endMs, deployment.idleMsPerColdMs)
                 val results =
-                    policies(deployment.idleMsPerColdMs).mapValues { Replay.run(trace, endMs, it.value) } + ("clairvoyant" to best)
+                    policies(deployment.idleMsPerColdMs).mapValues { Replay.run(trace, endMs, it.value) } + ("clairvoyant" to optimal)
                 results.forEach { (name, result) ->
-                    val ratio = result.costMs(deployment.idleMsPerColdMs) / best.costMs(deployment.idleMsPerColdMs)
+                    val ratio = result.costMs(deployment.idleMsPerColdMs) / optimal.costMs(deployment.idleMsPerColdMs)
                     ratios.getOrPut(name) { mutableListOf() } += ratio
                     rows += row(deployment.name, seed, name, result, ratio)
                 }
--- a/bench/src/main/kotlin/Replay.kt
+++ b/bench/src/main/kotlin/Replay.kt
@@ -4,7 +4,7 @@
 import org.almondjunction.decisions.ResidencyPolicy
 
 /**
- * What one policy cost on one trace.
+ * Cost of one policy on one trace.
  *
  * @property idleMs time for which models were loaded without a request
  * @property coldMs time that requests waited for loads
@@ -16,26 +16,26 @@
 ) {
     val coldMs: Long get() = coldWaitsMs.sum()
 
-    /** Returns the cost in milliseconds of idle time. */
+    /** Returns the total cost in milliseconds of idle time; a millisecond of cold-start wait costs [idleMsPerColdMs] of these. */
     fun costMs(idleMsPerColdMs: Double): Double = idleMs + coldMs * idleMsPerColdMs
 }
 
-/** Replays a trace over the decision when an idle model is unloaded. One replica a model; a request takes no time of its own. */
+/** Replays a trace against a policy that decides when an idle model is unloaded. Each model has one replica; a request takes no time. */
 internal object Replay {
     fun run(
         trace: List<ModelTrace>,
         endMs: Long,
         policy: ResidencyPolicy,
-    ): ReplayResult = replay(trace, endMs) { model, history, pool, _ -> policy.keepMs(history, model.loadMs, pool) }
+    ): ReplayResult = replay(trace, endMs) { model, history, pooledHistory, _ -> policy.keepMs(history, model.loadMs, pooledHistory) }
 
-    /** Knows the next arrival and keeps a model if and only if that costs less than a cold start. */
+    /** Replays the optimal policy: it knows the next arrival and keeps a model if and only if that costs no more than a cold start. */
     fun clairvoyant(
         trace: List<ModelTrace>,
         endMs: Long,
         idleMsPerColdMs: Double,
     ): ReplayResult = replay(trace, endMs) { model, _, _, gapMs -> if (gapMs <= model.loadMs * idleMsPerColdMs) gapMs else 0 }
 
-    private class Progress(
+    private class ModelProgress(
         val model: ModelTrace,
     ) {
         var next = 0
@@ -44,7 +44,7 @@
         var history: ArrivalHistory? = null
     }
 
-    /** Takes the arrivals of all models in the order of time, so that no policy learns from what has not happened yet. */
+    /** Processes the arrivals of all models in the order of time, so that no policy learns from future arrivals. */
     private fun replay(
         trace: List<ModelTrace>,
         endMs: Long,
@@ -52,16 +52,16 @@
     ): ReplayResult {
         val waits = mutableListOf<Long>()
         var idleMs = 0L
-        var pool: ArrivalHistory? = null
+        var pooledHistory: ArrivalHistory? = null
         val arrivals =
             trace
-                .map { Progress(it) }
+                .map { ModelProgress(it) }
                 .flatMap { progress ->
                     progress.model.arrivalsMs.map { it to progress }
                 }.sortedBy { it.first }
         arrivals.forEach { (arrivalMs, progress) ->
             val model = progress.model
-            pool = progress.history?.pooledAfter(pool, arrivalMs) ?: pool
+            pooledHistory = progress.history?.pooledAfter(pooledHistory, arrivalMs) ?: pooledHistory
             val history = progress.history?.afterArrival(arrivalMs) ?: ArrivalHistory(arrivalMs)
             progress.history = history
             if (arrivalMs > progress.unloadAtMs) {
@@ -70,10 +70,10 @@
             } else if (arrivalMs < progress.loadedAtMs) {
                 waits += progress.loadedAtMs - arrivalMs
             }
-            val freeMs = maxOf(arrivalMs, progress.loadedAtMs)
+            val idleFromMs = maxOf(arrivalMs, progress.loadedAtMs)
             val nextMs = model.arrivalsMs.getOrElse(++progress.next) { Long.MAX_VALUE / 2 }
-            progress.unloadAtMs = freeMs + keepMs(model, history, pool, maxOf(0, nextMs - freeMs))
-            idleMs += minOf(progress.unloadAtMs, nextMs, maxOf(endMs, freeMs)) - minOf(freeMs, nextMs)
+            progress.unloadAtMs = idleFromMs + keepMs(model, history, pooledHistory, maxOf(0, nextMs - idleFromMs))
+            idleMs += minOf(progress.unloadAtMs, nextMs, maxOf(endMs, idleFromMs)) - minOf(idleFromMs, nextMs)
         }
         return ReplayResult(waits.size, waits, idleMs)
     }
--- a/bench/src/main/kotlin/SilencingRelay.kt
+++ b/bench/src/main/kotlin/SilencingRelay.kt
@@ -8,13 +8,13 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
 
-/** Passes TCP connections on to [backend]. Connections can be made to swallow everything, without a reset, while new ones work. */
+/** Relays TCP connections to [backend]. It can discard the data of open connections without closing them, while new connections work. */
 internal class SilencingRelay(
     private val backend: Address,
 ) : AutoCloseable {
-    private class Pair(
-        val front: Socket,
-        val back: Socket,
+    private class RelayedConnection(
+        val inbound: Socket,
+        val outbound: Socket,
     ) {
         @Volatile
         var silentForward = false
@@ -24,20 +24,25 @@
     }
 
     private val server = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
-    private val pairs = CopyOnWriteArrayList<Pair>()
+    private val connections = CopyOnWriteArrayList<RelayedConnection>()
 
-    /** Where the relay listens. */
+    /** Address on which the relay listens. */
     val address: Address = Address("127.0.0.1", server.localPort)
 
     init {
         thread(isDaemon = true) { accept() }
     }
 
-    /** Makes every open connection swallow what the dialling side sends, what it receives, or both. */
+    /**
+     * Discards the data of every open connection from now on.
+     *
+     * @param forward whether data from the connecting side is discarded
+     * @param backward whether data towards the connecting side is discarded
+     */
     fun silence(
         forward: Boolean,
         backward: Boolean,
-    ) = pairs.forEach {
+    ) = connections.forEach {
         it.silentForward = forward
         it.silentBackward = backward
     }
@@ -45,24 +50,24 @@
     private fun accept() {
         try {
             while (true) {
-                val front = server.accept()
-                val back = runCatching { Socket(backend.ip, backend.port) }.getOrNull()
-                if (back == null) front.close() else relay(Pair(front, back))
+                val inbound = server.accept()
+                val outbound = runCatching { Socket(backend.ip, backend.port) }.getOrNull()
+                if (outbound == null) inbound.close() else relay(RelayedConnection(inbound, outbound))
             }
         } catch (_: IOException) {
             // The relay was closed.
         }
     }
 
-    private fun relay(pair: Pair) {
-        listOf(pair.front, pair.back).forEach { it.tcpNoDelay = true }
-        pairs += pair
-        thread(isDaemon = true) { copy(pair, pair.front, pair.back) { pair.silentForward } }
-        thread(isDaemon = true) { copy(pair, pair.back, pair.front) { pair.silentBackward } }
+    private fun relay(connection: RelayedConnection) {
+        listOf(connection.inbound, connection.outbound).forEach { it.tcpNoDelay = true }
+        connections += connection
+        thread(isDaemon = true) { copy(connection, connection.inbound, connection.outbound) { connection.silentForward } }
+        thread(isDaemon = true) { copy(connection, connection.outbound, connection.inbound) { connection.silentBackward } }
     }
 
     private fun copy(
-        pair: Pair,
+        connection: RelayedConnection,
         from: Socket,
         to: Socket,
         silent: () -> Boolean,
@@ -79,15 +84,15 @@
         }
         if (!silent()) {
             runCatching { to.close() }
-            pairs -= pair
+            connections -= connection
         }
     }
 
     override fun close() {
         server.close()
-        pairs.forEach {
-            it.front.close()
-            it.back.close()
+        connections.forEach {
+            it.inbound.close()
+            it.outbound.close()
         }
     }
 
--- a/bench/src/main/kotlin/LightAgents.kt
+++ b/bench/src/main/kotlin/SimulatedAgents.kt
@@ -13,8 +13,8 @@
 import org.almondjunction.protocol.Message
 import java.util.concurrent.ConcurrentHashMap
 
-/** Subscribers that speak the agents' side of the protocol and note when each ticket reaches them. */
-internal class LightAgents(
+/** Clients that subscribe to entry hosts as agents do and record when each ticket reaches them, without engines behind them. */
+internal class SimulatedAgents(
     private val count: Int,
     private val entries: List<Address>,
     private val selector: SelectorManager,
@@ -23,8 +23,8 @@
     private val metrics = Metrics()
     private val sequences = LongArray(count)
 
-    /** Times in milliseconds at which each agent reached each sequence. */
-    val reached: ConcurrentHashMap<Long, MutableList<Long>> = ConcurrentHashMap()
+    /** By sequence, the times in milliseconds at which agents reached it; one time for each agent. */
+    val arrivalTimesMs: ConcurrentHashMap<Long, MutableList<Long>> = ConcurrentHashMap()
 
     fun start() = repeat(count) { index -> scope.launch { run(index) } }
 
@@ -37,7 +37,7 @@
                     entries[index % entries.size],
                     scope,
                     metrics,
-                    onMessage = { _, message -> note(index, message) },
+                    onMessage = { _, message -> recordArrivals(index, message) },
                     onClosed = {},
                 )
             if (connection != null) serve(connection, target)
@@ -57,7 +57,7 @@
         }
     }
 
-    private fun note(
+    private fun recordArrivals(
         index: Int,
         message: Message,
     ) {
@@ -68,8 +68,8 @@
                 else -> return
             }
         val nowMs = SystemClock.nowMs()
-        for (passed in sequences[index] + 1..sequence) {
-            val times = reached.computeIfAbsent(passed) { mutableListOf() }
+        for (reachedSequence in sequences[index] + 1..sequence) {
+            val times = arrivalTimesMs.computeIfAbsent(reachedSequence) { mutableListOf() }
             synchronized(times) { times += nowMs }
         }
         sequences[index] = maxOf(sequences[index], sequence)
--- a/bench/src/main/kotlin/Trace.kt
+++ b/bench/src/main/kotlin/Trace.kt
@@ -15,11 +15,12 @@
 )
 
 /**
- * Draws traces in the manner of the two deployments: days of idleness with single requests, then one busy day.
+ * Generates random traces with the load pattern of the deployments: idle days with short visits, and one busy day in the second half.
  *
  * @param models number of models
- * @param days length of the trace
- * @param busyShare share of the models that the busy day wakes
+ * @param days length of the trace, in days
+ * @param busyShare share of the models that get requests on the busy day
+ * @param quietVisitsPerDay mean number of short visits a day to a model of popularity 1
  */
 internal class TraceGenerator(
     private val models: Int,
@@ -32,14 +33,14 @@
         val random = Random(seed)
         val busyDay = random.nextInt(days / 2, days)
         return List(models) { index ->
-            val model = Random(random.nextInt())
-            val loadMs = LOAD_TIMES_MS.random(model)
-            val arrivals = quiet(model) + if (model.nextDouble() < busyShare) busy(model, busyDay) else emptyList()
+            val modelRandom = Random(random.nextInt())
+            val loadMs = LOAD_TIMES_MS.random(modelRandom)
+            val arrivals = quiet(modelRandom) + if (modelRandom.nextDouble() < busyShare) busy(modelRandom, busyDay) else emptyList()
             ModelTrace("m$index", loadMs, arrivals.sorted())
         }
     }
 
-    /** Visits of a few requests each, exponentially apart. */
+    /** Returns visits of a few requests each, at exponentially distributed intervals. */
     private fun quiet(random: Random): List<Long> {
         val popularity = quietVisitsPerDay * POPULARITIES.random(random)
         val arrivals = mutableListOf<Long>()
--- a/bench/src/test/kotlin/PlannedStopTest.kt
+++ b/bench/src/test/kotlin/PlannedStopTest.kt
@@ -13,7 +13,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** Planned stops of real processes that end while callers still wait. No assertion depends on how long something takes. */
+/** Planned stops of real processes while callers wait for answers. No assertion depends on how long something takes. */
 class PlannedStopTest {
     private fun HttpResponse<*>.outcome(): String = headers().firstValue("X-Outcome").orElse("none")
 
@@ -25,23 +25,23 @@
 
     private fun LocalCluster.awaitRuns(count: Int) = eventually("$count requests run") { runs() == count }
 
-    private fun LocalCluster.endless(
+    private fun LocalCluster.endlessChat(
         model: String = "wax",
         stream: Boolean = true,
     ) = chat(entry = 0, tokens = 1_000_000, model = model, stream = stream, timeoutMs = 600_000)
 
-    /** Reads a stream to its end; a connection that was cut ends it with [CUT]. */
+    /** Reads a stream to its end and returns its lines, or [BROKEN_CONNECTION] if the connection failed before the end. */
     private fun readToEnd(lines: Iterator<String>): String =
         try {
             lines.asSequence().joinToString("\n")
         } catch (_: UncheckedIOException) {
-            CUT
+            BROKEN_CONNECTION
         }
 
     private fun assertInterrupted(rest: String) =
         assertTrue("event: error" in rest && "\"reason\":\"interrupted\"" in rest, "The stream ended with: ${rest.takeLast(300)}")
 
-    private fun Socket.ask(
+    private fun Socket.sendChat(
         body: String,
         length: Int = body.length,
         timeoutMs: Long = 600_000,
@@ -52,7 +52,7 @@
         ).toByteArray(),
     )
 
-    /** Reads the head of an answer, or what came of it before the connection ended. */
+    /** Reads the head of an answer, or the part of it that arrived before the connection ended. */
     private fun InputStream.head(): String {
         val head = StringBuilder()
         try {
@@ -63,13 +63,13 @@
         return head.toString()
     }
 
-    /** Guards against a caller that gets a closed connection in place of an answer since its request was not read whole when a stop began. */
+    /** Guards against closing the connection without an answer when a request has been read only in part as the stop begins. */
     @Test
-    fun `an entry host that stops refuses what it has not read whole`() {
+    fun `an entry host that stops refuses requests that it has read only in part`() {
         LocalCluster(engines = 1, entries = 1).use { cluster ->
             cluster.apply(number = 1, replicas = 1)
             cluster.connect(entry = 0).use { caller ->
-                caller.ask(body = "{", length = 100)
+                caller.sendChat(body = "{", length = 100)
                 cluster.entryNodes[0].signal("TERM")
                 val head = caller.getInputStream().head()
                 assertTrue("X-Outcome: not-run" in head, head)
@@ -78,24 +78,24 @@
         }
     }
 
-    /** Guards against an answer whose end is lost since its caller reads slowly while its entry host stops. */
+    /** Guards against truncated answers to callers that read slowly while their entry host stops. */
     @Test
     fun `an entry host stops only when its answers are written to their end`() {
         LocalCluster(engines = 1, entries = 1, tokenMs = 0).use { cluster ->
             cluster.apply(number = 1, replicas = 1)
             cluster.connect(entry = 0).use { caller ->
-                caller.ask(body = """{"model":"wax","stream":false,"max_tokens":$LARGE_ANSWER_TOKENS}""")
+                caller.sendChat(body = """{"model":"wax","stream":false,"max_tokens":$LARGE_ANSWER_TOKENS}""")
                 val head = caller.getInputStream().head()
                 val length = checkNotNull(Regex("Content-Length: (\\d+)").find(head), { head }).groupValues[1].toInt()
                 cluster.entryNodes[0].signal("TERM")
-                cluster.entryNodes[0].process.waitFor(ROOM_FOR_THE_FAULT_S, TimeUnit.SECONDS)
+                cluster.entryNodes[0].process.waitFor(EARLY_EXIT_WINDOW_S, TimeUnit.SECONDS)
                 assertEquals(length, caller.getInputStream().readNBytes(length).size)
             }
             assertEquals(0, cluster.entryNodes[0].awaitExit())
         }
     }
 
-    /** Guards against a booking that was served and, repeated under its key at another entry host, is called unknown for ever. */
+    /** Guards against a served booking whose repetition under its key at another entry host is always answered with outcome unknown. */
     @Test
     fun `an entry host stops only when the outcome of a keyed request is on record`() {
         LocalCluster(engines = 1, serviceWorkMs = 2_000).use { cluster ->
@@ -104,7 +104,7 @@
             cluster.platform.setFaults(PlatformFaults(outage = true))
             assertEquals("served", answer.join().outcome())
             cluster.entryNodes[0].signal("TERM")
-            cluster.entryNodes[0].process.waitFor(ROOM_FOR_THE_FAULT_S, TimeUnit.SECONDS)
+            cluster.entryNodes[0].process.waitFor(EARLY_EXIT_WINDOW_S, TimeUnit.SECONDS)
             cluster.platform.setFaults(PlatformFaults())
             assertEquals(0, cluster.entryNodes[0].awaitExit())
             val repeated = cluster.send(cluster.booking(entry = 1, key = "deposit-1"))
@@ -114,27 +114,27 @@
         }
     }
 
-    /** Guards against callers that get a closed connection in place of an answer when an operator cuts a stop short. */
+    /** Guards against closing connections without an answer when an operator cuts a graceful stop short. */
     @Test
-    fun `a second SIGTERM of an entry host ends what is in progress with explicit errors`() {
+    fun `a second SIGTERM of an entry host ends requests in progress with explicit errors`() {
         LocalCluster(engines = 1, entries = 1).use { cluster ->
             cluster.apply(number = 1, replicas = 1, models = listOf("wax", "klister"))
-            val lines = cluster.lines(cluster.endless())
+            val lines = cluster.lines(cluster.endlessChat())
             repeat(5) { lines.next() }
-            val whole = cluster.sendAsync(cluster.endless(stream = false))
+            val nonStreaming = cluster.sendAsync(cluster.endlessChat(stream = false))
             cluster.awaitRuns(2)
-            val waiting = cluster.sendAsync(cluster.endless(model = "klister"))
+            val waiting = cluster.sendAsync(cluster.endlessChat(model = "klister"))
             eventually("the agent has the request that waits") { "\"waiting\": 1" in cluster.status() }
             cluster.entryNodes[0].signal("TERM")
             eventually("the stop has begun") { !cluster.isReady(0) }
             cluster.entryNodes[0].signal("TERM")
             assertInterrupted(readToEnd(lines))
-            assertEquals("unknown", whole.join().outcome(), whole.join().body())
-            assertTrue("\"reason\":\"interrupted\"" in whole.join().body(), whole.join().body())
+            assertEquals("unknown", nonStreaming.join().outcome(), nonStreaming.join().body())
+            assertTrue("\"reason\":\"interrupted\"" in nonStreaming.join().body(), nonStreaming.join().body())
             assertEquals("not-run", waiting.join().outcome(), waiting.join().body())
             assertEquals(0, cluster.entryNodes[0].awaitExit())
             assertEquals(2, cluster.runs())
-            eventually("the engine is told that nobody waits") {
+            eventually("both requests are cancelled at the engine") {
                 cluster.engineStandIns
                     .single()
                     .counts()
@@ -143,41 +143,41 @@
         }
     }
 
-    /** Lets the longest stop of [node] end while a stream and a whole answer are in progress; returns what came of the latter. */
-    private fun outlastStop(node: LocalCluster.() -> LocalCluster.Node): HttpResponse<String> =
+    /** Stops [node] past its drain limit while a stream and a non-streaming request are in progress; returns the answer to the latter. */
+    private fun exceedDrainLimit(node: LocalCluster.() -> LocalCluster.Node): HttpResponse<String> =
         LocalCluster(engines = 1, entries = 1, drainLimitMs = 500).use { cluster ->
             cluster.apply(number = 1, replicas = 1)
-            val lines = cluster.lines(cluster.endless())
+            val lines = cluster.lines(cluster.endlessChat())
             repeat(5) { lines.next() }
-            val whole = cluster.sendAsync(cluster.endless(stream = false))
+            val nonStreaming = cluster.sendAsync(cluster.endlessChat(stream = false))
             cluster.awaitRuns(2)
             cluster.node().signal("TERM")
             assertInterrupted(readToEnd(lines))
-            whole.join().also { assertEquals(0, cluster.node().awaitExit()) }
+            nonStreaming.join().also { assertEquals(0, cluster.node().awaitExit()) }
         }
 
-    /** Guards against streams that end in the middle, without a word, when the longest stop of an entry host is over. */
+    /** Guards against streams that end early without an error event when the drain limit of an entry host expires. */
     @Test
-    fun `the end of an entry host's longest stop ends what is in progress with explicit errors`() {
-        val whole = outlastStop { entryNodes[0] }
-        assertEquals("unknown", whole.outcome(), whole.body())
+    fun `an entry host that reaches its drain limit ends requests in progress with explicit errors`() {
+        val nonStreaming = exceedDrainLimit { entryNodes[0] }
+        assertEquals("unknown", nonStreaming.outcome(), nonStreaming.body())
     }
 
-    /** Guards against an agent that goes before entry hosts have heard how its requests ended. */
+    /** Guards against an agent that exits before entry hosts have received the outcome of its requests. */
     @Test
-    fun `the end of an agent's longest stop ends what is in progress with explicit errors`() {
-        val whole = outlastStop { agentNodes[0] }
-        assertTrue("\"reason\":\"interrupted\"" in whole.body(), whole.body())
+    fun `an agent that reaches its drain limit ends requests in progress with explicit errors`() {
+        val nonStreaming = exceedDrainLimit { agentNodes[0] }
+        assertTrue("\"reason\":\"interrupted\"" in nonStreaming.body(), nonStreaming.body())
     }
 
-    /** Guards against a request that never began being called unknown, which spends its idempotency key, when an agent's stop is cut short. */
+    /** Guards against outcome unknown, which uses up the idempotency key, for waiting requests when an agent's stop is cut short. */
     @Test
-    fun `a second SIGTERM of an agent refuses what waits and ends what runs with explicit errors`() {
+    fun `a second SIGTERM of an agent refuses waiting requests and ends running ones with explicit errors`() {
         LocalCluster(engines = 1, entries = 1).use { cluster ->
             cluster.apply(number = 1, replicas = 1, models = listOf("wax", "klister"))
-            val lines = cluster.lines(cluster.endless())
+            val lines = cluster.lines(cluster.endlessChat())
             repeat(5) { lines.next() }
-            val waiting = cluster.sendAsync(cluster.endless(model = "klister"))
+            val waiting = cluster.sendAsync(cluster.endlessChat(model = "klister"))
             eventually("the agent has the request that waits") { "\"waiting\": 1" in cluster.status() }
             cluster.agentNodes[0].signal("TERM")
             eventually("the stop has begun") { "\"draining\": true" in cluster.status() }
@@ -189,9 +189,9 @@
         }
     }
 
-    /** Guards against a stop that never ends since something unreadable stands where the controllers' lease is kept. */
+    /** Guards against a stop that never ends because the stored lease of the controllers is unreadable. */
     @Test
-    fun `an entry host stops though it cannot read the lease that it would give up`() {
+    fun `an entry host stops even if it cannot read the lease that it should release`() {
         LocalCluster(engines = 1, entries = 1).use { cluster ->
             cluster.apply(number = 1, replicas = 1)
             eventually("the entry host runs the controllers") { "\"leading\": true" in cluster.status() }
@@ -205,12 +205,12 @@
     }
 
     private companion object {
-        const val CUT = "the connection was cut"
+        const val BROKEN_CONNECTION = "the connection was cut"
 
-        /** Makes an answer of about 7 MB, which the network's buffers do not take. */
+        /** Gives an answer of about 7 MB, more than the socket buffers hold. */
         const val LARGE_ANSWER_TOKENS = 150_000
 
-        /** A process that stops too early has ended by then; one that waits is waited for no longer. */
-        const val ROOM_FOR_THE_FAULT_S = 3L
+        /** A process that stops too early exits within this time; one that waits as it should is still running after it. */
+        const val EARLY_EXIT_WINDOW_S = 3L
     }
 }
--- a/bench/src/test/kotlin/ProcessFailureTest.kt
+++ b/bench/src/test/kotlin/ProcessFailureTest.kt
@@ -11,25 +11,25 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** Failures brought about with real processes. No assertion depends on how long something takes. */
+/** Failures of real processes, connections and the platform. No assertion depends on how long something takes. */
 class ProcessFailureTest {
     private fun HttpResponse<*>.outcome(): String = headers().firstValue("X-Outcome").orElse("none")
 
-    private fun assertWhole(answer: String) {
-        val id = Regex("\"id\":\"([^\"]+)\"").find(answer)?.groupValues?.get(1) ?: error("No identity in: $answer")
+    private fun assertComplete(answer: String) {
+        val id = Regex("\"id\":\"([^\"]+)\"").find(answer)?.groupValues?.get(1) ?: error("No id in: $answer")
         val tokens = Regex("data: \\{").findAll(answer).count()
         val text = CompletionText(id, "wax", chat = true, tokens = tokens)
         assertEquals((0 until tokens).joinToString("") { text.event(it) } + CompletionText.TERMINATOR, answer)
     }
 
-    private fun LocalCluster.assertNoViolation() {
+    private fun LocalCluster.assertNoOvercommit() {
         engineStandIns.forEach { engine ->
             assertEquals(0, engine.counts().overcommits)
             assertTrue(engine.counts().peakMemoryMb <= LocalCluster.ENGINE_MEMORY_MB)
         }
     }
 
-    /** Reads a stream to its end and tells how it ended. */
+    /** Reads a stream to its end and returns its lines, or [BROKEN_CONNECTION] if the connection failed before the end. */
     private fun readToEnd(lines: Iterator<String>): String =
         try {
             lines.asSequence().joinToString("\n")
@@ -44,7 +44,7 @@
         )
 
     @Test
-    fun `an agent killed in mid-stream ends the stream explicitly and is routed round`() {
+    fun `an agent killed in mid-stream ends the stream explicitly and later requests are routed around it`() {
         LocalCluster().use { cluster ->
             cluster.apply(number = 1, replicas = 2)
             val lines = cluster.lines(cluster.chat(entry = 0, tokens = 2_000))
@@ -54,10 +54,10 @@
             assertExplicitEnd(readToEnd(lines))
             val next = cluster.send(cluster.chat(entry = 0))
             assertEquals("served", next.outcome(), next.body())
-            assertWhole(next.body())
+            assertComplete(next.body())
             cluster.agentNodes[busy].restart()
             eventually("the restarted agent has the state") { "\"engine-$busy\"" in cluster.status(0) + cluster.status(1) }
-            cluster.assertNoViolation()
+            cluster.assertNoOvercommit()
         }
     }
 
@@ -76,7 +76,7 @@
     }
 
     @Test
-    fun `a caller that goes away is cancelled at the engine`() {
+    fun `a request whose caller disconnects is cancelled at the engine`() {
         LocalCluster(engines = 1, entries = 1).use { cluster ->
             cluster.apply(number = 1, replicas = 1)
             val answer = cluster.sendAsync(cluster.chat(entry = 0, tokens = 100_000, timeoutMs = 600_000))
@@ -98,7 +98,7 @@
     }
 
     @Test
-    fun `a paused agent wakes under a lowered count without a surplus replica`() {
+    fun `an agent paused while the replica count is lowered resumes without a surplus replica`() {
         LocalCluster().use { cluster ->
             cluster.apply(number = 1, replicas = 2)
             cluster.apply(number = 2, replicas = 1, models = listOf("klister"))
@@ -109,7 +109,7 @@
             cluster.agentNodes[paused].signal("CONT")
             cluster.apply(number = 3, replicas = 1, version = "2")
             eventually("a request is served") { cluster.send(cluster.chat(entry = 0)).outcome() == "served" }
-            cluster.assertNoViolation()
+            cluster.assertNoOvercommit()
             eventually("one replica at most is loaded") {
                 cluster.engineStandIns.count { engine -> engine.counts().memoryMb >= 60 && "wax/2" in engine.counts().loads } <= 1
             }
@@ -117,7 +117,7 @@
     }
 
     @Test
-    fun `a platform outage stops no wake-up, refuses keyed requests as not run and lets an entry host restart from its peer`() {
+    fun `a platform outage prevents no model load, refuses keyed requests as not run and lets an entry host restart from its peer`() {
         LocalCluster().use { cluster ->
             cluster.apply(number = 1, replicas = 2, models = listOf("wax", "klister"))
             cluster.platform.setFaults(PlatformFaults(outage = true))
@@ -175,11 +175,11 @@
             running = false
             val errors = load.flatMap { it.join() }
             assertEquals(emptyList(), errors.take(5))
-            cluster.assertNoViolation()
+            cluster.assertNoOvercommit()
         }
     }
 
-    /** Sends requests to any ready entry host, as the platform's balancer does, and returns every answer that was not whole. */
+    /** Sends requests to any ready entry host, as the platform's balancer does, and describes each answer that failed or was incomplete. */
     private fun loop(
         cluster: LocalCluster,
         worker: Int,
@@ -211,14 +211,14 @@
             val answers = List(20) { cluster.sendAsync(cluster.chat(entry = it % 2)) }
             answers.forEach { answer ->
                 assertEquals("served", answer.join().outcome())
-                assertWhole(answer.join().body())
+                assertComplete(answer.join().body())
             }
             assertEquals(1L, cluster.engineStandIns.sumOf { engine -> engine.counts().loads["wax/1"] ?: 0 })
         }
     }
 
     @Test
-    fun `a target that is leaving gets no new request and its stream is finished`() {
+    fun `a target that is leaving gets no new requests and completes its stream`() {
         LocalCluster().use { cluster ->
             cluster.apply(number = 1, replicas = 2)
             val lines = cluster.lines(cluster.chat(entry = 0, tokens = 1_500))
@@ -235,13 +235,13 @@
                         .counts()
                         .runs.size == before
             }
-            val atNotice =
+            val runsAtNotice =
                 cluster.engineStandIns[busy]
                     .counts()
                     .runs.size
             repeat(5) { assertEquals("served", cluster.send(cluster.chat(entry = it % 2)).outcome()) }
             assertEquals(
-                atNotice,
+                runsAtNotice,
                 cluster.engineStandIns[busy]
                     .counts()
                     .runs.size,
@@ -252,7 +252,7 @@
     }
 
     @Test
-    fun `a connection that goes silent is replaced and its streams go on without gap or repeat`() {
+    fun `a connection that goes silent is replaced and its streams continue without gaps or repetition`() {
         val cases =
             listOf(
                 "both ways" to (true to true),
@@ -277,9 +277,9 @@
                 Thread.sleep(200)
                 cluster.relays.single().silence(forward = silent.first, backward = silent.second)
                 assertEquals("served", answer.join().outcome(), name)
-                assertWhole(answer.join().body())
+                assertComplete(answer.join().body())
             }
-            assertTrue("reason=\"silent\"" in cluster.metrics(0), "No connection was replaced, so the test proves nothing.")
+            assertTrue("reason=\"silent\"" in cluster.metrics(0), "No connection was replaced, so the replacement was not tested.")
         }
     }
 
@@ -298,18 +298,18 @@
     }
 
     @Test
-    fun `bad input is refused with a reason and harms nobody else`() {
+    fun `invalid input is refused with a reason and does not affect other requests`() {
         LocalCluster(engines = 1, entries = 1).use { cluster ->
             cluster.apply(number = 1, replicas = 1)
             val good = cluster.sendAsync(cluster.chat(entry = 0, tokens = 400))
             val cases =
                 listOf(
-                    cluster.raw(entry = 0, body = "{not json") to "malformed-request",
-                    cluster.raw(entry = 0, body = "[]") to "malformed-request",
-                    cluster.raw(entry = 0, body = """{"model":7}""") to "malformed-request",
-                    cluster.raw(entry = 0, body = """{"model":"none"}""") to "model-not-offered",
-                    cluster.raw(entry = 0, body = """{"model":"wax"}""", timeout = "soon") to "malformed-request",
-                    cluster.raw(entry = 0, body = """{"model":"wax","pad":"${"x".repeat(1_100_000)}"}""") to "body-too-large",
+                    cluster.rawChat(entry = 0, body = "{not json") to "malformed-request",
+                    cluster.rawChat(entry = 0, body = "[]") to "malformed-request",
+                    cluster.rawChat(entry = 0, body = """{"model":7}""") to "malformed-request",
+                    cluster.rawChat(entry = 0, body = """{"model":"none"}""") to "model-not-offered",
+                    cluster.rawChat(entry = 0, body = """{"model":"wax"}""", timeout = "soon") to "malformed-request",
+                    cluster.rawChat(entry = 0, body = """{"model":"wax","pad":"${"x".repeat(1_100_000)}"}""") to "body-too-large",
                 )
             cases.forEach { (request, reason) ->
                 val answer = cluster.send(request)
@@ -323,9 +323,9 @@
                 byteArrayOf(0x7f, 0, 0, 0),
                 byteArrayOf(0, 0, 0, 4, 1, 2, 3, 4),
             ).forEach { cluster.writeInternal(entry = 0, it) }
-            eventually("the nonsense is counted") { "almondjunction_protocol_errors_total" in cluster.metrics(0) }
+            eventually("the protocol errors are counted") { "almondjunction_protocol_errors_total" in cluster.metrics(0) }
             assertEquals("served", good.join().outcome())
-            assertWhole(good.join().body())
+            assertComplete(good.join().body())
         }
     }
 
