standins: plain wording of comments and names

Doc comments tell units, ranges and values.

StandInSettings.EngineEntry -> StandInSettings.EngineSettings StandInSettings.ServiceEntry -> StandInSettings.ServiceSettings WeightStoreStandIn.deliveredLoads -> WeightStoreStandIn.deliveredCheckpoints

--- a/standins/src/main/kotlin/EngineStandIn.kt
+++ b/standins/src/main/kotlin/EngineStandIn.kt
@@ -36,8 +36,12 @@
 /**
  * Behaviour of an engine stand-in.
  *
+ * @property memoryMb memory for models and adapters; loads beyond it are carried out and counted as overcommits
  * @property tokenMs time between two tokens
- * @property honoursFence whether orders with an old fencing number are refused
+ * @property honoursFence whether orders with a lower fencing number than an earlier order are refused
+ * @property reportLagMs time from reading the state to answering with the report
+ * @property diskLoadMs time to load a model from the host's disk
+ * @property memoryLoadMs time to load a model that this engine has loaded before
  * @property cachedOnDisk models whose checkpoints are on the host's disk; all others come from the weight store
  */
 public data class EngineOptions(
@@ -54,7 +58,7 @@
 public class EngineStandIn(
     private val address: Address,
     private val options: EngineOptions,
-    private val weights: WeightStoreStandIn,
+    private val weightStore: WeightStoreStandIn,
 ) {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val residents = LinkedHashMap<String, EngineResident>()
@@ -68,7 +72,7 @@
     private var peakMemoryMb = 0L
     private var overcommits = 0L
 
-    /** Whether generation stands still; used to show what happens when an engine hangs. */
+    /** Whether the engine hangs: it accepts requests but generates no tokens. */
     @Volatile
     public var hanging: Boolean = false
 
@@ -93,7 +97,7 @@
         }
     }
 
-    /** Returns what was counted since the start. */
+    /** Returns the memory reserved now and the counts since the start. */
     public fun counts(): EngineCounts =
         synchronized(residents) {
             EngineCounts(
@@ -143,10 +147,10 @@
 
     private suspend fun readWeights(order: EngineOrder) {
         when {
-            order.adapter != null -> weights.readAdapter()
+            order.adapter != null -> weightStore.readAdapter()
             order.model in cachedInMemory -> delay(options.memoryLoadMs)
             order.model in options.cachedOnDisk -> delay(options.diskLoadMs)
-            else -> weights.readCheckpoint()
+            else -> weightStore.readCheckpoint()
         }
         cachedInMemory += order.model
     }
@@ -171,8 +175,8 @@
     private suspend fun complete(call: ApplicationCall) {
         val id = call.request.header("X-Request-Id") ?: UUID.randomUUID().toString()
         val body = Json.parseToJsonElement(call.receiveText()) as JsonObject
-        val base = key(call.request.header("X-Model").orEmpty(), call.request.header("X-Model-Version").orEmpty(), null, null)
-        val ready = synchronized(residents) { residents[base]?.state == "loaded" }
+        val baseModel = key(call.request.header("X-Model").orEmpty(), call.request.header("X-Model-Version").orEmpty(), null, null)
+        val ready = synchronized(residents) { residents[baseModel]?.state == "loaded" }
         if (!ready) {
             return call.respondText(
                 """{"error":"the model is not loaded"}""",
--- a/standins/src/main/kotlin/EngineState.kt
+++ b/standins/src/main/kotlin/EngineState.kt
@@ -3,7 +3,12 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** An order as the stand-in reads it. */
+/**
+ * Order to load or unload a model or one of its adapters.
+ *
+ * @property action `load`; any other value unloads
+ * @property fence fencing number of the sender
+ */
 @Serializable
 internal data class EngineOrder(
     val action: String,
@@ -15,7 +20,11 @@
     val fence: Long,
 )
 
-/** Something that the engine holds. */
+/**
+ * Model or adapter in the engine's memory.
+ *
+ * @property state `loading` or `loaded`
+ */
 @Serializable
 internal data class EngineResident(
     val model: String,
@@ -26,7 +35,13 @@
     val state: String,
 )
 
-/** What the engine holds at one moment. */
+/**
+ * State of the engine at one moment.
+ *
+ * @property fence highest fencing number so far
+ * @property cached `disk` or `memory` by model, the place from which the next load reads
+ * @property load generations in progress
+ */
 @Serializable
 internal data class EngineReportDocument(
     val fence: Long,
@@ -35,7 +50,16 @@
     val load: Int,
 )
 
-/** What the engine counted since its start; tests judge by it. */
+/**
+ * Memory use of the engine and counts since its start.
+ *
+ * @property memoryMb memory reserved now, with models that are still loading
+ * @property peakMemoryMb highest [memoryMb] so far
+ * @property overcommits loads after which [memoryMb] exceeded the engine's memory
+ * @property loads loads by model, version, adapter and adapter version, joined by slashes
+ * @property runs accepted completion requests by request identity
+ * @property cancels cancellations received, also of unknown or ended requests
+ */
 @Serializable
 public data class EngineCounts(
     val memoryMb: Long,
--- a/standins/src/main/kotlin/Generation.kt
+++ b/standins/src/main/kotlin/Generation.kt
@@ -17,13 +17,13 @@
     /** Number of tokens. */
     public val size: Int get() = tokens
 
-    /** Returns the event that carries token [index]. */
+    /** Returns the server-sent event that carries token [index], 0 until [size]. */
     public fun event(index: Int): String {
         val choice = if (chat) """{"index":0,"delta":{"content":"${token(index)}"}}""" else """{"index":0,"text":"${token(index)}"}"""
         return "data: {\"id\":\"$id\",\"model\":\"$model\",\"choices\":[$choice]}\n\n"
     }
 
-    /** Returns the whole answer of a request without streaming. */
+    /** Returns the JSON body that answers a request without streaming. */
     public fun document(): String {
         val text = (0 until tokens).joinToString("") { token(it) }
         val choice = if (chat) """{"index":0,"message":{"role":"assistant","content":"$text"}}""" else """{"index":0,"text":"$text"}"""
@@ -38,7 +38,7 @@
     }
 }
 
-/** One generation in progress, kept so that it can be read again from any offset. */
+/** Answer that is being generated for one request; all bytes are kept, so that it can be read from any byte offset, also after its end. */
 internal class Generation(
     private val text: CompletionText,
     val stream: Boolean,
--- a/standins/src/main/kotlin/Main.kt
+++ b/standins/src/main/kotlin/Main.kt
@@ -23,15 +23,15 @@
     override fun help(context: Context) = "Stand-ins of the platform, model engines and plain services, for trials on one machine."
 
     override fun run() {
-        val read =
+        val parsed =
             StandInSettings.read(settings.path, settings.readText()).getOrElse { faults ->
                 faults.forEach { echo(it, err = true) }
                 throw ProgramResult(2)
             }
-        val weights = WeightStoreStandIn(read.loadsPerSecond)
-        PlatformStandIn(read.platform, Json.decodeFromString(File(read.hostsFile).readText())).create().start(wait = false)
-        read.engines.forEach { EngineStandIn(it.listen, it.options, weights).create().start(wait = false) }
-        read.services.forEach { PlainServiceStandIn(it.listen, it.name).create().start(wait = false) }
+        val weightStore = WeightStoreStandIn(parsed.loadsPerSecond)
+        PlatformStandIn(parsed.platform, Json.decodeFromString(File(parsed.hostsFile).readText())).create().start(wait = false)
+        parsed.engines.forEach { EngineStandIn(it.listen, it.options, weightStore).create().start(wait = false) }
+        parsed.services.forEach { PlainServiceStandIn(it.listen, it.name).create().start(wait = false) }
         echo("ready")
         Thread.currentThread().join()
     }
--- a/standins/src/main/kotlin/PlainServiceStandIn.kt
+++ b/standins/src/main/kotlin/PlainServiceStandIn.kt
@@ -19,7 +19,11 @@
 import org.almondjunction.common.Address
 import java.util.concurrent.ConcurrentHashMap
 
-/** Stand-in of a plain service; counts how often each request identity and each idempotency key ran. */
+/**
+ * Stand-in of a plain service; counts the runs by idempotency key, or by request identity for requests without a key.
+ *
+ * @param workMs duration of a run
+ */
 public class PlainServiceStandIn(
     private val address: Address,
     private val name: String,
--- a/standins/src/main/kotlin/PlatformStandIn.kt
+++ b/standins/src/main/kotlin/PlatformStandIn.kt
@@ -26,7 +26,14 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 
-/** Faults that a test or an operator of the stand-in can switch on. */
+/**
+ * Faults of the object service that can be switched on.
+ *
+ * @property outage whether every call of the service is answered with status 503
+ * @property slowMs delay before each call of the service is answered
+ * @property loseReplies number of coming writes that take effect but are answered with status 504
+ * @property hostLagMs time from publishing a list of hosts until it is visible
+ */
 @Serializable
 public data class PlatformFaults(
     val outage: Boolean = false,
@@ -36,8 +43,8 @@
 )
 
 /**
- * Stand-in of the platform's object service: versions, conditional updates as in RFC 9110, watches on a prefix, and a lagging list of
- * hosts. It counts calls by kind.
+ * Stand-in of the platform's object service: versions, conditional updates as in RFC 9110, watches on a prefix, and a list of hosts
+ * that is published with a delay. It counts calls by kind.
  */
 public class PlatformStandIn(
     private val address: Address,
@@ -70,15 +77,15 @@
     @Volatile
     private var faults = PlatformFaults()
 
-    /** Calls so far, by kind. */
+    /** Calls so far, by kind: `list`, `read`, `write`, `watch` and `hosts`. */
     public val callCounts: Map<String, Long> get() = calls.mapValues { it.value.get() }
 
-    /** Sets the faults in force from now on. */
+    /** Sets the faults that apply from now on. */
     public fun setFaults(value: PlatformFaults) {
         faults = value
     }
 
-    /** Publishes a new list of hosts after the lag in force. */
+    /** Publishes a new list of hosts after [PlatformFaults.hostLagMs]. */
     public suspend fun publishHosts(list: JsonArray) {
         delay(faults.hostLagMs)
         hosts.value = Hosts(hosts.value.version + 1, list)
@@ -89,11 +96,11 @@
 
     private fun Application.routes() {
         routing {
-            get("/v1/objects") { served(call, "list") { list(call) } }
-            get("/v1/objects/{key...}") { served(call, "read") { read(call) } }
-            put("/v1/objects/{key...}") { served(call, "write") { write(call) } }
-            get("/v1/watch") { served(call, "watch") { watch(call) } }
-            get("/v1/hosts") { served(call, "hosts") { hosts(call) } }
+            get("/v1/objects") { serveWithFaults(call, "list") { list(call) } }
+            get("/v1/objects/{key...}") { serveWithFaults(call, "read") { read(call) } }
+            put("/v1/objects/{key...}") { serveWithFaults(call, "write") { write(call) } }
+            get("/v1/watch") { serveWithFaults(call, "watch") { watch(call) } }
+            get("/v1/hosts") { serveWithFaults(call, "hosts") { hosts(call) } }
             put("/control/faults") {
                 setFaults(Json.decodeFromString(call.receiveText()))
                 call.respondText("ok\n")
@@ -106,7 +113,7 @@
         }
     }
 
-    private suspend fun served(
+    private suspend fun serveWithFaults(
         call: ApplicationCall,
         kind: String,
         block: suspend () -> Unit,
--- a/standins/src/main/kotlin/StandInSettings.kt
+++ b/standins/src/main/kotlin/StandInSettings.kt
@@ -6,25 +6,27 @@
 import org.almondjunction.common.Fault
 
 /**
- * What one process of stand-ins holds.
+ * Settings of one process of stand-ins.
  *
+ * @property platform listen address of the platform stand-in
  * @property hostsFile JSON file with the list of hosts that the platform publishes
+ * @property loadsPerSecond checkpoints that the weight store delivers per second, 0.01 to 1000
  */
 public data class StandInSettings(
     val platform: Address,
     val hostsFile: String,
     val loadsPerSecond: Double,
-    val engines: List<EngineEntry>,
-    val services: List<ServiceEntry>,
+    val engines: List<EngineSettings>,
+    val services: List<ServiceSettings>,
 ) {
-    /** One engine. */
-    public data class EngineEntry(
+    /** Settings of one engine stand-in. */
+    public data class EngineSettings(
         val listen: Address,
         val options: EngineOptions,
     )
 
-    /** One plain service. */
-    public data class ServiceEntry(
+    /** Settings of one plain service stand-in. */
+    public data class ServiceSettings(
         val listen: Address,
         val name: String,
     )
@@ -41,12 +43,12 @@
                     hostsFile = string("hosts_file"),
                     loadsPerSecond = double("loads_per_second", default = 1.5, range = 0.01..1_000.0),
                     engines = tables("engine") { engine() },
-                    services = tables("service") { ServiceEntry(address("listen"), string("name")) },
+                    services = tables("service") { ServiceSettings(address("listen"), string("name")) },
                 )
             }
 
         private fun DocumentReader.engine() =
-            EngineEntry(
+            EngineSettings(
                 listen = address("listen"),
                 options =
                     EngineOptions(
--- a/standins/src/main/kotlin/WeightStoreStandIn.kt
+++ b/standins/src/main/kotlin/WeightStoreStandIn.kt
@@ -9,40 +9,40 @@
 /**
  * Stand-in of the rate-limited weight store, shared by the engines of one process.
  *
- * @param loadsPerSecond checkpoints that the store delivers in a second when it is busy
- * @param slowdown factor by which every load takes longer
+ * @param loadsPerSecond checkpoints that the store delivers per second under full load
+ * @param slowdown factor on the duration of every read; 1.0 is normal speed
  */
 public class WeightStoreStandIn(
     private val loadsPerSecond: Double,
     @Volatile public var slowdown: Double = 1.0,
 ) {
-    private val slots = Semaphore(FULL_SPEED_LOADS)
-    private val adapters = AtomicInteger()
-    private val loads = AtomicLong()
+    private val checkpointReads = Semaphore(CONCURRENT_CHECKPOINT_READS)
+    private val adapterReads = AtomicInteger()
+    private val delivered = AtomicLong()
 
     /** Checkpoints delivered so far. */
-    public val deliveredLoads: Long get() = loads.get()
+    public val deliveredCheckpoints: Long get() = delivered.get()
 
     /** Suspends while a checkpoint is read. */
     public suspend fun readCheckpoint() {
-        slots.withPermit { delay((MILLISECONDS_PER_SECOND * FULL_SPEED_LOADS / loadsPerSecond * slowdown).toLong()) }
-        loads.incrementAndGet()
+        checkpointReads.withPermit { delay((MILLISECONDS_PER_SECOND * CONCURRENT_CHECKPOINT_READS / loadsPerSecond * slowdown).toLong()) }
+        delivered.incrementAndGet()
     }
 
-    /** Suspends while an adapter is read; beyond the full-speed limit it takes proportionally longer. */
+    /** Suspends while an adapter is read; beyond [FULL_SPEED_ADAPTER_READS] concurrent reads, the time grows in proportion to them. */
     public suspend fun readAdapter() {
-        val inFlight = adapters.incrementAndGet()
+        val concurrentReads = adapterReads.incrementAndGet()
         try {
-            delay((ADAPTER_MS * maxOf(1.0, inFlight / FULL_SPEED_ADAPTERS.toDouble()) * slowdown).toLong())
+            delay((ADAPTER_READ_MS * maxOf(1.0, concurrentReads / FULL_SPEED_ADAPTER_READS.toDouble()) * slowdown).toLong())
         } finally {
-            adapters.decrementAndGet()
+            adapterReads.decrementAndGet()
         }
     }
 
     private companion object {
         const val MILLISECONDS_PER_SECOND = 1_000
-        const val FULL_SPEED_LOADS = 4
-        const val FULL_SPEED_ADAPTERS = 32
-        const val ADAPTER_MS = 5
+        const val CONCURRENT_CHECKPOINT_READS = 4
+        const val FULL_SPEED_ADAPTER_READS = 32
+        const val ADAPTER_READ_MS = 5
     }
 }
