--- a/keeper/src/test/kotlin/KeeperTest.kt
+++ b/keeper/src/test/kotlin/KeeperTest.kt
@@ -237,7 +237,7 @@
     }
 
     @Test
-    fun `a model in use receives no new requests and is evicted when its last request ends`() {
+    fun `rare models at once - a model in use receives no new requests and is evicted when its last request ends`() {
         for (seed in 1..3) {
             val engine = withKeeper(seed, BoundedStepClock()) { loop, port, engine -> useUntilDrained(loop, port, engine) }
             assertEquals(emptyList(), engine.faults, "seed $seed")
