Gateway: a leaving front takes only what ends in time

Cause: (1) a kept connection stayed open after an answer that had begun before the stop, and took the caller's next request; (2) a route without statistics counted as one that ends within 3 s; (3) statistics of similar streams do not prove that the next one ends in time.

Why it works: StopAdmission relays a response only if its time limit, or before the balancer has reacted its statistics, end it before the exit. A late stream is buffered and handed on whole, so that it can still be replaced by an error answer. Kept connections close with the answer in progress. The process ends as soon as no connection is busy.

--- a/gateway/src/main/kotlin/CallerConnection.kt
+++ b/gateway/src/main/kotlin/CallerConnection.kt
@@ -61,7 +61,8 @@
                 HeadResult.TooLarge -> refuseUnread(HEADERS_TOO_LARGE, "the head is too large")
             }
         busy = false
-        return more
+        // The answer may have begun before the stop, without the header that closes the connection.
+        return more && !(state.stopping && connection.input.size == 0)
     }
 
     private suspend fun refuseUnread(
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -12,6 +12,8 @@
 import org.almondjunction.decisions.RetrySafety
 import org.almondjunction.decisions.SendResult
 import org.almondjunction.decisions.SharedRetryBudget
+import org.almondjunction.decisions.StopAdmission
+import org.almondjunction.decisions.StoppingRequest
 import org.almondjunction.network.BodyPart
 import org.almondjunction.network.BodyResult
 import org.almondjunction.network.HttpHeader
@@ -97,13 +99,19 @@
         val request = context.request
         while (true) {
             val seen = state.changed.count
-            if (clock.nowMs() >= state.finalResponseMs) {
+            if (state.stop?.let { clock.nowMs() >= it.finalResponseMs } == true) {
                 giveUp(context, "the gateway goes", RETRY_IMMEDIATELY_MS)
                 return null
             }
-            if (!context.answer.begun && !endsInTime(request)) {
-                giveUp(context, "the gateway goes before the answer would end", RETRY_IMMEDIATELY_MS)
-                return null
+            if (!context.answer.begun) {
+                when (stopAdmission(request)) {
+                    StopAdmission.RELAY -> Unit
+                    StopAdmission.BUFFER -> context.output.buffered = true
+                    StopAdmission.REFUSE -> {
+                        giveUp(context, "the gateway goes before the answer would end", RETRY_IMMEDIATELY_MS)
+                        return null
+                    }
+                }
             }
             when (val choice = selector.choose(request, context.tried)) {
                 is TargetSelector.Choice.Selected -> return choice.target
@@ -127,11 +135,16 @@
         }
     }
 
-    /** Whether a response that begins now would be complete before this process ends. */
-    private fun endsInTime(request: ForwardedRequest): Boolean {
-        if (!state.stopping) return true
-        val likelyMs = state.answerDurations.estimateMs(request.route.name, request.answerTokens) ?: DEFAULT_ANSWER_MS
-        return clock.nowMs() + minOf(likelyMs, request.route.timeoutMs) < state.exitMs
+    private fun stopAdmission(request: ForwardedRequest): StopAdmission {
+        val stop = state.stop ?: return StopAdmission.RELAY
+        val stoppingRequest =
+            StoppingRequest(
+                arrivedMs = request.arrivedMs,
+                likelyMs = state.answerDurations.estimateMs(request.route.name, request.answerTokens),
+                endMs = request.responseDeadlineMs,
+                streaming = request.route.streaming,
+            )
+        return StopAdmission.of(stoppingRequest, stop, clock.nowMs())
     }
 
     private suspend fun giveUp(
@@ -307,7 +320,7 @@
             when (part) {
                 is BodyPart.Data -> {
                     val complete = context.events.feed(part.bytes)
-                    val room = context.buffered.resize(context.events.pendingBytes.toLong())
+                    val room = context.buffered.resize(context.events.pendingBytes.toLong() + complete.size + context.output.bufferedBytes)
                     if (!room || context.events.pendingBytes > EventSplitter.MAXIMUM_EVENT_BYTES) {
                         return handleBrokenStream(target, context, "an event does not end")
                     }
@@ -316,13 +329,12 @@
                     inFlight.answering = true
                     context.lastProgressMs = clock.nowMs()
                     inFlight.lastProgressMs = context.lastProgressMs
-                    if (!context.answer.begun) {
+                    if (context.firstPartMs == null) {
                         val firstPartMs = context.lastProgressMs - context.request.arrivedMs
                         metrics.record(MetricName.TIME_TO_FIRST_TOKEN, firstPartMs)
                         context.firstPartMs = firstPartMs
-                        context.answer.begin(answer.head)
                     }
-                    if (!context.answer.add(complete)) return null
+                    if (!context.output.add(answer.head, complete)) return null
                 }
                 BodyPart.Complete -> {
                     if (context.events.hasIncompleteEvent) return handleBrokenStream(target, context, "the stream ended inside an event")
@@ -331,8 +343,7 @@
                     context.outcome = ForwardingContext.SERVED
                     recordDuration(context)
                     inFlight.model?.let { state.workStatistics.record(it, inFlight.promptTokens, clock.nowMs() - inFlight.startedMs) }
-                    if (!context.answer.begun) context.answer.begin(answer.head)
-                    context.answer.end()
+                    context.output.end(answer.head)
                     return null
                 }
                 is BodyPart.Broken -> return handleBrokenStream(target, context, part.detail)
@@ -448,9 +459,6 @@
         const val MAXIMUM_TARGET_WAIT_MS = 300L
         const val RETRY_AFTER_REFUSAL_MS = 300L
 
-        /** Response duration assumed for a route without statistics: most streams end within this. */
-        const val DEFAULT_ANSWER_MS = 3_000L
-
         /** The caller is expected to use another gateway, so it need not wait. */
         const val RETRY_IMMEDIATELY_MS = 0L
 
--- a/gateway/src/main/kotlin/ForwardingContext.kt
+++ b/gateway/src/main/kotlin/ForwardingContext.kt
@@ -25,6 +25,7 @@
         private set
     private var lastExchangePhase: RequestPhase? = null
     val events = EventSplitter()
+    val output = StreamOutput(answer)
     var mayHaveRun = false
     var runs = 0
     var refusals = 0
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -8,6 +8,7 @@
 import org.almondjunction.common.EventLog
 import org.almondjunction.common.LogFields
 import org.almondjunction.common.Metrics
+import org.almondjunction.decisions.PlannedStop
 import org.almondjunction.decisions.SharedRetryBudget
 import org.almondjunction.network.EventLoop
 import org.almondjunction.network.HeadResult
@@ -120,24 +121,24 @@
      */
     public suspend fun shutDown() {
         if (state.stopping) return stopped.await()
-        state.stopping = true
+        val nowMs = clock.nowMs()
+        val exitMs = nowMs + settings.graceMs - EXIT_MARGIN_MS
+        val stop = PlannedStop(closedMs = nowMs + BALANCER_REMOVAL_MS, finalResponseMs = exitMs - FINAL_RESPONSE_MS, exitMs = exitMs)
+        state.stop = stop
         try {
-            drain()
+            drain(stop)
         } finally {
             stopped.complete(Unit)
         }
     }
 
-    private suspend fun drain() {
+    private suspend fun drain(stop: PlannedStop) {
         EventLog.info("leaving", LogFields(extra = mapOf("connections" to connections.size.toString())))
-        val exitMs = clock.nowMs() + settings.graceMs - EXIT_MARGIN_MS
-        state.finalResponseMs = exitMs - FINAL_RESPONSE_MS
-        state.exitMs = exitMs
-        delay(minOf(BALANCER_REMOVAL_MS, state.finalResponseMs - clock.nowMs()))
-        while (clock.nowMs() < exitMs) {
+        delay(minOf(stop.closedMs, stop.finalResponseMs) - clock.nowMs())
+        while (clock.nowMs() < stop.exitMs) {
             closeIdleConnections()
-            if (connections.isEmpty()) break
-            if (clock.nowMs() >= state.finalResponseMs) forwarder.answerPending()
+            if (connections.none { it.busy }) break
+            if (clock.nowMs() >= stop.finalResponseMs) forwarder.answerPending()
             delay(DRAIN_POLL_MS)
         }
         val aborted = forwarder.cancelActive()
--- a/gateway/src/main/kotlin/GatewayState.kt
+++ b/gateway/src/main/kotlin/GatewayState.kt
@@ -2,6 +2,7 @@
 
 import org.almondjunction.decisions.AnswerDurations
 import org.almondjunction.decisions.DemandStatistics
+import org.almondjunction.decisions.PlannedStop
 import org.almondjunction.decisions.WorkloadStatistics
 import org.almondjunction.network.ByteBudget
 
@@ -9,13 +10,11 @@
 internal class GatewayState {
     val changed = Signal()
     var configuration: GatewayConfiguration? = null
-    var stopping = false
 
-    /** When requests without a begun response get an error response during shutdown; [Long.MAX_VALUE] until shutdown starts. */
-    var finalResponseMs = Long.MAX_VALUE
+    /** Times of the planned stop in progress; null until one starts. */
+    var stop: PlannedStop? = null
 
-    /** When this process exits; [Long.MAX_VALUE] until shutdown starts. */
-    var exitMs = Long.MAX_VALUE
+    val stopping: Boolean get() = stop != null
 
     /** Budget for buffered bodies and incomplete events. */
     val buffered = ByteBudget(Runtime.getRuntime().maxMemory() / HEAP_DIVISOR)
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -1,11 +1,15 @@
 package org.almondjunction.gateway
 
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.yield
 import org.almondjunction.common.Address
 import org.almondjunction.common.ModelId
 import org.almondjunction.common.TargetId
+import org.almondjunction.decisions.PlannedStop
 import org.almondjunction.decisions.RetrySafety
+import org.almondjunction.decisions.StopAdmission
 import org.almondjunction.keeper.HeldModel
 import org.almondjunction.keeper.KeeperMessage
 import org.almondjunction.keeper.MessageChannel
@@ -419,6 +423,80 @@
         }
     }
 
+    // Guards against a stream that begins before a stop, whose caller then sends the next request on its connection, to be cut off.
+    @Test
+    fun `a connection closes with the stream that was in progress when shutdown started`() {
+        start(RetrySafety.ONCE, streaming = true)
+        val begun = CompletableDeferred<Unit>()
+        script += { connection, _ ->
+            connection.write((streamHead + chunk(events(1))).toByteArray())
+            begun.await()
+            scope.launch { gateway.shutDown() }
+            repeat(LOOP_ITERATIONS) { yield() }
+            connection.write("0\r\n\r\n".toByteArray())
+        }
+        script += raw(streamHead + chunk(events(1)) + "0\r\n\r\n")
+        fixture.connect().use { socket ->
+            val request = "POST /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\nContent-Length: 0\r\n\r\n"
+            socket.getOutputStream().write(request.toByteArray())
+            val input = socket.getInputStream()
+            val first = StringBuilder()
+            while (!first.endsWith(events(1) + "\r\n")) first.append(input.read().toChar())
+            begun.complete(Unit)
+            while (!first.endsWith("0\r\n\r\n")) first.append(input.read().toChar())
+            assertFalse("Connection: close" in first, "$first")
+            try {
+                socket.getOutputStream().write(request.toByteArray())
+                assertEquals(-1, input.read())
+            } catch (_: IOException) {
+                // The request arrived after the close.
+            }
+            assertEquals(1, seen.size)
+        }
+    }
+
+    // Guards against a stream that is taken late in a stop because its route has no statistics, or those of shorter ones, and cut off.
+    @Test
+    fun `a late stream is refused or buffered during shutdown unless its time limit ends in time`() {
+        listOf(
+            LateStream("no statistics, before the balancer has reacted", recordedMs = null, closed = false, deadlineMs = 15_000, StopAdmission.REFUSE),
+            LateStream("no statistics", recordedMs = null, closed = true, deadlineMs = 15_000, StopAdmission.REFUSE),
+            LateStream("no statistics, a short deadline", recordedMs = null, closed = true, deadlineMs = 5_000, StopAdmission.RELAY),
+            LateStream("statistics of shorter streams", recordedMs = 20, closed = true, deadlineMs = 15_000, StopAdmission.BUFFER),
+            LateStream("a stream that breaks off", recordedMs = 20, closed = true, deadlineMs = 15_000, StopAdmission.BUFFER, cut = true),
+            LateStream("statistics, before the balancer has reacted", recordedMs = 20, closed = false, deadlineMs = 15_000, StopAdmission.RELAY),
+        ).forEach { case ->
+            GatewayFixture().use { fixture ->
+                fixture.start(GatewayFixture.route(RetrySafety.ONCE, streaming = true)) { target(it) }
+                runBlocking(fixture.scope.coroutineContext) {
+                    val state = fixture.gateway.state
+                    case.recordedMs?.let { state.answerDurations.record("r", firstPartMs = it, totalMs = it, size = 1) }
+                    val nowMs = fixture.loop.clock.nowMs()
+                    state.stop = PlannedStop(if (case.closed) nowMs else Long.MAX_VALUE, finalResponseMs = nowMs + 9_900, exitMs = nowMs + 10_000)
+                }
+                seen.clear()
+                script.clear()
+                script += thenClose(streamHead + chunk(events(1)) + if (case.cut) "" else "0\r\n\r\n")
+                val answer = fixture.ask("GET /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: ${case.deadlineMs}\r\n\r\n")
+                assertEquals(if (case.expected == StopAdmission.REFUSE) 0 else 1, seen.size, "${case.pattern}: $answer")
+                when {
+                    case.expected == StopAdmission.REFUSE -> assertTrue("Retry-After: 0.00" in answer, "${case.pattern}: $answer")
+                    case.cut -> assertTrue("502" in answer.lineSequence().first() && "id: 1" !in answer, "${case.pattern}: $answer")
+                    else -> assertEquals(events(1) + "|end", unchunk(answer), case.pattern)
+                }
+            }
+        }
+    }
+
+    private data class LateStream(
+        val pattern: String,
+        val recordedMs: Long?,
+        val closed: Boolean,
+        val deadlineMs: Long,
+        val expected: StopAdmission,
+        val cut: Boolean = false,
+    )
+
     // Guards against a second SIGTERM that ends the process while the first still waits for accepted requests.
     @Test
     fun `a second call to shutDown does not return before accepted requests are answered`() {
