Gateway: a connection to a target never carries the same request twice

A request that may run once ran twice, or was called "not run" and ran (TWICE, REFUSED).

Cause: answers were matched by the request's identity. A refused request was sent again on the same connection, and a late second copy of the refusal was read as the answer to the second send. A refusal without identity was taken on any connection.

On the old code GatewayTest "a repeated refusal…" counts 2 runs instead of 1, and "a refusal without identity…" gets 503 for a request that ran.

Why it works: a connection keeps the identities that it has carried and carries none twice, so a late copy always meets another identity and its connection is closed. A refusal without identity counts only on a connection's first request.

--- a/gateway/src/main/kotlin/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/ConnectionPool.kt
@@ -12,37 +12,44 @@
     private val address: Address,
 ) : AutoCloseable {
     private class IdleConnection(
-        val connection: TcpConnection,
+        val connection: TargetConnection,
         val idleSinceMs: Long,
         val expiresMs: Long,
     )
 
     private val clock: Clock = loop.clock
-    private val idle = ArrayDeque<IdleConnection>()
+    private val idle = ArrayList<IdleConnection>()
     private var closed = false
 
-    /** Returns an open connection that has been idle for at most [maximumIdleMs], or null. */
-    fun takeIdle(maximumIdleMs: Long): TcpConnection? {
+    /** Returns an open connection that may carry the request [id] and has been idle for at most [maximumIdleMs], or null. */
+    fun takeIdle(
+        id: String,
+        maximumIdleMs: Long,
+    ): TargetConnection? {
         val nowMs = clock.nowMs()
-        while (true) {
-            val newest = idle.removeLastOrNull() ?: return null
-            val usable = newest.expiresMs > nowMs && newest.connection.tryFill() == null
-            if (usable && nowMs - newest.idleSinceMs <= maximumIdleMs) return newest.connection
-            if (usable) {
-                idle.addLast(newest)
+        for (index in idle.indices.reversed()) {
+            val candidate = idle[index]
+            if (candidate.expiresMs <= nowMs || candidate.connection.tcp.tryFill() != null) {
+                idle.removeAt(index)
+                candidate.connection.tcp.close()
+            } else if (nowMs - candidate.idleSinceMs > maximumIdleMs) {
                 return null
+            } else if (candidate.connection.mayCarry(id)) {
+                idle.removeAt(index)
+                return candidate.connection
             }
-            newest.connection.close()
         }
+        return null
     }
 
-    suspend fun dial(timeoutMs: Long): TcpConnection? = TcpConnection.connect(loop, address, minOf(timeoutMs, CONNECT_TIMEOUT_MS))
+    suspend fun dial(timeoutMs: Long): TargetConnection? =
+        TcpConnection.connect(loop, address, minOf(timeoutMs, CONNECT_TIMEOUT_MS))?.let { TargetConnection(it) }
 
     fun release(
-        connection: TcpConnection,
+        connection: TargetConnection,
         answer: HttpHeaders,
     ) {
-        if (closed || connection.closed || idle.size >= MAXIMUM_IDLE_CONNECTIONS) return connection.close()
+        if (closed || connection.tcp.closed || idle.size >= MAXIMUM_IDLE_CONNECTIONS) return connection.tcp.close()
         val nowMs = clock.nowMs()
         val statedMs =
             answer["Keep-Alive"]
@@ -53,18 +60,18 @@
                 ?.toLongOrNull()
                 ?.times(MILLISECONDS_PER_SECOND)
         val idleTimeoutMs = ((statedMs ?: DEFAULT_IDLE_TIMEOUT_MS) - IDLE_TIMEOUT_MARGIN_MS).coerceAtLeast(0)
-        idle.addLast(IdleConnection(connection, nowMs, nowMs + idleTimeoutMs))
+        idle.add(IdleConnection(connection, nowMs, nowMs + idleTimeoutMs))
     }
 
     /** Closes connections whose idle time limit has passed. */
     fun sweep() {
         val nowMs = clock.nowMs()
-        while (idle.isNotEmpty() && idle.first().expiresMs <= nowMs) idle.removeFirst().connection.close()
+        while (idle.isNotEmpty() && idle.first().expiresMs <= nowMs) idle.removeAt(0).connection.tcp.close()
     }
 
     override fun close() {
         closed = true
-        idle.forEach { it.connection.close() }
+        idle.forEach { it.connection.tcp.close() }
         idle.clear()
     }
 
--- a/gateway/src/main/kotlin/Exchange.kt
+++ b/gateway/src/main/kotlin/Exchange.kt
@@ -15,7 +15,6 @@
 import org.almondjunction.network.HttpReader
 import org.almondjunction.network.HttpWriter
 import org.almondjunction.network.ResponseHead
-import org.almondjunction.network.TcpConnection
 
 /** Result of sending one request to a target, before the body of the response is read. */
 internal sealed class ExchangeResult {
@@ -38,7 +37,7 @@
     val target: Target,
     private val names: HeaderNames,
 ) : AutoCloseable {
-    private var connection: TcpConnection? = null
+    private var connection: TargetConnection? = null
     private var writer: Job? = null
     private var requestSent = false
     private var mustClose = false
@@ -51,7 +50,7 @@
     val answered: Boolean get() = answer != null
 
     /** Whether any byte of the request may have reached the target. */
-    val mayHaveArrived: Boolean get() = closedAfterSending || connection?.let { it.bytesWritten > bytesWrittenBefore } ?: false
+    val mayHaveArrived: Boolean get() = closedAfterSending || connection?.let { it.tcp.bytesWritten > bytesWrittenBefore } ?: false
     private var closedAfterSending = false
 
     suspend fun send(
@@ -60,11 +59,13 @@
         maximumIdleMs: Long,
         timeoutMs: Long,
     ): ExchangeResult {
-        val opened =
-            target.pool.takeIdle(maximumIdleMs)
+        val taken =
+            target.pool.takeIdle(request.id, maximumIdleMs)
                 ?: target.pool.dial(timeoutMs)
                 ?: return ExchangeResult.Unusable(SendResult.NotSent, "the target cannot be reached")
-        connection = opened
+        taken.record(request.id)
+        connection = taken
+        val opened = taken.tcp
         bytesWrittenBefore = opened.bytesWritten
         val sent = CompletableDeferred<Boolean>()
         writer =
@@ -72,7 +73,7 @@
                 requestSent = opened.write(HttpWriter.request(request.head.method, request.head.target, headers), request.body)
                 sent.complete(requestSent)
             }
-        val answer = awaitAnswer(request, opened)
+        val answer = awaitAnswer(request, taken)
         val nothingSent = opened.bytesWritten == bytesWrittenBefore
         if (answer is ExchangeResult.Unusable && answer.result == SendResult.Lost && nothingSent) {
             return ExchangeResult.Unusable(SendResult.NotSent, "the connection failed before the request left")
@@ -82,9 +83,9 @@
 
     private suspend fun awaitAnswer(
         request: ForwardedRequest,
-        opened: TcpConnection,
+        taken: TargetConnection,
     ): ExchangeResult {
-        val reader = HttpReader(opened)
+        val reader = HttpReader(taken.tcp)
         repeat(MAXIMUM_UNMATCHED_ANSWERS) {
             val head =
                 when (val result = reader.responseHead(MAXIMUM_ANSWER_HEAD_BYTES)) {
@@ -97,7 +98,7 @@
             val bodyFraming = HttpHeadParser.framingOf(head, request.head.method) ?: return lost("the answer's length is contradictory")
             if (head.headers[names.requestId] == request.id) return classify(head, reader.body(bodyFraming), bodyFraming)
             mustClose = true
-            if (head.headers[names.requestId] == null && head.headers[names.notExecuted] != null) {
+            if (head.headers[names.requestId] == null && head.headers[names.notExecuted] != null && taken.carriedOne) {
                 return classify(head, reader.body(bodyFraming), bodyFraming)
             }
             if (bodyFraming == BodyFraming.UntilEnd || reader.body(bodyFraming).readAll(MAXIMUM_DISCARDED_BYTES) !is BodyResult.Read) {
@@ -140,7 +141,7 @@
         val unread = body.takeUnless { bodyRead }
         val drained =
             unread == null || withTimeoutOrNull(DRAIN_TIMEOUT_MS) { unread.readAll(MAXIMUM_DISCARDED_BYTES) is BodyResult.Read } == true
-        val reusable = head != null && drained && requestSent && !mustClose && framing != BodyFraming.UntilEnd && opened.input.size == 0
+        val reusable = head != null && drained && requestSent && !mustClose && framing != BodyFraming.UntilEnd && opened.tcp.input.size == 0
         if (reusable && head != null && !head.headers.hasToken("Connection", "close")) {
             connection = null
             target.pool.release(opened, head.headers)
@@ -153,7 +154,7 @@
     override fun close() {
         closedAfterSending = mayHaveArrived
         writer?.cancel()
-        connection?.abort()
+        connection?.tcp?.abort()
         connection = null
     }
 
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -27,6 +27,7 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -139,6 +140,52 @@
         ).forEach { check(it) }
     }
 
+    // Guards against a second copy of a refusal that is read as the answer to the next send of the same request, which runs.
+    @Test
+    fun `a repeated refusal is never the answer to the next send of its request`() {
+        var refusedOn: TcpConnection? = null
+        val runs = AtomicInteger()
+        fixture.start(GatewayFixture.route(RetrySafety.ONCE, streaming = false), hosts = listOf(LOOPBACK)) { connection ->
+            val reader = HttpReader(connection)
+            while (true) {
+                val head = (reader.requestHead(9_999) as? HeadResult.Read)?.head ?: break
+                reader.body(HttpHeadParser.framingOf(head) ?: BodyFraming.None).readAll(9_999)
+                if (refusedOn == null) {
+                    refusedOn = connection
+                    connection.write(refused.toByteArray())
+                } else {
+                    runs.incrementAndGet()
+                    val lateCopy = if (connection === refusedOn) refused else ""
+                    connection.write((lateCopy + served).toByteArray())
+                }
+            }
+        }
+        assertEquals("HTTP/1.1 200", ask().take("HTTP/1.1 200".length))
+        assertEquals(1, runs.get())
+    }
+
+    // Guards against a late refusal without an identity, of an earlier request, that is read as the answer to the one in progress.
+    @Test
+    fun `a refusal without identity counts only on a connection that carried no other request`() {
+        val unnamed = refused.replace("Id: 7\r\n", "")
+        listOf("6" to 502, null to 503).forEach { (before, expectedStatus) ->
+            GatewayFixture().use { fixture ->
+                fixture.start(GatewayFixture.route(RetrySafety.ONCE, streaming = false), hosts = listOf(LOOPBACK)) { connection ->
+                    val reader = HttpReader(connection)
+                    while (true) {
+                        val head = (reader.requestHead(9_999) as? HeadResult.Read)?.head ?: break
+                        connection.write((if (head.headers["Id"] == "7") unnamed else served.replace("Id: 7", "Id: 6")).toByteArray())
+                        if (head.headers["Id"] == "7") connection.close()
+                    }
+                }
+                val request = { id: String -> "GET /x HTTP/1.1\r\nHost: h\r\nId: $id\r\nDeadline: 15000\r\nConnection: close\r\n\r\n" }
+                if (before != null) assertEquals("HTTP/1.1 200", fixture.ask(request(before)).take("HTTP/1.1 200".length))
+                val answer = fixture.ask(request("7"))
+                assertEquals(expectedStatus, answer.substringAfter(' ').take(3).toInt(), "after $before: $answer")
+            }
+        }
+    }
+
     private fun chunk(text: String) = "${text.length.toString(16)}\r\n$text\r\n"
 
     private val streamHead = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s1\r\nTransfer-Encoding: chunked\r\n\r\n"
