Gateway: the estimate of prompt caches is bounded in bytes

Some 50 prompts of 700 parts exhaust a front's heap; it closes connections of requests that run, and mostly ends by itself (LOST).

Cause: the key of a prompt's prefix was made of the identities of all parts in it, so a prompt took memory in proportion to the square of its parts, at each engine; the estimate was bounded in tokens only.

Why it works: prefixes are running 64-bit hashes. All estimates together may fill an eighth of the heap.

--- a/gateway/src/main/kotlin/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/ForwardedRequest.kt
@@ -20,7 +20,7 @@
     val adapter: String?,
     val promptTokens: Long,
     val answerTokens: Long,
-    val parts: List<PromptPart>,
+    val parts: PromptParts,
 ) {
     val service = route.serviceFor(id)
 
@@ -54,18 +54,8 @@
                 adapter = model?.substringAfter('/', "")?.ifEmpty { null },
                 promptTokens = tokens.substringBefore(',').trim().toLongOrNull() ?: 0,
                 answerTokens = tokens.substringAfter(',', "").trim().toLongOrNull() ?: 0,
-                parts = parts(head.headers[names.promptParts].orEmpty()),
+                parts = PromptParts.parse(head.headers[names.promptParts].orEmpty()),
             )
         }
-
-        /** A malformed part ends the list, since the parts after it cannot be shared either. */
-        private fun parts(text: String): List<PromptPart> {
-            val parts = mutableListOf<PromptPart>()
-            for (item in text.split(',')) {
-                val tokens = item.substringAfter(':', "").trim().toLongOrNull() ?: break
-                parts += PromptPart(item.substringBefore(':').trim(), tokens)
-            }
-            return parts
-        }
     }
 }
--- a/gateway/src/main/kotlin/PromptCacheEstimate.kt
+++ b/gateway/src/main/kotlin/PromptCacheEstimate.kt
@@ -1,65 +1,77 @@
 package org.almondjunction.gateway
 
-/** A part of a prompt that requests may share. */
-public data class PromptPart(
-    val id: String,
-    val tokens: Long,
-)
-
-/** Estimate of the prompt parts in a target's cache, from the prompts that this gateway sent; drops the least recently used parts. */
+/**
+ * Estimate of the prompt parts in a target's cache, from the prompts that this gateway sent; drops the least recently used parts.
+ *
+ * @param maximumParts limit for the parts of this estimate, which bounds its memory; read at each use
+ */
 internal class PromptCacheEstimate(
     private val capacityTokens: Long,
+    private val maximumParts: () -> Int,
 ) {
-    private val cached = LinkedHashMap<String, Long>(INITIAL_PARTS, LOAD_FACTOR, true)
+    private class CachedPart(
+        val weights: String,
+        val tokens: Int,
+    )
+
+    private val cached = LinkedHashMap<Long, CachedPart>(INITIAL_PARTS, LOAD_FACTOR, true)
     private var totalTokens = 0L
 
+    /** Number of parts in the estimate. */
+    val size: Int get() = cached.size
+
     /** Returns the number of leading tokens of a prompt for [weights] that are expected in the cache. */
     fun cachedTokens(
         weights: String,
-        parts: List<PromptPart>,
+        parts: PromptParts,
     ): Long {
         var tokens = 0L
-        forEachPrefix(weights, parts) { key, part ->
-            if (cached[key] == null) return tokens
-            tokens += part.tokens
+        for (index in 0 until parts.size) {
+            if (key(weights, parts, index) !in cached) break
+            tokens += parts.tokens(index)
         }
         return tokens
     }
 
+    /** Adds the [parts] of a prompt for [weights]; of a prompt with too many parts only the first ones. */
     fun add(
         weights: String,
-        parts: List<PromptPart>,
+        parts: PromptParts,
     ) {
-        forEachPrefix(weights, parts) { key, part ->
-            val before = cached.put(key, part.tokens)
-            totalTokens += part.tokens - (before ?: 0)
+        val limit = maximumParts()
+        for (index in 0 until minOf(parts.size, limit)) {
+            val part = CachedPart(weights, parts.tokens(index))
+            val before = cached.put(key(weights, parts, index), part)
+            totalTokens += part.tokens - (before?.tokens ?: 0)
         }
         val oldest = cached.entries.iterator()
-        while (totalTokens > capacityTokens && oldest.hasNext()) {
-            totalTokens -= oldest.next().value
+        while ((totalTokens > capacityTokens || cached.size > limit) && oldest.hasNext()) {
+            totalTokens -= oldest.next().value.tokens
             oldest.remove()
         }
     }
 
+    /** Removes the parts of [model] and its adapters. */
     fun remove(model: String) {
-        val removed = cached.keys.filter { it.startsWith("$model/") || it.startsWith("$model|") }
-        removed.forEach { totalTokens -= cached.remove(it) ?: 0 }
+        val parts = cached.values.iterator()
+        while (parts.hasNext()) {
+            val part = parts.next()
+            if (part.weights.substringBefore('/') != model) continue
+            totalTokens -= part.tokens
+            parts.remove()
+        }
     }
 
-    private inline fun forEachPrefix(
+    private fun key(
         weights: String,
-        parts: List<PromptPart>,
-        action: (String, PromptPart) -> Unit,
-    ) {
-        var key = "$weights|"
-        parts.forEach { part ->
-            key += part.id + ","
-            action(key, part)
-        }
-    }
+        parts: PromptParts,
+        index: Int,
+    ): Long = parts.prefix(index) xor (weights.hashCode().toLong() shl Int.SIZE_BITS)
 
-    private companion object {
-        const val INITIAL_PARTS = 64
-        const val LOAD_FACTOR = 0.75f
+    companion object {
+        /** Memory of a part: its key, the part itself and the entry that holds both, rounded up. */
+        const val PART_BYTES = 128
+        private const val INITIAL_PARTS = 64
+        private const val LOAD_FACTOR = 0.75f
     }
 }
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -15,13 +15,14 @@
     loop: EventLoop,
     entry: TargetEntry,
     promptCacheTokens: Long,
+    maximumCachedParts: () -> Int = { Int.MAX_VALUE },
 ) : AutoCloseable {
     private val clock: Clock = loop.clock
 
     var entry: TargetEntry = entry
         private set
     val pool = ConnectionPool(loop, entry.address)
-    val promptCache = PromptCacheEstimate(promptCacheTokens)
+    val promptCache = PromptCacheEstimate(promptCacheTokens, maximumCachedParts)
     val inFlight = mutableSetOf<InFlightRequest>()
     var closed = false
         private set
--- a/gateway/src/main/kotlin/TargetRegistry.kt
+++ b/gateway/src/main/kotlin/TargetRegistry.kt
@@ -80,7 +80,7 @@
             known.update(entry)
         } else {
             known?.let { drain(it) }
-            targets[entry.target] = Target(loop, entry, promptCacheTokensOf(entry.service))
+            targets[entry.target] = Target(loop, entry, promptCacheTokensOf(entry.service)) { maximumCachedParts() }
         }
         connectKeeper(targets.getValue(entry.target))
     }
@@ -123,6 +123,10 @@
             ?.engine
             ?.promptCacheTokens ?: DEFAULT_PROMPT_CACHE_TOKENS
 
+    /** Limit for the prompt parts in the estimate of one target: all targets together may use a fixed share of the heap. */
+    private fun maximumCachedParts(): Int =
+        (Runtime.getRuntime().maxMemory() / CACHED_PARTS_HEAP_DIVISOR / PromptCacheEstimate.PART_BYTES / targets.size.coerceAtLeast(1)).toInt()
+
     fun ready(service: ServiceId): List<Target> =
         targets.values
             .filter {
@@ -142,6 +146,9 @@
         /** A longer interval between checks shows that this process was suspended; well below the shortest silence limit. */
         const val SUSPENSION_MS = 400L
 
+        /** Estimates of prompt caches may fill the heap divided by this. */
+        const val CACHED_PARTS_HEAP_DIVISOR = 8
+
         /** Assumed until a configuration is in force. */
         const val DEFAULT_PROMPT_CACHE_TOKENS = 200_000L
     }
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -105,7 +105,7 @@
         request: ForwardedRequest,
     ): TargetCandidate {
         val model = request.model
-        val key = if (model == null) request.id else request.weights + request.parts.take(SHARED_PARTS).joinToString { it.id }
+        val key = if (model == null) request.id else request.weights + request.parts.sharedKey(SHARED_PARTS)
         val ownPromptTokens = target.inFlight.filter { !it.answering }.sumOf { it.promptTokens }
         val others = (target.load.active + target.load.queued - target.inFlight.size).coerceAtLeast(0)
         val waitMs =
