Network: a disposed timer releases its task

A front that takes over the clients of two lost ones runs out of memory and ends (LOST).

Cause: a disposed timer stayed in the queue with its task until its time, 60 s for the time limit of a body, unless it came to the head of the queue; the task refers to the request and its body.

Why it works: a disposed timer drops its task, and disposed timers are removed once they are the majority.

--- a/network/src/main/kotlin/EventLoop.kt
+++ b/network/src/main/kotlin/EventLoop.kt
@@ -32,6 +32,9 @@
     private val timers = PriorityQueue<Timer>()
     private var timerCount = 0L
 
+    /** Number of disposed timers among [timers], without those that another thread disposed of. */
+    private var disposedTimers = 0
+
     @Volatile
     private var thread: Thread? = null
 
@@ -97,7 +100,7 @@
         if (Thread.currentThread() === thread) {
             timers.add(timer)
         } else {
-            postedTasks.add(Runnable { timers.add(timer) })
+            postedTasks.add(Runnable { if (!timer.disposed) timers.add(timer) })
             selector.wakeup()
         }
         return timer
@@ -131,7 +134,8 @@
             val timer = timers.peek() ?: return
             if (!timer.disposed && timer.dueMs > nowMs) return
             timers.poll()
-            if (!timer.disposed) readyTasks.addLast(timer.task)
+            val task = timer.takeTask()
+            if (task == null) disposedTimers = (disposedTimers - 1).coerceAtLeast(0) else readyTasks.addLast(task)
         }
     }
 
@@ -164,16 +168,32 @@
         }
     }
 
-    private class Timer(
+    /** Number of timers in memory, including disposed ones that have not been removed yet. */
+    internal val timersKept: Int get() = timers.size
+
+    /** Removes disposed timers once they are the majority, so that they cost constant time each. */
+    private fun onDisposed() {
+        disposedTimers++
+        if (disposedTimers < MINIMUM_PURGED_TIMERS || disposedTimers * 2 < timers.size) return
+        disposedTimers = 0
+        timers.removeIf { it.disposed }
+    }
+
+    private inner class Timer(
         val dueMs: Long,
         val sequence: Long,
-        val task: Runnable,
+        task: Runnable,
     ) : Comparable<Timer>,
         DisposableHandle {
-        var disposed = false
+        private var task: Runnable? = task
+        val disposed: Boolean get() = task == null
+
+        /** Returns the task, unless the timer was disposed; it is released in either case. */
+        fun takeTask(): Runnable? = task.also { task = null }
 
+        /** Releases the task at once: what it refers to, such as a message and its buffers, is usually far larger than the timer. */
         override fun dispose() {
-            disposed = true
+            if (takeTask() != null && Thread.currentThread() === thread) onDisposed()
         }
 
         override fun compareTo(other: Timer): Int = compareValuesBy(this, other, { it.dueMs }, { it.sequence })
@@ -182,5 +202,8 @@
     private companion object {
         /** Longer than any delay in use; prevents overflow when a delay is added to the current time. */
         const val MAXIMUM_DELAY_MS = 365L * 24 * 3_600_000
+
+        /** Fewer disposed timers are not worth a removal. */
+        const val MINIMUM_PURGED_TIMERS = 64
     }
 }
