--- a/common/src/main/kotlin/Address.kt
+++ b/common/src/main/kotlin/Address.kt
@@ -1,6 +1,8 @@
 package org.almondjunction.common
 
 import kotlinx.serialization.Serializable
+import java.net.InetAddress
+import java.net.UnknownHostException
 
 /**
  * IP address and port.
@@ -20,7 +22,9 @@
         public fun parse(text: String): Address? {
             val separator = text.lastIndexOf(':')
             if (separator <= 0) return null
-            val ip = text.substring(0, separator).removeSurrounding("[", "]")
+            val host = text.substring(0, separator)
+            val ip = host.removeSurrounding("[", "]")
+            if (':' in ip && ip == host) return null
             val port = text.substring(separator + 1).toIntOrNull()?.takeIf { it in PORTS } ?: return null
             return Address(ip = ip, port = port).takeIf { IpAddress.isValid(ip) }
         }
@@ -34,5 +38,14 @@
     private val IPV4 = Regex("""(25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)(\.(25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)){3}""")
     private val IPV6 = Regex("""[0-9a-fA-F:]*:[0-9a-fA-F:.]*""")
 
-    fun isValid(text: String): Boolean = IPV4.matches(text) || IPV6.matches(text)
+    fun isValid(text: String): Boolean = IPV4.matches(text) || (IPV6.matches(text) && isLiteral(text))
+
+    private fun isLiteral(text: String): Boolean =
+        try {
+            // A name in brackets is never looked up.
+            InetAddress.getByName("[$text]")
+            true
+        } catch (_: UnknownHostException) {
+            false
+        }
 }
--- a/network/src/main/kotlin/TcpConnection.kt
+++ b/network/src/main/kotlin/TcpConnection.kt
@@ -12,6 +12,7 @@
 import java.nio.ByteBuffer
 import java.nio.channels.SelectionKey
 import java.nio.channels.SocketChannel
+import java.nio.channels.UnsupportedAddressTypeException
 import kotlin.coroutines.resume
 
 /** Result of reading from a connection. */
@@ -170,6 +171,10 @@
             } catch (_: IOException) {
                 channel.close()
                 null
+            } catch (_: UnsupportedAddressTypeException) {
+                // This host has no sockets of the address's family.
+                channel.close()
+                null
             }
         }
 
