Platform: the answers of an engine to its agent are bounded

A faulty engine sends bytes without end, and the machine that called it keeps them all. The gateway's side holds that already (FaultyTargetTest).

--- a/network/src/main/kotlin/HttpClient.kt
+++ b/network/src/main/kotlin/HttpClient.kt
@@ -16,11 +16,14 @@
  * HTTP client for small calls to one address; calls run one at a time on a persistent connection.
  *
  * A call without a response may have been executed. A connection on which a response was lost is never reused.
+ *
+ * @param maximumBodyBytes limit for the body of a response; a longer one counts as lost
  */
 public class HttpClient(
     private val loop: EventLoop,
     private val address: Address,
     private val connectTimeoutMs: Long = CONNECT_TIMEOUT_MS,
+    private val maximumBodyBytes: Long = MAXIMUM_BODY_BYTES,
 ) : AutoCloseable {
     private val mutex = Mutex()
     private var idleConnection: TcpConnection? = null
@@ -73,7 +76,7 @@
         val reader = HttpReader(connection)
         val head = (reader.responseHead(MAXIMUM_HEAD_BYTES) as? HeadResult.Read)?.head ?: return null
         val framing = HttpHeadParser.framingOf(head, method) ?: return null
-        val content = reader.body(framing).readAll(MAXIMUM_BODY_BYTES) as? BodyResult.Read ?: return null
+        val content = reader.body(framing).readAll(maximumBodyBytes) as? BodyResult.Read ?: return null
         if (framing == BodyFraming.UntilEnd) connection.close()
         return HttpResponse(head.status, head.headers, content.bytes)
     }
