--- a/decisions/src/main/kotlin/StopAdmission.kt
+++ b/decisions/src/main/kotlin/StopAdmission.kt
@@ -3,7 +3,7 @@
 /**
  * Times of a planned stop of a process, in milliseconds of its monotonic clock.
  *
- * @property closedMs when the load balancer has stopped sending new connections, if another process is in rotation
+ * @property closedMs when the load balancer has stopped sending new connections, unless no other process is in rotation
  * @property finalResponseMs when requests whose response has not begun get an error response
  * @property exitMs when the process exits; a response that has begun and is not complete by then is cut off
  */
@@ -43,8 +43,8 @@
         /**
          * Returns the admission of [request] at [nowMs].
          *
-         * Only its time limit proves that a stream ends in time. One that arrives after [PlannedStop.closedMs], when no process is left
-         * in rotation, and is as long as similar ones would be complete in time, is buffered.
+         * Only its time limit proves that a stream ends in time. A stream that arrives after [PlannedStop.closedMs], when no other
+         * process is in rotation, is buffered if similar ones would be complete in time.
          */
         public fun of(
             request: StoppingRequest,
--- a/gateway/src/main/kotlin/ForwardingContext.kt
+++ b/gateway/src/main/kotlin/ForwardingContext.kt
@@ -107,6 +107,7 @@
                         "tookMs" to (clock.nowMs() - request.arrivedMs).toString(),
                         "leftMs" to timeLeftMs.toString(),
                         "phase" to phase.label.takeUnless { served },
+                        "buffered" to "true".takeIf { output.buffered },
                         "silentMs" to lastTarget?.let { "${clock.nowMs() - it.lastActivityMs}" }.takeUnless { served },
                         "version" to version.toString(),
                     ),
