--- a/gateway/src/main/kotlin/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/ConnectionPool.kt
@@ -66,7 +66,10 @@
     /** Closes connections whose idle time limit has passed. */
     fun sweep() {
         val nowMs = clock.nowMs()
-        while (idle.isNotEmpty() && idle.first().expiresMs <= nowMs) idle.removeAt(0).connection.tcp.close()
+        while (idle.isNotEmpty() && idle.first().expiresMs <= nowMs) {
+            val expired = idle.removeAt(0)
+            expired.connection.tcp.close()
+        }
     }
 
     override fun close() {
--- a/gateway/src/main/kotlin/PromptParts.kt
+++ b/gateway/src/main/kotlin/PromptParts.kt
@@ -31,7 +31,8 @@
             var size = 0
             var hash = HASH_START
             for (item in text.splitToSequence(',')) {
-                val partTokens = item.substringAfter(':', "").trim().toIntOrNull()?.takeIf { it >= 0 } ?: break
+                val count = item.substringAfter(':', "").trim()
+                val partTokens = count.toIntOrNull()?.takeIf { it >= 0 } ?: break
                 hash = combine(hash, item.substringBefore(':').trim())
                 prefixes[size] = hash
                 tokens[size] = partTokens
--- a/gateway/src/main/kotlin/TargetRegistry.kt
+++ b/gateway/src/main/kotlin/TargetRegistry.kt
@@ -124,8 +124,10 @@
             ?.promptCacheTokens ?: DEFAULT_PROMPT_CACHE_TOKENS
 
     /** Limit for the prompt parts in the estimate of one target: all targets together may use a fixed share of the heap. */
-    private fun maximumCachedParts(): Int =
-        (Runtime.getRuntime().maxMemory() / CACHED_PARTS_HEAP_DIVISOR / PromptCacheEstimate.PART_BYTES / targets.size.coerceAtLeast(1)).toInt()
+    private fun maximumCachedParts(): Int {
+        val totalParts = Runtime.getRuntime().maxMemory() / CACHED_PARTS_HEAP_DIVISOR / PromptCacheEstimate.PART_BYTES
+        return (totalParts / targets.size.coerceAtLeast(1)).toInt()
+    }
 
     fun ready(service: ServiceId): List<Target> =
         targets.values
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -506,12 +506,24 @@
     @Test
     fun `a late stream is refused or buffered during shutdown unless its time limit ends in time`() {
         listOf(
-            LateStream("no statistics, before the balancer has reacted", recordedMs = null, closed = false, deadlineMs = 15_000, StopAdmission.REFUSE),
+            LateStream(
+                "no statistics, before the balancer has reacted",
+                recordedMs = null,
+                closed = false,
+                deadlineMs = 15_000,
+                StopAdmission.REFUSE,
+            ),
             LateStream("no statistics", recordedMs = null, closed = true, deadlineMs = 15_000, StopAdmission.REFUSE),
             LateStream("no statistics, a short deadline", recordedMs = null, closed = true, deadlineMs = 5_000, StopAdmission.RELAY),
             LateStream("statistics of shorter streams", recordedMs = 20, closed = true, deadlineMs = 15_000, StopAdmission.BUFFER),
             LateStream("a stream that breaks off", recordedMs = 20, closed = true, deadlineMs = 15_000, StopAdmission.BUFFER, cut = true),
-            LateStream("statistics, before the balancer has reacted", recordedMs = 20, closed = false, deadlineMs = 15_000, StopAdmission.RELAY),
+            LateStream(
+                "statistics, before the balancer has reacted",
+                recordedMs = 20,
+                closed = false,
+                deadlineMs = 15_000,
+                StopAdmission.RELAY,
+            ),
         ).forEach { case ->
             GatewayFixture().use { fixture ->
                 fixture.start(GatewayFixture.route(RetrySafety.ONCE, streaming = true)) { target(it) }
@@ -519,7 +531,8 @@
                     val state = fixture.gateway.state
                     case.recordedMs?.let { state.answerDurations.record("r", firstPartMs = it, totalMs = it, size = 1) }
                     val nowMs = fixture.loop.clock.nowMs()
-                    state.stop = PlannedStop(if (case.closed) nowMs else Long.MAX_VALUE, finalResponseMs = nowMs + 9_900, exitMs = nowMs + 10_000)
+                    state.stop =
+                        PlannedStop(if (case.closed) nowMs else Long.MAX_VALUE, finalResponseMs = nowMs + 9_900, exitMs = nowMs + 10_000)
                 }
                 seen.clear()
                 script.clear()
