--- a/gateway/src/main/kotlin/ForwardingContext.kt
+++ b/gateway/src/main/kotlin/ForwardingContext.kt
@@ -109,13 +109,23 @@
                         "phase" to phase.label.takeUnless { served },
                         "buffered" to "true".takeIf { output.buffered },
                         "silentMs" to lastTarget?.let { "${clock.nowMs() - it.lastActivityMs}" }.takeUnless { served },
+                        "parts" to loggedParts().takeUnless { served },
                         "version" to version.toString(),
                     ),
             ),
         )
     }
 
+    /** Returns the first shared parts of the prompt as in the lines on requests that crash targets; null if there are none. */
+    private fun loggedParts(): String? =
+        request.parts.shared
+            .take(MAXIMUM_LOGGED_PARTS)
+            .joinToString(" ") { it.toULong().toString(HEXADECIMAL) }
+            .ifEmpty { null }
+
     companion object {
+        private const val MAXIMUM_LOGGED_PARTS = 8
+        private const val HEXADECIMAL = 16
         const val SERVED = "served"
     }
 }
--- a/gateway/src/main/kotlin/PromptParts.kt
+++ b/gateway/src/main/kotlin/PromptParts.kt
@@ -3,9 +3,11 @@
 /**
  * The parts of a prompt that requests may share, in order.
  *
- * Only the size of each part and a hash of all parts up to it are kept, so the memory is in proportion to the number of parts.
+ * Only the size of each part, a hash of it and a hash of all parts up to it are kept, so the memory is in proportion to the number of
+ * parts.
  */
 internal class PromptParts private constructor(
+    private val identities: LongArray,
     private val prefixes: LongArray,
     private val tokens: IntArray,
     val size: Int,
@@ -13,6 +15,9 @@
     /** Returns the hash of the parts up to and including [index]. */
     fun prefix(index: Int): Long = prefixes[index]
 
+    /** Hashes of the parts that other requests may share, wherever these parts stand in a prompt; without the request's own last part. */
+    val shared: List<Long> get() = identities.take((size - 1).coerceAtLeast(0))
+
     /** Returns the number of tokens of the part at [index]. */
     fun tokens(index: Int): Int = tokens[index]
 
@@ -20,12 +25,13 @@
     fun sharedKey(count: Int): String = if (size == 0) "" else prefixes[minOf(count, size) - 1].toString()
 
     companion object {
-        val NONE = PromptParts(LongArray(0), IntArray(0), 0)
+        val NONE = PromptParts(LongArray(0), LongArray(0), IntArray(0), 0)
 
         /** Reads a list of `ID:TOKENS`; a malformed part ends it, since the parts after it cannot be shared either. */
         fun parse(text: String): PromptParts {
             if (text.isBlank()) return NONE
             val maximumParts = text.count { it == ',' } + 1
+            val identities = LongArray(maximumParts)
             val prefixes = LongArray(maximumParts)
             val tokens = IntArray(maximumParts)
             var size = 0
@@ -33,12 +39,14 @@
             for (item in text.splitToSequence(',')) {
                 val count = item.substringAfter(':', "").trim()
                 val partTokens = count.toIntOrNull()?.takeIf { it >= 0 } ?: break
-                hash = combine(hash, item.substringBefore(':').trim())
+                val id = item.substringBefore(':').trim()
+                hash = combine(hash, id)
+                identities[size] = combine(HASH_START, id)
                 prefixes[size] = hash
                 tokens[size] = partTokens
                 size++
             }
-            return PromptParts(prefixes, tokens, size)
+            return PromptParts(identities, prefixes, tokens, size)
         }
 
         /** Continues the 64-bit FNV-1a hash of the parts before with the identity of the next part. */
