Gateway: a stream without length that ends before its first event has been broken off

Another operator's report, an answer that stops and is passed on as whole, could happen here in one form: an engine that ends after the head of a stream without length. The caller got a 200 with an empty stream; now the send counts as lost. The test showed it before the change ("expected HTTP/1.1 502 but was HTTP/1.1 200"). The other forms of the three reports could not be shown: half a head, an error in place of the rest of a stream, a refusal written once more.

--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -371,6 +371,9 @@
                     if (context.events.hasIncompleteEvent) {
                         return handleBrokenStream(target, context, inFlight, "the stream ended inside an event")
                     }
+                    if (exchange.endsWithConnection && !inFlight.answering && context.events.lastEvent == null) {
+                        return handleBrokenStream(target, context, inFlight, "the stream ended before its first event")
+                    }
                     recordAnswer(target, exchange, context, inFlight)
                     exchange.finish(bodyRead = true)
                     target.recordResult(failed = false)
