Gateway: a slow stream is not cut for a retry that is no longer allowed

The time limit of a pause was chosen when the pause began; when other requests spent the retry budget meanwhile, the stream was cut and could not be retried. Now the limit is looked at again when it has passed. The new test failed before: the stream was cut after its first event.

--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -1,6 +1,7 @@
 package org.almondjunction.gateway
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
 import org.almondjunction.common.Clock
@@ -399,16 +400,32 @@
         context: ForwardingContext,
         answer: ExchangeResult.Response,
         inFlight: InFlightRequest,
-    ): BodyPart {
-        val route = context.request.route
-        val limitMs =
-            if (inFlight.answering && mayRetryElsewhere(context)) {
-                maxOf(route.pauseObjectiveMs * PAUSES_UNTIL_SILENT, MINIMUM_SILENCE_MS)
-            } else {
-                route.callerIdleTimeoutMs + CALLER_DISCONNECT_MARGIN_MS
+    ): BodyPart =
+        coroutineScope {
+            val next = async { answer.body.next() }
+            var limitMs = silenceLimitMs(context, inFlight)
+            while (true) {
+                val leftMs = (context.lastProgressMs + limitMs - clock.nowMs()).coerceAtLeast(0)
+                withTimeoutOrNull(leftMs) { next.await() }?.let { return@coroutineScope it }
+                // Other requests may have spent the retry budget meanwhile, so that no other target can continue the stream.
+                val currentLimitMs = silenceLimitMs(context, inFlight)
+                if (currentLimitMs <= limitMs) break
+                limitMs = currentLimitMs
             }
-        val leftMs = (context.lastProgressMs + limitMs - clock.nowMs()).coerceAtLeast(0)
-        return withTimeoutOrNull(leftMs) { answer.body.next() } ?: BodyPart.Broken("no event came for $limitMs ms")
+            next.cancel()
+            BodyPart.Broken("no event came for $limitMs ms")
+        }
+
+    private fun silenceLimitMs(
+        context: ForwardingContext,
+        inFlight: InFlightRequest,
+    ): Long {
+        val route = context.request.route
+        return if (inFlight.answering && mayRetryElsewhere(context)) {
+            maxOf(route.pauseObjectiveMs * PAUSES_UNTIL_SILENT, MINIMUM_SILENCE_MS)
+        } else {
+            route.callerIdleTimeoutMs + CALLER_DISCONNECT_MARGIN_MS
+        }
     }
 
     /** Whether another target may continue the stream; if not, a slow stream is awaited for as long as its caller waits. */
@@ -416,6 +433,7 @@
         val route = context.request.route
         return route.retryKind == RetrySafety.RESUMABLE &&
             context.runs + 1 < route.maximumTargets &&
+            !state.crashes.isSuspect(context.request) &&
             retryBudget.allows(clock.nowMs(), registry.gateways.size)
     }
 
--- a/gateway/src/test/kotlin/FaultyTargetTest.kt
+++ b/gateway/src/test/kotlin/FaultyTargetTest.kt
@@ -1,6 +1,7 @@
 package org.almondjunction.gateway
 
 import kotlinx.coroutines.delay
+import org.almondjunction.decisions.RetryLimits
 import org.almondjunction.decisions.RetrySafety
 import org.almondjunction.network.HeadResult
 import org.almondjunction.network.HttpReader
@@ -149,6 +150,21 @@
         assertEquals(1, sends)
     }
 
+    // Guards against a sound stream that is cut because the retry for which it was given up is no longer allowed.
+    @Test
+    fun `a slow but intact stream is complete when the retry budget is spent during its pause`() {
+        start(RetrySafety.RESUMABLE, streaming = true)
+        script += { connection ->
+            connection.write((streamHead + chunk(events(1))).toByteArray())
+            delay(LONG_PAUSE_MS / 2)
+            gateway.applySettings(fixture.settings.copy(retryLimits = RetryLimits(ratio = 0.0, extra = 0.0)))
+            delay(LONG_PAUSE_MS)
+            connection.write((chunk(events(2)) + end).toByteArray())
+        }
+        assertEquals(events(1, 2) + "|end", unchunk(ask()))
+        assertEquals(1, sends)
+    }
+
     private companion object {
         const val BLOCK_BYTES = 16_384
         const val BYTE_INTERVAL_MS = 20L
