--- a/gateway/src/main/kotlin/CrashTracker.kt
+++ b/gateway/src/main/kotlin/CrashTracker.kt
@@ -79,7 +79,7 @@
         val beginningMs = inFlight.answeringMs
         val pastBeginning = beginningMs != null && clock.nowMs() - beginningMs > ANSWER_BEGINNING_MS
         if (pastBeginning || !target.entry.ready) return null
-        val suspects = evidence.suspects(request.parts.shared.take(MAXIMUM_REPORTED_PARTS), clock.nowMs())
+        val suspects = evidence.suspects(request.parts.shared, clock.nowMs())
         return if (suspects.isEmpty()) null else BrokenOff(target.entry.startedMs, suspects.map { PromptPart(it.part, it.position) })
     }
 
@@ -146,8 +146,6 @@
         /** Time within which a probe has usually ended. */
         const val PROBE_DURATION_MS = 1_000L
 
-        /** Limits the size of a report; prompts have few parts that other requests share. */
-        const val MAXIMUM_REPORTED_PARTS = 64
         const val HEXADECIMAL = 16
     }
 }
--- a/gateway/src/main/kotlin/PromptParts.kt
+++ b/gateway/src/main/kotlin/PromptParts.kt
@@ -3,11 +3,11 @@
 /**
  * The parts of a prompt that requests may share, in order.
  *
- * Only the size of each part, a hash of it and a hash of all parts up to it are kept, so the memory is in proportion to the number of
- * parts.
+ * Only the size of each part and hashes are kept, so the memory is in proportion to the number of parts.
  */
 internal class PromptParts private constructor(
-    private val identities: LongArray,
+    /** Hashes of the first parts that other requests may share, wherever these stand in a prompt; never of the request's own last part. */
+    val shared: List<Long>,
     private val prefixes: LongArray,
     private val tokens: IntArray,
     val size: Int,
@@ -15,9 +15,6 @@
     /** Returns the hash of the parts up to and including [index]. */
     fun prefix(index: Int): Long = prefixes[index]
 
-    /** Hashes of the parts that other requests may share, wherever these parts stand in a prompt; without the request's own last part. */
-    val shared: List<Long> get() = identities.take((size - 1).coerceAtLeast(0))
-
     /** Returns the number of tokens of the part at [index]. */
     fun tokens(index: Int): Int = tokens[index]
 
@@ -25,13 +22,13 @@
     fun sharedKey(count: Int): String = if (size == 0) "" else prefixes[minOf(count, size) - 1].toString()
 
     companion object {
-        val NONE = PromptParts(LongArray(0), LongArray(0), IntArray(0), 0)
+        val NONE = PromptParts(emptyList(), LongArray(0), IntArray(0), 0)
 
         /** Reads a list of `ID:TOKENS`; a malformed part ends it, since the parts after it cannot be shared either. */
         fun parse(text: String): PromptParts {
             if (text.isBlank()) return NONE
             val maximumParts = text.count { it == ',' } + 1
-            val identities = LongArray(maximumParts)
+            val identities = mutableListOf<Long>()
             val prefixes = LongArray(maximumParts)
             val tokens = IntArray(maximumParts)
             var size = 0
@@ -41,12 +38,12 @@
                 val partTokens = count.toIntOrNull()?.takeIf { it >= 0 } ?: break
                 val id = item.substringBefore(':').trim()
                 hash = combine(hash, id)
-                identities[size] = combine(HASH_START, id)
+                if (size <= MAXIMUM_SHARED_PARTS) identities += combine(HASH_START, id)
                 prefixes[size] = hash
                 tokens[size] = partTokens
                 size++
             }
-            return PromptParts(identities, prefixes, tokens, size)
+            return PromptParts(identities.take(minOf(size - 1, MAXIMUM_SHARED_PARTS).coerceAtLeast(0)), prefixes, tokens, size)
         }
 
         /** Continues the 64-bit FNV-1a hash of the parts before with the identity of the next part. */
@@ -59,6 +56,8 @@
             return (hash xor PART_END) * HASH_PRIME
         }
 
+        /** Bounds the memory and time that each part takes by itself; prompts have few parts that other requests share. */
+        private const val MAXIMUM_SHARED_PARTS = 64
         private const val HASH_START = -0x340d631b7bdddcdbL
         private const val HASH_PRIME = 0x100000001b3L
         private const val PART_END = 0x100L
--- /dev/null
+++ b/gateway/src/test/kotlin/PromptPartsTest.kt
@@ -0,0 +1,26 @@
+package org.almondjunction.gateway
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
+
+class PromptPartsTest {
+    private fun shared(text: String) = PromptParts.parse(text).shared
+
+    @Test
+    fun `shared parts are the same wherever they stand and never contain the last part`() {
+        val (first, second) = shared("a:1,b:2,own:3")
+        assertEquals(listOf(second, first), shared("b:9,a:1,other:3"))
+        assertNotEquals(first, second)
+        listOf("" to 0, "own:1" to 0, "a:1,own:1" to 1, "a:1,b:x,own:1" to 0, "a:1," to 0).forEach { (text, count) ->
+            assertEquals(count, shared(text).size, text)
+        }
+    }
+
+    @Test
+    fun `the number of shared parts is limited`() {
+        val parts = PromptParts.parse((0..5_000).joinToString(",") { "$it:1" })
+        assertEquals(5_001, parts.size)
+        assertEquals(64, parts.shared.size)
+    }
+}
