--- a/common/src/main/kotlin/Metrics.kt
+++ b/common/src/main/kotlin/Metrics.kt
@@ -77,5 +77,5 @@
     MODELS_RESIDENT("models.resident"),
     REQUESTS_WAITING("requests.waiting"),
     STATE_SEQUENCE("state.sequence"),
-    CONDEMNED_PARTS("condemned.parts"),
+    QUARANTINED_PARTS("quarantined.parts"),
 }
--- a/decisions/src/main/kotlin/CrashEvidence.kt
+++ b/decisions/src/main/kotlin/CrashEvidence.kt
@@ -33,7 +33,7 @@
     ) : PartVerdict()
 
     /** Requests with [part] end their targets; after [probeMs], one of them may find out whether that is still so. */
-    public data class Condemned(
+    public data class Quarantined(
         val part: Long,
         val crashes: Int,
         val probeMs: Long,
@@ -60,8 +60,8 @@
     private val answeredMs = LruMap<Long, Long>(MAXIMUM_ANSWERED_PARTS)
     private var suspicions = emptyMap<Long, Suspicion>()
 
-    /** Parts that are condemned now. */
-    public val condemned: Set<Long> get() = suspicions.filterValues { it.crashes >= CONDEMNING_CRASHES }.keys
+    /** Parts that are quarantined now. */
+    public val quarantined: Set<Long> get() = suspicions.filterValues { it.crashes >= QUARANTINE_CRASHES }.keys
 
     /** Number of parts that are kept with the ends of targets. */
     public val size: Int get() = crashesBySource.values.sumOf { crashes -> crashes.sumOf { it.parts.size } }
@@ -119,9 +119,9 @@
         if (suspicions.isEmpty()) return PartVerdict.Sound
         val (part, suspicion) =
             parts.mapNotNull { part -> suspicions[part]?.let { part to it } }.maxByOrNull { it.second.crashes } ?: return PartVerdict.Sound
-        if (suspicion.crashes < CONDEMNING_CRASHES) return PartVerdict.Suspect(part)
-        val factor = 1L shl (PROBE_INTERVAL_SHIFT * (suspicion.crashes - CONDEMNING_CRASHES)).coerceAtMost(MAXIMUM_SHIFT)
-        return PartVerdict.Condemned(part, suspicion.crashes, suspicion.lastMs + FIRST_PROBE_MS * factor)
+        if (suspicion.crashes < QUARANTINE_CRASHES) return PartVerdict.Suspect(part)
+        val factor = 1L shl (PROBE_INTERVAL_SHIFT * (suspicion.crashes - QUARANTINE_CRASHES)).coerceAtMost(MAXIMUM_SHIFT)
+        return PartVerdict.Quarantined(part, suspicion.crashes, suspicion.lastMs + FIRST_PROBE_MS * factor)
     }
 
     private fun isInnocent(
@@ -197,9 +197,9 @@
         /** Time after a complete answer in which its parts are not suspected; a new version of a target may change what ends it. */
         public const val INNOCENCE_MS: Long = 30_000
 
-        /** Number of separate ends of targets from which a part is suspect, and from which it is condemned. */
+        /** Number of separate ends of targets from which a part is suspect, and from which it is quarantined. */
         public const val SUSPICIOUS_CRASHES: Int = 2
-        public const val CONDEMNING_CRASHES: Int = 3
+        public const val QUARANTINE_CRASHES: Int = 3
 
         /** Targets on one rack or switch end within this time of each other. */
         private const val COMMON_CAUSE_MS = 100L
--- a/decisions/src/test/kotlin/CrashEvidenceTest.kt
+++ b/decisions/src/test/kotlin/CrashEvidenceTest.kt
@@ -20,7 +20,7 @@
 
     private val cases =
         listOf(
-            Case("one end is no reason to condemn", listOf(crash(1_000, FIRST, BAD)), emptyMap()),
+            Case("one end is no reason to quarantine", listOf(crash(1_000, FIRST, BAD)), emptyMap()),
             Case(
                 "the deepest part of all ends explains them",
                 listOf(crash(1_000, FIRST, BAD), crash(2_000, FIRST, BAD), crash(3_000, FIRST, BAD)),
@@ -56,14 +56,14 @@
         )
 
     @Test
-    fun `the fewest parts that explain the ends of targets are condemned`() {
+    fun `the fewest parts that explain the ends of targets are quarantined`() {
         for (case in cases) {
             val evidence = CrashEvidence()
             case.answersMs.forEach { (part, atMs) -> evidence.recordAnswer(listOf(part), atMs) }
             case.crashes.forEachIndexed { index, crash -> evidence.replace("source-$index", listOf(crash)) }
-            assertEquals(case.expected.keys, evidence.condemned, case.pattern)
+            assertEquals(case.expected.keys, evidence.quarantined, case.pattern)
             case.expected.forEach { (part, crashes) ->
-                assertEquals(crashes, (evidence.verdict(listOf(FIRST, part)) as PartVerdict.Condemned).crashes, case.pattern)
+                assertEquals(crashes, (evidence.verdict(listOf(FIRST, part)) as PartVerdict.Quarantined).crashes, case.pattern)
             }
         }
     }
@@ -73,9 +73,9 @@
         val evidence = CrashEvidence()
         evidence.replace("a", listOf(crash(1_000, BAD), crash(3_000, BAD)))
         evidence.replace("b", listOf(crash(2_000, FIRST, BAD)))
-        assertEquals(setOf(BAD), evidence.condemned)
+        assertEquals(setOf(BAD), evidence.quarantined)
         assertEquals(mapOf("a" to listOf(BAD), "b" to listOf(BAD)), evidence.recordAnswer(listOf(BAD), 4_000))
-        assertEquals(emptySet(), evidence.condemned)
+        assertEquals(emptySet(), evidence.quarantined)
         assertEquals(mapOf(BAD to 4_000L), evidence.replace("a", listOf(crash(1_000, BAD))), "a late copy of the report")
         assertEquals(PartVerdict.Sound, evidence.verdict(listOf(BAD)))
     }
@@ -87,7 +87,7 @@
         val intervals =
             List(5) {
                 evidence.replace("a", crashes)
-                val verdict = evidence.verdict(listOf(BAD)) as PartVerdict.Condemned
+                val verdict = evidence.verdict(listOf(BAD)) as PartVerdict.Quarantined
                 val intervalMs = verdict.probeMs - crashes.last().atMs
                 crashes = crashes + crash(verdict.probeMs, BAD)
                 intervalMs
@@ -167,7 +167,7 @@
             if (!bad) requests++
             if (up.isEmpty()) continue
             val verdict = evidence.random(random).verdict(parts)
-            if (verdict is PartVerdict.Condemned && nowMs < verdict.probeMs) {
+            if (verdict is PartVerdict.Quarantined && nowMs < verdict.probeMs) {
                 if (!bad) refused++
                 continue
             }
@@ -196,7 +196,7 @@
 
     // Guards against a part that goes on to end targets, and against sound callers who are refused in its place.
     @Test
-    fun `a part that ends targets is condemned at any place and hardly anybody else is refused`() {
+    fun `a part that ends targets is quarantined at any place and hardly anybody else is refused`() {
         for (seed in 1..20) {
             val outcome = simulate(Random(seed), badPlace = seed % 3, chanceEndMs = 20_000, targetsAtOnce = 1)
             assertTrue(outcome.lateArrivals <= 3, "seed $seed: ${outcome.lateArrivals} requests arrived late")
--- a/gateway/src/main/kotlin/CrashTracker.kt
+++ b/gateway/src/main/kotlin/CrashTracker.kt
@@ -17,12 +17,12 @@
  * Keeps requests away from engines that they would end, by what this gateway saw and what keepers report of all gateways.
  *
  * @param gateway name of this gateway
- * @param onCondemned called when another prompt part is condemned
+ * @param onQuarantined called when another prompt part is quarantined
  */
 internal class CrashTracker(
     private val clock: Clock,
     private val gateway: String,
-    private val onCondemned: () -> Unit = {},
+    private val onQuarantined: () -> Unit = {},
 ) {
     /** Whether a request may be sent. */
     sealed class Admission {
@@ -42,10 +42,10 @@
 
     private val evidence = CrashEvidence()
     private val probes = mutableSetOf<Long>()
-    private var condemned = emptySet<Long>()
+    private var quarantined = emptySet<Long>()
 
-    /** Number of prompt parts that are condemned now. */
-    val condemnedParts: Int get() = condemned.size
+    /** Number of prompt parts that are quarantined now. */
+    val quarantinedParts: Int get() = quarantined.size
 
     /** Replaces the crashes of the engine whose keeper is at [source]; returns those of their parts that are known to be innocent. */
     fun receive(
@@ -98,7 +98,7 @@
         when (val verdict = evidence.verdict(request.parts.shared)) {
             PartVerdict.Sound -> Admission.Admitted
             is PartVerdict.Suspect -> Admission.Confined(verdict.part, probe = false)
-            is PartVerdict.Condemned -> {
+            is PartVerdict.Quarantined -> {
                 val leftMs = verdict.probeMs - clock.nowMs()
                 val prober = Rendezvous.order("${verdict.part}/${verdict.crashes}", gateways) { it }.first()
                 when {
@@ -110,7 +110,7 @@
         }
 
     /** Whether [request] is known to end its target. */
-    fun isCondemned(request: ForwardedRequest): Boolean = request.parts.shared.any { it in condemned }
+    fun isQuarantined(request: ForwardedRequest): Boolean = request.parts.shared.any { it in quarantined }
 
     /** Whether a target ended under requests with a part of [request]. */
     fun isSuspect(request: ForwardedRequest): Boolean = evidence.verdict(request.parts.shared) != PartVerdict.Sound
@@ -124,11 +124,11 @@
     }
 
     private fun update() {
-        val before = condemned
-        condemned = evidence.condemned
-        (condemned - before).forEach { log("prompt part condemned; its requests are refused", it) }
-        (before - condemned).forEach { log("prompt part released", it) }
-        if ((condemned - before).isNotEmpty()) onCondemned()
+        val before = quarantined
+        quarantined = evidence.quarantined
+        (quarantined - before).forEach { log("prompt part quarantined; its requests are refused", it) }
+        (before - quarantined).forEach { log("prompt part released", it) }
+        if ((quarantined - before).isNotEmpty()) onQuarantined()
     }
 
     private fun log(
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -62,9 +62,9 @@
     fun cancelActive(): Int = active.toList().onEach { it.cancel(STOPPED_WITHOUT_ANSWER) }.size
 
     /** Cancels the requests that wait at a target which they would end. */
-    fun cancelCondemned(): Unit =
+    fun cancelQuarantined(): Unit =
         active
-            .filter { !it.answer.begun && !it.probe && it.exchange != null && state.crashes.isCondemned(it.request) }
+            .filter { !it.answer.begun && !it.probe && it.exchange != null && state.crashes.isQuarantined(it.request) }
             .forEach { it.cancel(ENDS_TARGETS) }
 
     private suspend fun handleTimeout(context: ForwardingContext) {
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -33,7 +33,7 @@
     private val metrics: Metrics,
 ) {
     private val clock = loop.clock
-    internal val state = GatewayState(CrashTracker(loop.clock, settings.name) { cancelCondemned() })
+    internal val state = GatewayState(CrashTracker(loop.clock, settings.name) { cancelQuarantined() })
     private val registry = TargetRegistry(loop, scope, settings.name, settings.keeperPort, state)
     private val selector = TargetSelector(clock, registry, settings.topology, state)
     private val preloader = ModelPreloader(registry, selector, state, settings.name)
@@ -59,7 +59,7 @@
         TcpListener(loop, settings.callerAddress) { serve(it) }
         TcpListener(loop, settings.readinessAddress) { connection -> scope.launch { answerReadiness(connection) } }
         registry.start()
-        metrics.gauge(MetricName.CONDEMNED_PARTS) { state.crashes.condemnedParts }
+        metrics.gauge(MetricName.QUARANTINED_PARTS) { state.crashes.quarantinedParts }
         scope.launchRestarting("expiry of entries") {
             while (true) {
                 delay(EXPIRY_INTERVAL_MS)
@@ -98,9 +98,9 @@
         if (configuredMs == null && targetsKnown && state.configuration != null) configuredMs = clock.nowMs()
     }
 
-    private fun cancelCondemned() {
+    private fun cancelQuarantined() {
         state.changed.raise()
-        forwarder.cancelCondemned()
+        forwarder.cancelQuarantined()
     }
 
     private fun serve(connection: TcpConnection) {
