--- a/gateway/src/main/kotlin/CrashTracker.kt
+++ b/gateway/src/main/kotlin/CrashTracker.kt
@@ -100,7 +100,9 @@
             is PartVerdict.Suspect -> Admission.Confined(verdict.part, probe = false)
             is PartVerdict.Quarantined -> {
                 val leftMs = verdict.probeMs - clock.nowMs()
-                val prober = Rendezvous.order("${verdict.part}/${verdict.crashes}", gateways) { it }.first()
+                // The turn passes on, since a gateway may receive no request with the part.
+                val turn = -leftMs / PROBE_TURN_MS
+                val prober = Rendezvous.order("${verdict.part}/${verdict.crashes}/$turn", gateways) { it }.first()
                 when {
                     leftMs > 0 -> Admission.Refused(leftMs)
                     prober != gateway || verdict.part in probes -> Admission.Refused(PROBE_DURATION_MS)
@@ -143,8 +145,9 @@
         /** An engine that ends under a request does so when it begins to answer; one that ends later had another cause. */
         const val ANSWER_BEGINNING_MS = 1_000L
 
-        /** Time within which a probe has usually ended. */
+        /** Time within which a probe has usually ended, and for which one gateway may send probes. */
         const val PROBE_DURATION_MS = 1_000L
+        const val PROBE_TURN_MS = 10_000L
 
         const val HEXADECIMAL = 16
     }
--- a/gateway/src/test/kotlin/CrashTrackerTest.kt
+++ b/gateway/src/test/kotlin/CrashTrackerTest.kt
@@ -65,6 +65,22 @@
         assertEquals(gateways.size, quarantines)
     }
 
+    @Test
+    fun `every gateway has its turn to send a probe`() {
+        receive(3)
+        nowMs += 8_000
+        val probers =
+            (1..30).flatMap {
+                nowMs += 10_000
+                trackers
+                    .filterValues { tracker ->
+                        tracker.admit(bad, gateways) is CrashTracker.Admission.Confined
+                    }.keys
+                    .also { assertEquals(1, it.size) }
+            }
+        assertEquals(gateways, probers.toSet())
+    }
+
     // Guards against several gateways that each lose an engine to find out the same.
     @Test
     fun `one gateway at a time sends a probe, and an answer to it releases the part`() {
@@ -72,7 +88,7 @@
         nowMs += 8_000
         val probing = trackers.filterValues { (it.admit(bad, gateways) as? CrashTracker.Admission.Confined)?.probe == true }
         val part = parts.last().part
-        assertEquals(listOf(Rendezvous.order("$part/3", gateways) { it }.first()), probing.keys.toList())
+        assertEquals(listOf(Rendezvous.order("$part/3/0", gateways) { it }.first()), probing.keys.toList())
         val prober = probing.values.single()
         prober.beginProbe(part)
         assertIs<CrashTracker.Admission.Refused>(prober.admit(bad, gateways))
