Keeper link: what gateways know of crashes comes before their greeting

A keeper that had just restarted answered the greeting with an empty log, and the gateway released its quarantined parts until the log was restored some 50 ms later. Found by reading; the case with a restarted keeper of CrashingPartTest held before as well.

--- a/gateway/src/main/kotlin/CrashTracker.kt
+++ b/gateway/src/main/kotlin/CrashTracker.kt
@@ -136,10 +136,10 @@
     private fun log(
         message: String,
         part: Long,
-    ) = EventLog.warn(
-        message,
-        LogFields(extra = mapOf("part" to part.toULong().toString(HEXADECIMAL), "verdict" to evidence.verdict(listOf(part)).toString())),
-    )
+    ) {
+        val crashes = (evidence.verdict(listOf(part)) as? PartVerdict.Quarantined)?.crashes
+        EventLog.warn(message, LogFields(extra = mapOf("part" to part.toULong().toString(HEXADECIMAL), "crashes" to crashes?.toString())))
+    }
 
     private companion object {
         /** An engine that ends under a request does so when it begins to answer; one that ends later had another cause. */
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -78,7 +78,7 @@
     private suspend fun run(context: ForwardingContext) {
         while (true) {
             val target = awaitTarget(context) ?: return
-            val step = coroutineScope { guard(context) { sendTo(this, target, context) } }
+            val step = coroutineScope { markingProbe(context) { sendTo(this, target, context) } }
             when (step) {
                 null -> return
                 ForwardingStep.Retry -> metrics.count(MetricName.RETRIES, context.detail.take(MAXIMUM_REASON_CHARACTERS))
@@ -90,7 +90,7 @@
     }
 
     /** Runs [send]; while it is a probe, no other request of this gateway with the same part is one. */
-    private suspend fun guard(
+    private suspend fun markingProbe(
         context: ForwardingContext,
         send: suspend () -> ForwardingStep?,
     ): ForwardingStep? {
--- a/gateway/src/main/kotlin/KeeperLink.kt
+++ b/gateway/src/main/kotlin/KeeperLink.kt
@@ -57,7 +57,7 @@
         try {
             coroutineScope {
                 val reporting = launch { sendReports(opened) }
-                if (opened.send(KeeperMessage.Greeting(gateway)) && sendKnownCrashes(opened)) receiveMessages(opened)
+                if (sendKnownCrashes(opened) && opened.send(KeeperMessage.Greeting(gateway))) receiveMessages(opened)
                 reporting.cancelAndJoin()
             }
         } finally {
@@ -67,7 +67,7 @@
         EventLog.info("keeper disconnected", LogFields(target = target.entry.target))
     }
 
-    /** A keeper that has restarted has lost what it knew. */
+    /** Sent before the greeting, since a keeper that has restarted would otherwise answer it with an empty log. */
     private suspend fun sendKnownCrashes(opened: MessageChannel): Boolean {
         val crashes = state.crashes.crashesOf(address.ip)
         return crashes.isEmpty() || opened.send(KeeperMessage.Usage(emptyList(), crashes = crashes))
