--- a/gateway/src/test/kotlin/CrashTrackerTest.kt
+++ b/gateway/src/test/kotlin/CrashTrackerTest.kt
@@ -1,6 +1,6 @@
 package org.almondjunction.gateway
 
-import org.almondjunction.common.Clock
+import org.almondjunction.common.VirtualClock
 import org.almondjunction.decisions.Rendezvous
 import org.almondjunction.decisions.RetrySafety
 import org.almondjunction.keeper.EngineCrash
@@ -13,33 +13,20 @@
 import kotlin.test.assertIs
 
 class CrashTrackerTest {
-    private var nowMs = 100_000L
-    private val clock =
-        object : Clock {
-            override fun nowMs() = nowMs
-        }
-    private val names =
-        HeaderNames(
-            "Id",
-            "Deadline",
-            "Model",
-            "Tokens",
-            "Parts",
-            "Event",
-            "Signature",
-            "Target",
-            "Answering",
-            "Not-Run",
-            "Urgency",
-            emptySet(),
-        )
+    private val clock = VirtualClock(100_000)
     private var quarantines = 0
     private val gateways = setOf("g0", "g1", "g2")
     private val trackers = gateways.associateWith { name -> CrashTracker(clock, name) { quarantines++ } }
 
     private fun request(parts: String): ForwardedRequest {
         val head = RequestHead("POST", "/", HttpHeaders(listOf(HttpHeader("Parts", parts))))
-        return ForwardedRequest.of(head, ByteArray(0), GatewayFixture.route(RetrySafety.ONCE, streaming = true), nowMs, names)
+        return ForwardedRequest.of(
+            head,
+            ByteArray(0),
+            GatewayFixture.route(RetrySafety.ONCE, streaming = true),
+            clock.nowMs(),
+            GatewayFixture.NAMES,
+        )
     }
 
     private val bad = request("first:1,bad:1,own:1")
@@ -68,10 +55,10 @@
     @Test
     fun `every gateway has its turn to send a probe`() {
         receive(3)
-        nowMs += 8_000
+        clock.advanceBy(8_000)
         val probers =
             (1..30).flatMap {
-                nowMs += 10_000
+                clock.advanceBy(10_000)
                 trackers
                     .filterValues { tracker ->
                         tracker.admit(bad, gateways) is CrashTracker.Admission.Confined
@@ -85,7 +72,7 @@
     @Test
     fun `one gateway at a time sends a probe, and an answer to it releases the part`() {
         receive(3)
-        nowMs += 8_000
+        clock.advanceBy(8_000)
         val probing = trackers.filterValues { (it.admit(bad, gateways) as? CrashTracker.Admission.Confined)?.probe == true }
         val part = parts.last().part
         assertEquals(listOf(Rendezvous.order("$part/3/0", gateways) { it }.first()), probing.keys.toList())
--- a/gateway/src/test/kotlin/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/GatewayFixture.kt
@@ -89,7 +89,7 @@
         const val TARGETS = 2
         const val LOOPBACK = "127.0.0.1"
         private val SERVICE = ServiceId("s")
-        private val NAMES =
+        val NAMES =
             HeaderNames(
                 "Id",
                 "Deadline",
--- a/gateway/src/test/kotlin/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/TargetSelectorTest.kt
@@ -23,8 +23,6 @@
 
 /** Tests the selection for rarely requested models, changes of demand and a busy weight store, without connections to keepers. */
 class TargetSelectorTest {
-    private val names =
-        HeaderNames("Id", "Deadline", "Model", "Tokens", "Parts", "Last", "Signature", "Target", "Answering", "Not", "Urgency", emptySet())
     private val service = ServiceId("s")
     private val small = ModelConfiguration(ModelId("m"), 60, 0, loadMs = 6_000, loadFromMemoryMs = 300, loadFromDiskMs = 500)
     private val engine =
@@ -130,8 +128,8 @@
         val state = GatewayState(CrashTracker(loop.clock, "g"))
         val registry = registry(case.targets, state)
         state.configuration = GatewayConfiguration(1, listOf(route), mapOf(service to ServiceConfiguration(service, 9, engine)))
-        val head = RequestHead("POST", "/", HttpHeaders(listOf(HttpHeader(names.model, case.model))))
-        val request = ForwardedRequest.of(head, ByteArray(0), route, loop.clock.nowMs(), names)
+        val head = RequestHead("POST", "/", HttpHeaders(listOf(HttpHeader(GatewayFixture.NAMES.model, case.model))))
+        val request = ForwardedRequest.of(head, ByteArray(0), route, loop.clock.nowMs(), GatewayFixture.NAMES)
         val choice = runBlocking { TargetSelector(loop.clock, registry, topology, state).choose(request, emptyMap()) }
         val actual =
             when (choice) {
--- a/network/src/test/kotlin/EventLoopTest.kt
+++ b/network/src/test/kotlin/EventLoopTest.kt
@@ -4,21 +4,17 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.coroutines.yield
 import java.lang.ref.WeakReference
-import kotlin.concurrent.thread
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
 class EventLoopTest {
-    private val loop = EventLoop()
-    private val loopThread = thread { loop.run() }
+    private val running = RunningLoop()
+    private val loop = running.loop
 
     @AfterTest
-    fun stop() {
-        loop.stop()
-        loopThread.join()
-    }
+    fun stop(): Unit = running.close()
 
     // Guards against a process whose heap is exhausted by request bodies that timers with a long delay refer to after the response.
     @Test
--- a/network/src/test/kotlin/ProcessScopeTest.kt
+++ b/network/src/test/kotlin/ProcessScopeTest.kt
@@ -6,7 +6,6 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
-import kotlin.concurrent.thread
 import kotlin.coroutines.EmptyCoroutineContext
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -15,16 +14,13 @@
 
 /** Unexpected errors, such as a bug or a hostile peer may cause, must not stop the event loop. */
 class ProcessScopeTest {
-    private val loop = EventLoop()
+    private val running = RunningLoop()
+    private val loop = running.loop
     private val failures = AtomicInteger()
     private val scope = processScope(loop) { failures.incrementAndGet() }
-    private val loopThread = thread { loop.run() }
 
     @AfterTest
-    fun stop() {
-        loop.stop()
-        loopThread.join()
-    }
+    fun stop(): Unit = running.close()
 
     @Test
     fun `an error in one coroutine ends only that coroutine`() {
--- a/network/src/test/kotlin/TcpListenerTest.kt
+++ b/network/src/test/kotlin/TcpListenerTest.kt
@@ -8,7 +8,6 @@
 import java.nio.channels.ServerSocketChannel
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
-import kotlin.concurrent.thread
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -16,15 +15,12 @@
 
 /** File descriptors are exhausted while clients wait to be accepted. */
 class TcpListenerTest {
-    private val loop = EventLoop()
+    private val running = RunningLoop()
+    private val loop = running.loop
     private val scope = processScope(loop)
-    private val loopThread = thread { loop.run() }
 
     @AfterTest
-    fun stop() {
-        loop.stop()
-        loopThread.join()
-    }
+    fun stop(): Unit = running.close()
 
     @Test
     fun `a client that cannot be accepted does not keep the loop busy and is served once descriptors are free`() {
