--- a/gateway/src/main/kotlin/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/ForwardedRequest.kt
@@ -8,6 +8,7 @@
  * @property arrivedMs when its first byte was read
  * @property deadlineMs when its caller stops waiting; null if not given
  * @property answerTokens maximum number of tokens of the response; 0 if not given
+ * @property tenant tenant that holds the caller's API key; null if the route needs none
  */
 internal class ForwardedRequest(
     val head: RequestHead,
@@ -21,6 +22,7 @@
     val promptTokens: Long,
     val answerTokens: Long,
     val parts: PromptParts,
+    val tenant: Tenant? = null,
 ) {
     val service = route.serviceFor(id)
 
@@ -40,6 +42,7 @@
             route: Route,
             arrivedMs: Long,
             names: HeaderNames,
+            tenant: Tenant? = null,
         ): ForwardedRequest {
             val model = head.headers[names.model]
             val tokens = head.headers[names.tokens].orEmpty()
@@ -55,6 +58,7 @@
                 promptTokens = tokens.substringBefore(',').trim().toLongOrNull() ?: 0,
                 answerTokens = tokens.substringAfter(',', "").trim().toLongOrNull() ?: 0,
                 parts = PromptParts.parse(head.headers[names.promptParts].orEmpty()),
+                tenant = tenant,
             )
         }
     }
--- a/gateway/src/main/kotlin/GatewayConfiguration.kt
+++ b/gateway/src/main/kotlin/GatewayConfiguration.kt
@@ -5,12 +5,17 @@
 import org.almondjunction.decisions.Rendezvous
 import org.almondjunction.decisions.RetrySafety
 
-/** Accepted configuration of the gateways: a complete state, identified by [version]. */
+/**
+ * Accepted configuration of the gateways: a complete state, identified by [version].
+ *
+ * @property apiKeys keys that callers of routes which are not public must present; null if no route needs a key
+ */
 public data class GatewayConfiguration(
     val version: Long,
     val routes: List<Route>,
     val services: Map<ServiceId, ServiceConfiguration>,
     val limits: CallerLimits = CallerLimits(),
+    val apiKeys: ApiKeys? = null,
 ) {
     private val routesByHost by lazy {
         routes.groupBy { it.host.lowercase() }.mapValues { (_, group) -> group.sortedByDescending { it.pathPrefix.length } }
@@ -34,6 +39,7 @@
  * @property streaming whether the response is a stream of events
  * @property pauseObjectiveMs longest pause between events that still meets the objective
  * @property callerIdleTimeoutMs time after which callers disconnect if they have received nothing
+ * @property public whether its callers need no API key
  */
 public data class Route(
     val name: String,
@@ -48,6 +54,7 @@
     val maximumTargets: Int,
     val pauseObjectiveMs: Long = 0,
     val callerIdleTimeoutMs: Long = Long.MAX_VALUE / 2,
+    val public: Boolean = false,
 ) {
     /** Returns the service that handles the request [requestId]. */
     public fun serviceFor(requestId: String): ServiceId {
--- a/gateway/src/main/kotlin/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/GatewaySettings.kt
@@ -1,6 +1,7 @@
 package org.almondjunction.gateway
 
 import org.almondjunction.common.Address
+import org.almondjunction.decisions.QuotaLimits
 import org.almondjunction.decisions.RetryLimits
 
 /**
@@ -13,6 +14,10 @@
  * @property keeperPort port of the keeper next to each engine
  * @property graceMs time between a request to stop and the end of the process
  * @property retryLimits retries that all gateways together may make
+ * @property revocationMs time after which a key that was taken away must no longer be accepted, whatever this process can reach; null if
+ * no such limit applies
+ * @property quotaLimits how far all gateways together may exceed a quota
+ * @property hedgedShare share of the first sends that may be spent on hedged requests, 0 to 0.2; 0 switches them off
  * @property entryRetentionMs time for which an entry is kept after it disappeared while the platform's list of targets was not trusted
  */
 public data class GatewaySettings(
@@ -25,4 +30,7 @@
     val graceMs: Long = 8_000,
     val retryLimits: RetryLimits = RetryLimits(),
     val entryRetentionMs: Long = 2_000,
+    val revocationMs: Long? = null,
+    val quotaLimits: QuotaLimits = QuotaLimits(),
+    val hedgedShare: Double = 0.0,
 )
--- a/gateway/src/main/kotlin/HeaderNames.kt
+++ b/gateway/src/main/kotlin/HeaderNames.kt
@@ -14,6 +14,8 @@
  * @property answeringTarget identity of the target that responds
  * @property notExecuted present if the target has not run the request
  * @property urgency rank of the request within its target, 0 is first
+ * @property apiKey key that identifies the tenant of a caller; never sent to a target
+ * @property tenant name of the tenant, set by the gateway only
  * @property reserved headers that only the system may set, in lower case; they are removed from callers' requests
  */
 public data class HeaderNames(
@@ -28,5 +30,7 @@
     val answeringTarget: String,
     val notExecuted: String,
     val urgency: String,
+    val apiKey: String,
+    val tenant: String,
     val reserved: Set<String>,
 )
--- a/gateway/src/test/kotlin/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/GatewayFixture.kt
@@ -102,7 +102,9 @@
                 "Answering",
                 "Not-Run",
                 "Urgency",
-                setOf("target"),
+                "Key",
+                "Tenant",
+                setOf("target", "key", "tenant"),
             )
 
         /** Returns [count] different ports; all are held until the last is known, since the system may give a released port again. */
