Loads from the weight store are ordered by one gateway, and no more at once than the store serves

Each gateway counted the loads of the others before these were visible.

Models without a copy on any host are now preloaded by the same gateway for a service, in the order of their demand, and it counts what it has requested. How many loads the store serves at full speed is learned from how long concurrent ones take. A gateway whose callers leave before such a load would end leaves it to the preloader.

--- a/gateway/src/main/kotlin/ModelPreloader.kt
+++ b/gateway/src/main/kotlin/ModelPreloader.kt
@@ -9,7 +9,8 @@
  *
  * A model that no target holds is loaded where memory is free; if no host has a copy of its weights, the load may evict another model,
  * so that a copy is on the disk of a host when the model is requested. Each model is assigned to one gateway by rendezvous hashing over
- * the gateways connected to keepers.
+ * the gateways connected to keepers. Models without any copy are all assigned to the same gateway: gateways that act at the same moment
+ * do not see each other's requests, and together would begin more loads from the weight store than it serves at full speed.
  */
 internal class ModelPreloader(
     private val registry: TargetRegistry,
@@ -25,7 +26,8 @@
         }
     }
 
-    private suspend fun preload() {
+    /** Requests the loads that are needed now. */
+    suspend fun preload() {
         val services = state.configuration?.services?.values ?: return
         val gateways = registry.gateways
         services.forEach { service ->
@@ -33,19 +35,31 @@
             val ready = registry.ready(service.service)
             val connected = ready.count { it.status != null }
             if (connected < ready.size * MINIMUM_CONNECTED_SHARE) return@forEach
-            engine.models.values
-                .filter { Rendezvous.order(it.model.value, gateways) { name -> name }.first() == gateway }
-                .forEach { preload(it, engine, ready) }
+            selector.observeStoreLoads(ready, engine)
+            val (missing, others) = engine.models.values.partition { model -> ready.none { it.holdsOrHasCopy(model.model.value) } }
+            others.filter { isAssigned(it.model.value, gateways) }.forEach { preload(it, engine, ready) }
+            if (missing.isNotEmpty() && isAssigned("$STORE_LOADS${service.service.value}", gateways)) {
+                missing.sortedByDescending { selector.demandFor(it) }.forEach { preload(it, engine, ready) }
+            }
         }
     }
 
+    private fun isAssigned(
+        work: String,
+        gateways: Set<String>,
+    ): Boolean = Rendezvous.order(work, gateways) { it }.first() == gateway
+
+    private fun Target.holdsOrHasCopy(model: String): Boolean = holds(model) || hasLocalCopy(model)
+
+    private fun Target.holds(model: String): Boolean = status?.models?.any { it.model == model } ?: (model in models)
+
     private suspend fun preload(
         model: ModelConfiguration,
         engine: EngineConfiguration,
         ready: List<Target>,
     ) {
         val name = model.model.value
-        val (holders, others) = ready.partition { target -> target.status?.models?.any { it.model == name } ?: (name in target.models) }
+        val (holders, others) = ready.partition { it.holds(name) }
         if (holders.isEmpty()) {
             val withLocalCopy = ready.filter { it.hasLocalCopy(name) }
             selector.requestModel(withLocalCopy.ifEmpty { ready }, engine, model, mayEvict = withLocalCopy.isEmpty())
@@ -66,5 +80,8 @@
         /** Time within which gateways and keepers are connected after a start of all hosts. */
         const val STARTUP_DELAY_MS = 3_000L
         const val INTERVAL_MS = 500L
+
+        /** Prefix of the work that is assigned once for each service. */
+        const val STORE_LOADS = "store-loads/"
     }
 }
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -8,6 +8,7 @@
 import org.almondjunction.decisions.ModelWorkload
 import org.almondjunction.decisions.Rendezvous
 import org.almondjunction.decisions.ReplicaPlan
+import org.almondjunction.decisions.StoreLoadLimit
 import org.almondjunction.decisions.TargetCandidate
 import org.almondjunction.decisions.TargetChoice
 import org.almondjunction.keeper.KeeperMessage
@@ -42,9 +43,11 @@
         val target: Target,
         val untilMs: Long,
         val expectedMs: Long,
+        val fromStore: Boolean,
     )
 
     private val pendingLoads = mutableMapOf<String, PendingLoad>()
+    private val storeLoadLimit = StoreLoadLimit(MAXIMUM_STORE_LOADS)
     private val startedMs = clock.nowMs()
 
     /** Chooses a target for [request] that is not in [tried]; requests with [confinedPart] use one target only. */
@@ -81,6 +84,7 @@
                     modelConfiguration,
                     mayEvict = true,
                     callers = maxOf(waiting, LoadValue.callerWeight(inTime = false)),
+                    callerLeftMs = request.callerDisconnectMs - nowMs,
                 )
             }
         }
@@ -150,13 +154,18 @@
         return Choice.Later(if (free.isEmpty()) ADAPTER_BEHIND_LOAD_MS else ADAPTER_LOAD_MS)
     }
 
-    /** Requests that one of [ready] loads [model] for [callers], the number of waiting callers weighted by [LoadValue]. */
+    /**
+     * Requests that one of [ready] loads [model] for [callers], the number of waiting callers weighted by [LoadValue].
+     *
+     * A load from the weight store that ends after [callerLeftMs] is left to [ModelPreloader], which orders such loads for all gateways.
+     */
     suspend fun requestModel(
         ready: List<Target>,
         engine: EngineConfiguration,
         model: ModelConfiguration,
         mayEvict: Boolean,
         callers: Double = 0.0,
+        callerLeftMs: Long = Long.MAX_VALUE,
     ): Choice {
         val name = model.model.value
         val nowMs = clock.nowMs()
@@ -169,9 +178,15 @@
         if (withLocalCopy.isEmpty() && connected.size < ready.size && nowMs - startedMs < KEEPER_DISCOVERY_MS) {
             return Choice.Later(KEEPER_DISCOVERY_MS)
         }
-        val demand = state.demand.perSecond(name, nowMs) * registry.gateways.size
-        val maximumLoads = if (demand >= BUSY_REQUESTS_PER_SECOND) MAXIMUM_STORE_LOADS_FOR_BUSY_MODELS else MAXIMUM_STORE_LOADS
-        if (withLocalCopy.isEmpty() && connected.count { it.loadsFromStore } >= maximumLoads) return Choice.Later(model.loadMs * 2)
+        if (withLocalCopy.isEmpty() && model.loadMs > callerLeftMs) return Choice.Later(model.loadMs)
+        val demand = demandFor(model)
+        val maximumLoads =
+            if (demand >= BUSY_REQUESTS_PER_SECOND) MAXIMUM_STORE_LOADS_FOR_BUSY_MODELS else storeLoadLimit.current(nowMs)
+        if (withLocalCopy.isEmpty() &&
+            connected.count { it.loadsFromStore } + requestedStoreLoads >= maximumLoads
+        ) {
+            return Choice.Later(model.loadMs * 2)
+        }
         val valueMs = LoadValue.valueMs(callers, demand)
         val candidates = withLocalCopy.ifEmpty { connected }
         val best =
@@ -183,11 +198,30 @@
         // A model with high demand is loaded before other pending load requests.
         val beforeMs = if (demand >= BUSY_REQUESTS_PER_SECOND) currentLoadMs(target, engine) else remainingLoadMs(target, engine)
         val expectedMs = beforeMs + loadMs(target, model)
-        pendingLoads[name] = PendingLoad(target, nowMs + MODEL_REQUEST_INTERVAL_MS, expectedMs)
+        pendingLoads[name] = PendingLoad(target, nowMs + MODEL_REQUEST_INTERVAL_MS, expectedMs, fromStore = withLocalCopy.isEmpty())
         requestLoad(target, engine, name, null, model.loadMs * 2, mayEvict, callers)
         return Choice.Later(expectedMs)
     }
 
+    /** Number of loads from the weight store that this gateway has requested and their keepers do not report yet. */
+    val requestedStoreLoads: Int get() =
+        pendingLoads.count { (name, load) -> load.fromStore && load.untilMs > clock.nowMs() && load.target.status?.loading != name }
+
+    /** Learns from the loads in progress on [ready] how many the weight store serves at full speed. */
+    fun observeStoreLoads(
+        ready: List<Target>,
+        engine: EngineConfiguration,
+    ) {
+        val loading = ready.filter { it.loadsFromStore }
+        loading.forEach { target ->
+            val model = target.status?.loading?.let { engine.models[ModelId(it)] } ?: return@forEach
+            storeLoadLimit.record(target.loadingForMs, model.loadMs, loading.size, clock.nowMs())
+        }
+    }
+
+    /** Returns the recent demand of all gateways for [model], estimated from that of this one, in requests per second. */
+    fun demandFor(model: ModelConfiguration): Double = state.demand.perSecond(model.model.value, clock.nowMs()) * registry.gateways.size
+
     /** Returns the expected time until the load in progress and the pending loads of [target] are complete; 0 if there are none. */
     private fun remainingLoadMs(
         target: Target,
