Quotas over all gateways: decisions, messages, coordinator and client

A tenant with a quota was served without any limit. Keepers now grant units of each quota, one coordinator for each shard of the tenants under a lease in the store, and gateways charge requests before they are sent.

--- a/common/src/main/kotlin/Metrics.kt
+++ b/common/src/main/kotlin/Metrics.kt
@@ -78,4 +78,8 @@
     REQUESTS_WAITING("requests.waiting"),
     STATE_SEQUENCE("state.sequence"),
     QUARANTINED_PARTS("quarantined.parts"),
+    QUOTA_GRANTED("quota.granted"),
+    QUOTA_REFUSED("quota.refused"),
+    QUOTA_RETURNED("quota.returned"),
+    QUOTA_COORDINATOR_CHANGES("quota.coordinator.changes"),
 }
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -28,6 +28,7 @@
     private val names: HeaderNames,
     private val retryBudget: SharedRetryBudget,
     private val metrics: Metrics,
+    private val quotas: QuotaClient,
 ) {
     private val active = mutableSetOf<ForwardingContext>()
 
@@ -42,7 +43,7 @@
         request.model?.let { state.demand.record(it, clock.nowMs()) }
         active += context
         try {
-            val ended = withTimeoutOrNull(context.timeLeftMs.coerceAtLeast(0)) { context.runCancellable { run(context) } }
+            val ended = withTimeoutOrNull(context.timeLeftMs.coerceAtLeast(0)) { context.runCancellable { runWithinQuota(context) } }
             when (ended) {
                 null -> handleTimeout(context)
                 true -> Unit
@@ -75,6 +76,25 @@
         if (context.sends > 0) respondUnknown(context, GATEWAY_TIMEOUT) else respondNotRun(context, null)
     }
 
+    private suspend fun runWithinQuota(context: ForwardingContext) {
+        when (val admission = quotas.admit(context.request)) {
+            is QuotaAdmission.Admitted ->
+                try {
+                    run(context)
+                } finally {
+                    if (!context.sentAny) admission.refund()
+                }
+            is QuotaAdmission.OverLimit -> {
+                context.detail = "the tenant is over its limit"
+                respondNotRun(context, admission.retryAfterMs, TOO_MANY_REQUESTS)
+            }
+            is QuotaAdmission.NoCoordinator -> {
+                context.detail = "no coordinator of quotas"
+                respondNotRun(context, admission.retryAfterMs)
+            }
+        }
+    }
+
     private suspend fun run(context: ForwardingContext) {
         while (true) {
             val target = awaitTarget(context) ?: return
@@ -492,10 +512,11 @@
     private suspend fun respondNotRun(
         context: ForwardingContext,
         retryAfterMs: Long?,
+        status: Int = SERVICE_UNAVAILABLE,
     ) {
         context.outcome = "not run"
         metrics.count(MetricName.REFUSALS, context.detail.take(MAXIMUM_REASON_CHARACTERS))
-        if (!context.answer.begun) context.answer.refuse(SERVICE_UNAVAILABLE, "not run", retryAfterMs)
+        if (!context.answer.begun) context.answer.refuse(status, "not run", retryAfterMs)
     }
 
     private suspend fun respondUnknown(
@@ -511,6 +532,7 @@
         const val TRUNCATED = "broken off"
         const val STOPPED_WITHOUT_ANSWER = "the gateway goes before an answer came"
         const val ENDS_TARGETS = "a prompt part ends engines"
+        const val TOO_MANY_REQUESTS = 429
         const val BAD_GATEWAY = 502
         const val SERVICE_UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
--- a/gateway/src/main/kotlin/ForwardingContext.kt
+++ b/gateway/src/main/kotlin/ForwardingContext.kt
@@ -30,6 +30,10 @@
     var runs = 0
     var refusals = 0
     var sends = 0
+
+    /** Whether any byte of the request may have reached a target. */
+    var sentAny = false
+        private set
     var detail = ""
     var outcome = "cancelled"
     var failure: ExchangeResult.Response? = null
@@ -79,6 +83,7 @@
     }
 
     fun endExchange() {
+        if (exchange?.let { it.mayHaveArrived || it.answered } == true) sentAny = true
         if (cancelReason != null && exchange?.mayHaveArrived == true) mayHaveRun = true
         lastExchangePhase = phase
         exchange = null
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -6,9 +6,11 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.almondjunction.common.EventLog
+import org.almondjunction.common.HostClock
 import org.almondjunction.common.LogFields
 import org.almondjunction.common.MetricName
 import org.almondjunction.common.Metrics
+import org.almondjunction.common.SystemHostClock
 import org.almondjunction.decisions.PlannedStop
 import org.almondjunction.decisions.SharedRetryBudget
 import org.almondjunction.network.EventLoop
@@ -31,6 +33,7 @@
     private val loop: EventLoop,
     private val scope: CoroutineScope,
     private val metrics: Metrics,
+    hostClock: HostClock = SystemHostClock,
 ) {
     private val clock = loop.clock
     internal val state = GatewayState(CrashTracker(loop.clock, settings.name) { cancelQuarantined() })
@@ -38,7 +41,8 @@
     private val selector = TargetSelector(clock, registry, settings.topology, state)
     private val preloader = ModelPreloader(registry, selector, state, settings.name)
     private val retryBudget = SharedRetryBudget(settings.retryLimits)
-    private val forwarder = Forwarder(clock, selector, registry, state, names, retryBudget, metrics)
+    private val quotas = QuotaClient(hostClock, registry, state, names, settings.quotaLimits, metrics)
+    private val forwarder = Forwarder(clock, selector, registry, state, names, retryBudget, metrics, quotas)
     private val connections = mutableSetOf<CallerConnection>()
     private var targetsKnown = false
 
@@ -66,6 +70,7 @@
                 directory.expire()
             }
         }
+        scope.launchRestarting("quotas") { quotas.run() }
         scope.launchRestarting("preparation") { preloader.run() }
     }
 
--- a/gateway/src/main/kotlin/KeeperLink.kt
+++ b/gateway/src/main/kotlin/KeeperLink.kt
@@ -24,6 +24,7 @@
     private val address: Address,
     private val target: Target,
     private val state: GatewayState,
+    private val onQuotaReply: (KeeperMessage.QuotaReply) -> Unit,
     private val demand: () -> List<Demand>,
 ) : AutoCloseable {
     private var channel: MessageChannel? = null
@@ -92,7 +93,8 @@
             when (message) {
                 is KeeperMessage.Status -> receive(opened, message)
                 is KeeperMessage.EngineLoad -> target.update(message)
-                is KeeperMessage.Greeting, is KeeperMessage.Usage, is KeeperMessage.LoadRequest -> return
+                is KeeperMessage.QuotaReply -> onQuotaReply(message)
+                is KeeperMessage.Greeting, is KeeperMessage.Usage, is KeeperMessage.LoadRequest, is KeeperMessage.QuotaRequest -> return
             }
         }
     }
--- a/gateway/src/main/kotlin/TargetRegistry.kt
+++ b/gateway/src/main/kotlin/TargetRegistry.kt
@@ -31,6 +31,13 @@
     /** Targets that are no longer listed but still have requests in flight. */
     private val removedTargets = mutableSetOf<Target>()
 
+    /** Receives the answers of keepers to requests for units of quotas. */
+    var onQuotaReply: (KeeperMessage.QuotaReply) -> Unit = {}
+
+    /** Addresses of the keepers that are connected. */
+    val connectedKeepers: Set<String>
+        get() = targets.values.filter { it.keeper?.connected == true }.mapTo(mutableSetOf()) { it.entry.address.ip }
+
     private var knownGateways = setOf(gateway)
     private var knownGatewaysChange = state.changed.count
 
@@ -108,7 +115,7 @@
             return
         }
         val address = Address(target.entry.address.ip, keeperPort)
-        target.keeper = KeeperLink(loop, scope, gateway, address, target, state) { demandAt(target) }
+        target.keeper = KeeperLink(loop, scope, gateway, address, target, state, { onQuotaReply(it) }) { demandAt(target) }
     }
 
     /** Whether all keepers have reported their state since this gateway started. */
@@ -151,6 +158,15 @@
         }
     }
 
+    /** Sends [request] to the keeper at [ip], if it is connected. */
+    fun requestQuotas(
+        ip: String,
+        request: KeeperMessage.QuotaRequest,
+    ) {
+        val link = targets.values.firstOrNull { it.entry.address.ip == ip && it.keeper?.connected == true }?.keeper ?: return
+        scope.launch { link.send(request) }
+    }
+
     /** Returns this gateway's demand for the models of [target], divided by the number of engines that hold the same model. */
     private fun demandAt(target: Target): List<Demand> {
         val nowMs = loop.clock.nowMs()
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -23,12 +23,14 @@
  * report on which it was planned, so a delayed order cannot take effect after a newer one.
  *
  * @param firstFence fencing number of the first order; must increase with each start of this process
+ * @param quotas coordinator of quotas on this host; null if it is not to be one
  */
 public class Keeper(
     private val scope: CoroutineScope,
     private val clock: Clock,
     private val engine: EngineControl,
     firstFence: Long,
+    private val quotas: QuotaCoordinator? = null,
 ) {
     private class Session(
         val channel: MessageChannel,
@@ -41,6 +43,7 @@
         var statusSentMs = 0L
         var gatewaysSent: List<String>? = null
         var crashesSent = -1
+        var answeringQuotas = 0
     }
 
     private val sessions = mutableSetOf<Session>()
@@ -125,7 +128,8 @@
                 answerUsage(session)
             }
             is KeeperMessage.LoadRequest -> submit(session.gateway, message)
-            is KeeperMessage.Status, is KeeperMessage.EngineLoad -> session.channel.close()
+            is KeeperMessage.QuotaRequest -> answerQuotas(session, message)
+            is KeeperMessage.Status, is KeeperMessage.EngineLoad, is KeeperMessage.QuotaReply -> session.channel.close()
         }
     }
 
@@ -146,6 +150,24 @@
         push(session)
     }
 
+    /** Answers that wait to be written are limited in number, so that a gateway that reads nothing holds no memory. */
+    private fun answerQuotas(
+        session: Session,
+        message: KeeperMessage.QuotaRequest,
+    ) {
+        val coordinator = quotas
+        if (coordinator == null || session.gateway.isEmpty() || session.answeringQuotas >= MAXIMUM_QUOTA_ANSWERS) return
+        val reply = coordinator.answer(session.gateway, message) ?: return
+        session.answeringQuotas++
+        scope.launch {
+            try {
+                session.channel.send(reply)
+            } finally {
+                session.answeringQuotas--
+            }
+        }
+    }
+
     private suspend fun refresh(): EngineSnapshot? {
         val before = snapshot
         val askedMs = clock.nowMs()
@@ -498,6 +520,9 @@
     }
 
     private companion object {
+        /** One for each shard, with room for requests that were repeated. */
+        const val MAXIMUM_QUOTA_ANSWERS = 16
+
         /** Poll interval while no load request is carried out; a report from the engine's own host is fresh and cheap. */
         const val IDLE_POLL_MS = 100L
 
--- a/keeper/src/main/kotlin/KeeperMessage.kt
+++ b/keeper/src/main/kotlin/KeeperMessage.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.almondjunction.decisions.QuotaGrant
+import org.almondjunction.decisions.QuotaWant
 
 /** Messages between a gateway and the keeper of an engine. */
 @Serializable
@@ -83,6 +85,35 @@
         val crashes: List<EngineCrash>? = null,
     ) : KeeperMessage()
 
+    /**
+     * Request of a gateway for units of quotas; sent only while a tenant with a quota is in force.
+     *
+     * @property number number of the request, named in the answer
+     */
+    @Serializable
+    @SerialName("q")
+    public data class QuotaRequest(
+        val shard: Int,
+        val number: Long,
+        val wants: List<QuotaWant> = emptyList(),
+    ) : KeeperMessage()
+
+    /**
+     * Answer to a [QuotaRequest].
+     *
+     * @property lease identity of the lease under which the units are granted; null if this keeper is not the coordinator
+     * @property coordinator host that is the coordinator, as far as this keeper knows; null if it is this one or unknown
+     */
+    @Serializable
+    @SerialName("a")
+    public data class QuotaReply(
+        val shard: Int,
+        val number: Long,
+        val lease: Long? = null,
+        val coordinator: String? = null,
+        val grants: List<QuotaGrant> = emptyList(),
+    ) : KeeperMessage()
+
     /** Current load of the engine. */
     @Serializable
     @SerialName("l")
--- a/keeper/src/main/kotlin/MessageChannel.kt
+++ b/keeper/src/main/kotlin/MessageChannel.kt
@@ -1,5 +1,7 @@
 package org.almondjunction.keeper
 
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
 import org.almondjunction.common.EventLog
@@ -14,8 +16,11 @@
     /** Whether the connection has ended. */
     public val closed: Boolean get() = connection.closed
 
+    /** Frames of several senders must not mix when the connection takes only a part of one. */
+    private val sending = Mutex()
+
     /** Sends [message]; returns false when the connection has ended. */
-    public suspend fun send(message: KeeperMessage): Boolean = connection.write(encode(message))
+    public suspend fun send(message: KeeperMessage): Boolean = sending.withLock { connection.write(encode(message)) }
 
     /** Returns the next message; null when the connection has ended or the peer sent an invalid frame. */
     public suspend fun receive(): KeeperMessage? {
