--- a/decisions/src/main/kotlin/QuotaAccount.kt
+++ b/decisions/src/main/kotlin/QuotaAccount.kt
@@ -21,6 +21,9 @@
     private val waiting = ArrayDeque<Waiter>()
     private val demand = DecayingRate(DEMAND_DECAY_MS)
     private val backlog = BacklogRate()
+
+    /** When the coordinator expects to have units for the requests that it could not grant. */
+    private var availableMs = 0L
     private var askAgainMs = 0L
     private var askedAheadMs = Long.MIN_VALUE / 2
 
@@ -53,8 +56,8 @@
     /**
      * Serves a request of [cost] units at once, or lets it wait behind the others.
      *
-     * Returns null if those before it need most of [patienceMs]. Admitting it would favour small requests, which still find units shortly
-     * before their time ends, over large ones.
+     * Returns null if it costs more than the quota ever grants at once, or if those before it need most of [patienceMs]. Admitting it then
+     * would favour small requests, which still find units shortly before their time ends, over large ones.
      */
     public fun request(
         cost: Long,
@@ -62,15 +65,17 @@
         now: HostTime,
     ): Waiter? {
         demand.add(cost.coerceAtMost(Int.MAX_VALUE.toLong()).toInt(), now.monotonicMs)
-        if (waiting.size >= MAXIMUM_WAITERS || expectedWaitMs(now) > patienceMs * QUEUE_SHARE) return null
+        if (cost > bounds.largestCost || waiting.size >= MAXIMUM_WAITERS || expectedWaitMs(now) > patienceMs * QUEUE_SHARE) return null
         val waiter = Waiter(cost)
         waiting.addLast(waiter)
         serve(now)
         return waiter
     }
 
-    /** Returns the time that the waiting requests will probably need. */
-    public fun expectedWaitMs(now: HostTime): Long =
+    /** Returns the time after which a further request will probably find units. */
+    public fun retryMs(now: HostTime): Long = maxOf(expectedWaitMs(now), availableMs - now.monotonicMs)
+
+    private fun expectedWaitMs(now: HostTime): Long =
         (waiting.sumOf { it.cost } / backlog.perSecond(bounds.ratePerSecond, now.monotonicMs) * MILLISECONDS_PER_SECOND).toLong()
 
     /** Ends the wait of [waiter], and puts back what it may have taken; returns the requests that this serves. */
@@ -101,6 +106,7 @@
         asked: HostTime,
         now: HostTime,
     ): List<Waiter> {
+        if (grant.waitMs > 0) availableMs = now.monotonicMs + grant.waitMs
         askAgainMs = now.monotonicMs + grant.waitMs.coerceIn(MINIMUM_REPEAT_MS, MAXIMUM_REPEAT_MS)
         if (grant.units > 0) grants.addLast(HeldGrant(lease, grant.batch, asked, grant.validityMs, grant.units))
         return serve(now)
--- a/decisions/src/main/kotlin/QuotaBounds.kt
+++ b/decisions/src/main/kotlin/QuotaBounds.kt
@@ -23,6 +23,9 @@
     /** Units by which one large request may take a bucket below zero. */
     val debt: Double get() = DEBT_SHARE * tolerance
 
+    /** Highest cost of a request that can be granted at all. */
+    val largestCost: Double get() = burst + debt
+
     /** Whether the limits are usable numbers. */
     val valid: Boolean
         get() = ratePerSecond > 0 && burst >= 0 && tolerance >= 0 && listOf(ratePerSecond, burst, tolerance).all { it.isFinite() }
--- a/decisions/src/main/kotlin/QuotaBucket.kt
+++ b/decisions/src/main/kotlin/QuotaBucket.kt
@@ -59,9 +59,13 @@
         }
         val refused = want.costs.getOrNull(served)
         if (refused == null || served > 0) queue -= gateway
-        if (refused != null) queue[gateway] = nowMs else if (queue.isEmpty()) granted += takeAhead(want.ahead)
+        if (refused != null) {
+            queue[gateway] = nowMs
+        } else if (queue.isEmpty()) {
+            granted += takeAhead(want.ahead)
+        }
         if (granted > 0) record(granted, nowMs)
-        val waitMs = refused?.let { waitMs(it, queue.keys.first() == gateway) } ?: 0
+        val waitMs = refused?.let { waitMs(it, queue.keys.firstOrNull() == gateway) } ?: 0
         return QuotaGrant(want.tenant, granted, nowMs / BATCH_MS, bounds.validityMs, waitMs)
     }
 
--- a/decisions/src/main/kotlin/QuotaLease.kt
+++ b/decisions/src/main/kotlin/QuotaLease.kt
@@ -49,7 +49,12 @@
 
     /** Host that holds the lease, as far as this keeper has seen, if it is another process. */
     public val other: String?
-        get() = sight?.record?.takeIf { held == null && it.incarnation != incarnation }?.holder?.takeIf { it != holder }
+        get() =
+            sight
+                ?.record
+                ?.takeIf { held == null && it.incarnation != incarnation }
+                ?.holder
+                ?.takeIf { it != holder }
 
     /** Returns the call that is due at [now]; null if none is. Its answer must be given to [receive]. */
     public fun next(now: HostTime): LeaseCall? {
--- a/decisions/src/test/kotlin/QuotaSimulation.kt
+++ b/decisions/src/test/kotlin/QuotaSimulation.kt
@@ -51,12 +51,17 @@
             clockStops: Boolean,
         ) {
             frozenUntilMs = nowMs + durationMs
-            if (clockStops) suspendedMs += durationMs else if (random.nextInt(4) == 0) wallOffsetMs += random.nextLong(3_000)
+            if (clockStops) {
+                suspendedMs += durationMs
+            } else if (random.nextInt(4) == 0) {
+                wallOffsetMs += random.nextLong(3_000)
+            }
         }
 
         /** Runs [work] when the host is not frozen, unless it has crashed since. */
         fun deliver(work: () -> Unit) {
             val sent = generation
+
             fun attempt() {
                 if (generation != sent) return
                 if (nowMs < frozenUntilMs) after(frozenUntilMs - nowMs) { attempt() } else work()
@@ -76,6 +81,7 @@
             val call = shard.next(now()) ?: return
             val asked = shard
             var done = false
+
             fun finish(answer: LeaseAnswer) =
                 deliver {
                     if (!done && shard === asked) {
@@ -128,7 +134,14 @@
 
         private fun execute(call: LeaseCall): LeaseAnswer =
             when (call) {
-                LeaseCall.Read -> if (revision == 0L || record == null) LeaseAnswer.Missing(era) else LeaseAnswer.Found(record, revision, era)
+                LeaseCall.Read ->
+                    if (revision == 0L ||
+                        record == null
+                    ) {
+                        LeaseAnswer.Missing(era)
+                    } else {
+                        LeaseAnswer.Found(record, revision, era)
+                    }
                 is LeaseCall.Write ->
                     if (call.revision == revision.takeIf { record != null }) {
                         record = call.record
--- a/gateway/src/main/kotlin/QuotaClient.kt
+++ b/gateway/src/main/kotlin/QuotaClient.kt
@@ -25,7 +25,8 @@
     private val metrics: Metrics,
     private val random: Random = Random.Default,
 ) {
-    private val shards = List(CoordinatorSearch.SHARDS) { QuotaShardClient(it, { registry.connectedKeepers }, registry::requestQuotas, metrics) }
+    private val shards =
+        List(CoordinatorSearch.SHARDS) { QuotaShardClient(it, { registry.connectedKeepers }, registry::requestQuotas, metrics) }
     private val waiting = mutableMapOf<QuotaAccount.Waiter, CompletableDeferred<QuotaCharge>>()
     private var appliedVersion: Long? = null
 
@@ -77,9 +78,9 @@
         val cost = QuotaCost.of(quota, request.head.headers.all(names.tokens))
         val leftMs = request.responseDeadlineMs - clock.now().monotonicMs
         val patienceMs = (leftMs / PATIENCE_DIVISOR).coerceIn(0, MAXIMUM_PATIENCE_MS)
-        if (waiting.size >= MAXIMUM_WAITING) return refused(account, shardOf(tenant), 0)
+        if (waiting.size >= MAXIMUM_WAITING) return refused(account, shardOf(tenant), clock.now().monotonicMs)
         val startedMs = clock.now().monotonicMs
-        val waiter = account.request(cost, patienceMs, clock.now()) ?: return refused(account, shardOf(tenant), startedMs - RECENT_MS)
+        val waiter = account.request(cost, patienceMs, clock.now()) ?: return refused(account, shardOf(tenant), startedMs)
         waiter.charge?.let { return admitted(account, it) }
         return await(account, waiter, shardOf(tenant), patienceMs) ?: refused(account, shardOf(tenant), startedMs)
     }
@@ -121,15 +122,16 @@
         resume(account.refund(charge, clock.now()))
     }
 
-    /** The tenant is over its limit only if a coordinator has said so since [sinceMs]. */
+    /** The tenant is over its limit only if a coordinator has answered since [sinceMs], or just before. */
     private fun refused(
         account: QuotaAccount,
         shard: QuotaShardClient,
         sinceMs: Long,
     ): QuotaAdmission {
-        if ((shard.answeredMs ?: return noCoordinator()) < sinceMs) return noCoordinator()
+        val recentMs = minOf(sinceMs, clock.now().monotonicMs - RECENT_MS)
+        if ((shard.answeredMs ?: return noCoordinator()) < recentMs) return noCoordinator()
         metrics.count(MetricName.QUOTA_REFUSED, "over limit")
-        val waitMs = account.expectedWaitMs(clock.now()).coerceIn(MINIMUM_RETRY_MS, MAXIMUM_RETRY_MS)
+        val waitMs = account.retryMs(clock.now()).coerceIn(MINIMUM_RETRY_MS, MAXIMUM_RETRY_MS)
         return QuotaAdmission.OverLimit(jittered(waitMs))
     }
 
@@ -158,8 +160,8 @@
         /** Bounds the memory of requests that wait for units; with their bodies, they also count against the budget for buffers. */
         const val MAXIMUM_WAITING = 4_096
 
-        /** An answer that is not older shows that there is a coordinator. */
-        const val RECENT_MS = 2_000L
+        /** A coordinator is asked at least every 200 ms while a request waits, so an answer that is not older shows that it is there. */
+        const val RECENT_MS = 500L
         const val MINIMUM_RETRY_MS = 200L
         const val MAXIMUM_RETRY_MS = 60_000L
 
--- a/gateway/src/main/kotlin/QuotaShardClient.kt
+++ b/gateway/src/main/kotlin/QuotaShardClient.kt
@@ -66,7 +66,11 @@
         lastAskedMs = now.monotonicMs
         val named = (if (heartbeat) accounts.entries.toList() else accounts.entries.filter { it.value.needsUnits(now) }).take(MAXIMUM_WANTS)
         // The accounts that were named come last in the next message, so that all are named in turn.
-        if (accounts.size > MAXIMUM_WANTS) named.forEach { (tenant, account) -> accounts.remove(tenant).also { accounts[tenant] = account } }
+        if (accounts.size >
+            MAXIMUM_WANTS
+        ) {
+            named.forEach { (tenant, account) -> accounts.remove(tenant).also { accounts[tenant] = account } }
+        }
         inFlight = InFlight(++number, now)
         val wants = named.map { it.value.want(now) }
         val returned = wants.sumOf { want -> want.returned.sumOf { it.units } }
--- a/gateway/src/test/kotlin/QuotaGatewayTest.kt
+++ b/gateway/src/test/kotlin/QuotaGatewayTest.kt
@@ -200,6 +200,7 @@
         val answers = java.util.Collections.synchronizedList(mutableListOf<String>())
         val callers = List(8) { thread { repeat(20) { answers += ask("small") } } }
         val others = List(40) { ask("large") }
+        assertEquals(429, statusOf(ask("large", "9000000,0")), "A request beyond all that its quota grants at once must not wait.")
         callers.forEach { it.join() }
         val elapsedMs = loop.clock.nowMs() - startedMs
         val statuses = answers.map { statusOf(it) }
@@ -216,17 +217,29 @@
     fun `another keeper takes over when the coordinator goes away`() {
         start(listOf("127.0.0.2", "127.0.0.3"))
         awaitServed("large")
-        val first = leases.records.values.first().first.holder
+        val first =
+            leases.records.values
+                .first()
+                .first.holder
         onLoop {
             listeners.getValue(first).close()
             keeperScopes.getValue(first).cancel()
         }
         // More than what the gateway holds, so that only a new coordinator can grant it.
         val answers = mutableListOf<Int>()
-        while (answers.size < ATTEMPTS && leases.records.values.none { it.first.holder != first }) answers += statusOf(ask("large", "3000,0"))
+        while (answers.size < ATTEMPTS &&
+            leases.records.values.none { it.first.holder != first }
+        ) {
+            answers += statusOf(ask("large", "3000,0"))
+        }
         assertTrue(answers.all { it in setOf(200, 429, 503) }, "$answers")
         awaitServed("large")
-        assertNotEquals(first, leases.records.values.maxBy { it.second }.first.holder)
+        assertNotEquals(
+            first,
+            leases.records.values
+                .maxBy { it.second }
+                .first.holder,
+        )
     }
 
     // Guards against messages and calls to the store on deployments without tenants.
@@ -237,7 +250,26 @@
         assertEquals(0, leases.calls.get())
     }
 
+    // Guards against units that go to callers which disconnected while they waited.
+    @Test
+    fun `the units of a caller that disconnects while it waits go to others`() {
+        start(listOf("127.0.0.2"))
+        awaitServed("small")
+        repeat(30) { ask("small") }
+        val sockets = List(20) { Socket(GatewayFixture.LOOPBACK, callersPort) }
+        sockets.forEachIndexed { index, socket ->
+            val head = "GET / HTTP/1.1\r\nHost: h\r\nId: x$index\r\nDeadline: 20000\r\nKey: small\r\n\r\n"
+            socket.getOutputStream().write(head.toByteArray())
+        }
+        Thread.sleep(WAITING_MS)
+        sockets.forEach { it.close() }
+        Thread.sleep(WAITING_MS)
+        assertEquals(200, statusOf(ask("small")))
+    }
+
     private companion object {
+        /** Time for which callers wait, shorter than the time in which a quota yields the units for all of them. */
+        const val WAITING_MS = 200L
         const val ATTEMPTS = 60
     }
 }
--- a/keeper/src/main/kotlin/QuotaCoordinator.kt
+++ b/keeper/src/main/kotlin/QuotaCoordinator.kt
@@ -1,8 +1,8 @@
 package org.almondjunction.keeper
 
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import org.almondjunction.common.EventLog
 import org.almondjunction.common.HostClock
 import org.almondjunction.common.LogFields
