API keys, age of the configuration proof and the era of the store

Callers of routes that are not public need the key of a tenant: without one they get 401, and 503 while the gateway cannot know whether the key was removed or added. Revisions and watches belong to the era of the store in which they were read, and targets that were removed are not used again when an older copy of the store lists them.

--- a/common/src/main/kotlin/HostClock.kt
+++ b/common/src/main/kotlin/HostClock.kt
@@ -21,7 +21,27 @@
     public fun now(): HostTime
 }
 
-/** Both clocks of this host. */
-public object SystemHostClock : HostClock {
-    override fun now(): HostTime = HostTime(SystemClock.nowMs(), System.currentTimeMillis())
+/** Both clocks of this host; its wall clock does not go back, see [ForwardHostClock]. */
+public object SystemHostClock : HostClock by ForwardHostClock({ HostTime(SystemClock.nowMs(), System.currentTimeMillis()) })
+
+/**
+ * The clocks of [source] without backward jumps of its wall clock.
+ *
+ * A backward jump would hide a later suspension of the host from the wall clock; the time of the monotonic clock is added in its place. It
+ * is recognized by the next call of [now], which must therefore be called several times a second.
+ */
+public class ForwardHostClock(
+    private val source: HostClock,
+) : HostClock {
+    private var last = source.now()
+    private var wallMs = last.wallMs
+
+    @Synchronized
+    override fun now(): HostTime {
+        val current = source.now()
+        val wallElapsedMs = current.wallMs - last.wallMs
+        wallMs += if (wallElapsedMs < 0) current.monotonicMs - last.monotonicMs else wallElapsedMs
+        last = current
+        return HostTime(current.monotonicMs, wallMs)
+    }
 }
--- a/common/src/main/kotlin/Metrics.kt
+++ b/common/src/main/kotlin/Metrics.kt
@@ -78,4 +78,7 @@
     REQUESTS_WAITING("requests.waiting"),
     STATE_SEQUENCE("state.sequence"),
     QUARANTINED_PARTS("quarantined.parts"),
+    CONFIGURATION_PROOF_CHANGES("configuration.proof.changes"),
+    CONFIGURATION_PROOF_AGE_MS("configuration.proof.age.milliseconds"),
+    STORE_ERA_RISES("store.era.rises"),
 }
--- a/gateway/src/main/kotlin/CallerConnection.kt
+++ b/gateway/src/main/kotlin/CallerConnection.kt
@@ -29,6 +29,7 @@
     private val metrics: Metrics,
 ) : AutoCloseable {
     private val reader = HttpReader(connection)
+    private val admission = RequestAdmission(state, names, clock)
 
     /** Whether a request is being read or answered. */
     var busy = false
@@ -106,21 +107,14 @@
         answer: CallerAnswer,
         host: String,
     ): Boolean {
-        val configuration = state.configuration
-        val path = head.target.substringBefore('?')
-        val route = configuration?.route(host.substringBeforeLast(':'), path) ?: configuration?.route(host, path)
-        when {
-            configuration == null -> {
-                logRefusal(head, SERVICE_UNAVAILABLE, "no configuration yet")
-                answer.refuse(SERVICE_UNAVAILABLE, "no configuration yet", RETRY_WITHOUT_CONFIGURATION_MS)
+        when (val decision = admission.decide(head, host)) {
+            is RequestAdmission.Decision.Refused -> {
+                logRefusal(head, decision.status, decision.reason)
+                answer.refuse(decision.status, decision.reason, decision.retryAfterMs)
             }
-            route == null -> {
-                logRefusal(head, NOT_FOUND, "no route")
-                answer.refuse(NOT_FOUND, "no route")
-            }
-            else ->
+            is RequestAdmission.Decision.Admitted ->
                 handleUnexpectedErrors(head, answer) {
-                    forwardUntilDisconnect(ForwardedRequest.of(head, body, route, arrivedMs, names), answer)
+                    forwardUntilDisconnect(ForwardedRequest.of(head, body, decision.route, arrivedMs, names, decision.tenant), answer)
                 }
         }
         answer.abortIfIncomplete()
@@ -199,13 +193,11 @@
 
     private companion object {
         const val BAD_REQUEST = 400
-        const val NOT_FOUND = 404
         const val REQUEST_TIMEOUT = 408
         const val CONTENT_TOO_LARGE = 413
         const val HEADERS_TOO_LARGE = 431
         const val BAD_GATEWAY = 502
         const val SERVICE_UNAVAILABLE = 503
-        const val RETRY_WITHOUT_CONFIGURATION_MS = 500L
         const val RETRY_AFTER_OVERLOAD_MS = 500L
 
         /** Time limit for the complete body: above any caller's deadline; bounds callers that send single bytes at long intervals. */
--- a/gateway/src/main/kotlin/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/ForwardedRequest.kt
@@ -26,6 +26,9 @@
 ) {
     val service = route.serviceFor(id)
 
+    /** Rank of the request, 0 is the highest. */
+    val priority: Int get() = tenant?.priority ?: route.priority
+
     /** Model and adapter that process the prompt; cached prompt parts are specific to them. */
     val weights: String get() = if (adapter == null) "$model" else "$model/$adapter"
 
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -246,14 +246,9 @@
                 }.toMutableList()
         headers += HttpHeader(names.deadlineMs, context.timeLeftMs.coerceAtLeast(1).toString())
         headers += HttpHeader(names.targetIdentity, target.entry.target.value)
+        request.tenant?.let { headers += HttpHeader(names.tenant, it.name) }
         if (request.route.streaming) {
-            headers +=
-                HttpHeader(
-                    names.urgency,
-                    request.route.priority
-                        .coerceIn(0, LOWEST_URGENCY)
-                        .toString(),
-                )
+            headers += HttpHeader(names.urgency, request.priority.coerceIn(0, LOWEST_URGENCY).toString())
         }
         context.events.lastEvent?.let { headers += HttpHeader(names.lastEvent, it) }
         val hasBody = request.body.isNotEmpty() || received["Content-Length"] != null || received["Transfer-Encoding"] != null
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -6,9 +6,12 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.almondjunction.common.EventLog
+import org.almondjunction.common.HostClock
+import org.almondjunction.common.HostTime
 import org.almondjunction.common.LogFields
 import org.almondjunction.common.MetricName
 import org.almondjunction.common.Metrics
+import org.almondjunction.common.SystemHostClock
 import org.almondjunction.decisions.PlannedStop
 import org.almondjunction.decisions.SharedRetryBudget
 import org.almondjunction.network.EventLoop
@@ -31,9 +34,14 @@
     private val loop: EventLoop,
     private val scope: CoroutineScope,
     private val metrics: Metrics,
+    hostClock: HostClock = SystemHostClock,
 ) {
     private val clock = loop.clock
-    internal val state = GatewayState(CrashTracker(loop.clock, settings.name) { cancelQuarantined() })
+    internal val state =
+        GatewayState(
+            CrashTracker(loop.clock, settings.name) { cancelQuarantined() },
+            ConfigurationProof(hostClock, metrics, settings.revocationMs),
+        )
     private val registry = TargetRegistry(loop, scope, settings.name, settings.keeperPort, state)
     private val selector = TargetSelector(clock, registry, settings.topology, state)
     private val preloader = ModelPreloader(registry, selector, state, settings.name)
@@ -52,7 +60,14 @@
     /** Whether this gateway accepts requests of callers. */
     public val ready: Boolean get() =
         configuredMs?.let { registry.keepersHeard || clock.nowMs() - it >= KEEPER_WAIT_MS } == true &&
-            !state.stopping
+            !state.stopping &&
+            !lacksProof
+
+    /** Whether callers with an API key cannot be served, since their keys may have been removed. */
+    private val lacksProof: Boolean get() = state.configuration?.apiKeys != null && !state.proof.fresh
+
+    /** Wait of the next watch of the configuration, so that the proof that it is the newest stays young enough. */
+    public val nextConfigurationWatchMs: Long get() = state.proof.nextWatchMs
 
     /** Starts listening and starts the background tasks. */
     public fun start() {
@@ -60,10 +75,12 @@
         TcpListener(loop, settings.readinessAddress) { connection -> scope.launch { answerReadiness(connection) } }
         registry.start()
         metrics.gauge(MetricName.QUARANTINED_PARTS) { state.crashes.quarantinedParts }
+        metrics.gauge(MetricName.CONFIGURATION_PROOF_AGE_MS) { state.proof.ageMs ?: Double.NaN }
         scope.launchRestarting("expiry of entries") {
             while (true) {
                 delay(EXPIRY_INTERVAL_MS)
                 directory.expire()
+                state.proof.reportChanges()
             }
         }
         scope.launchRestarting("preparation") { preloader.run() }
@@ -80,9 +97,18 @@
         EventLog.info("configuration in force", LogFields(extra = mapOf("version" to configuration.version.toString())))
     }
 
-    /** Applies those settings of [changed] that may change at run time: the grace time, the retry limits and the regions of zones. */
+    /** Records that the configuration in force, or an invalid later one, was the newest at [provedAt]. */
+    public fun confirmConfiguration(provedAt: HostTime) {
+        if (state.proof.confirm(provedAt)) state.changed.raise()
+    }
+
+    /**
+     * Applies those settings of [changed] that may change at run time: the grace time, the retry limits, the regions of zones and the
+     * limit on revoked keys.
+     */
     public fun applySettings(changed: GatewaySettings) {
         settings = settings.copy(graceMs = changed.graceMs, retryLimits = changed.retryLimits, topology = changed.topology)
+        state.proof.revocationMs = changed.revocationMs
         retryBudget.limits = changed.retryLimits
         selector.topology = changed.topology
     }
--- a/gateway/src/main/kotlin/GatewayState.kt
+++ b/gateway/src/main/kotlin/GatewayState.kt
@@ -9,6 +9,7 @@
 /** Mutable state shared by the components of a gateway. */
 internal class GatewayState(
     val crashes: CrashTracker,
+    val proof: ConfigurationProof = ConfigurationProof(),
 ) {
     val changed = Signal()
     var configuration: GatewayConfiguration? = null
--- a/gateway/src/main/kotlin/TargetDirectory.kt
+++ b/gateway/src/main/kotlin/TargetDirectory.kt
@@ -31,7 +31,8 @@
 /**
  * Targets listed by the platform.
  *
- * An entry that disappears while the list is not trusted is kept for [retentionMs].
+ * An entry that disappears while the list is not trusted is kept for [retentionMs]. An entry that was removed is used again only with a
+ * later start or a higher sequence, since the platform's list may come back from an older copy.
  */
 public class TargetDirectory(
     private val clock: Clock,
@@ -54,6 +55,7 @@
     private val entries = mutableMapOf<TargetId, TargetEntry>()
     private val retained = mutableMapOf<TargetId, Long>()
     private val targetsByAddress = mutableMapOf<Address, TargetId>()
+    private val removed = RemovedTargets()
 
     /**
      * Adds or replaces the entry of a target; an entry older than the known one is ignored.
@@ -63,9 +65,12 @@
     public fun put(entry: TargetEntry) {
         val known = entries[entry.target]
         if (known != null && isOlder(entry, known)) return
+        if (known == null && removed.covers(entry)) return
         val entryAtAddress = targetsByAddress[entry.address]?.takeIf { it != entry.target }?.let { entries[it] }
         if (entryAtAddress != null && entryAtAddress.startedMs > entry.startedMs) return drop(entry.target)
-        if (entryAtAddress != null && entryAtAddress.startedMs < entry.startedMs) drop(entryAtAddress.target)
+        if (entryAtAddress != null && entryAtAddress.startedMs < entry.startedMs) {
+            removeForGood(entryAtAddress)
+        }
         if (known != null && known.address != entry.address) targetsByAddress.remove(known.address, entry.target)
         targetsByAddress[entry.address] = entry.target
         retained -= entry.target
@@ -91,7 +96,11 @@
         trusted: Boolean,
     ) {
         val entry = entries[target] ?: return
-        if (trusted || !entry.ready) drop(target) else retained.putIfAbsent(target, clock.nowMs() + retentionMs)
+        if (!trusted && entry.ready) {
+            retained.putIfAbsent(target, clock.nowMs() + retentionMs)
+        } else {
+            removeForGood(entry)
+        }
     }
 
     /** Replaces the complete list. */
@@ -110,6 +119,11 @@
         retained.filterValues { it <= nowMs }.keys.forEach { drop(it) }
     }
 
+    private fun removeForGood(entry: TargetEntry) {
+        removed.add(entry)
+        drop(entry.target)
+    }
+
     private fun drop(target: TargetId) {
         retained -= target
         val entry = entries.remove(target) ?: return
--- a/gateway/src/test/kotlin/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/GatewayFixture.kt
@@ -4,10 +4,12 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.almondjunction.common.Address
+import org.almondjunction.common.HostClock
 import org.almondjunction.common.Location
 import org.almondjunction.common.Metrics
 import org.almondjunction.common.RegionId
 import org.almondjunction.common.ServiceId
+import org.almondjunction.common.SystemHostClock
 import org.almondjunction.common.TargetId
 import org.almondjunction.common.ZoneId
 import org.almondjunction.decisions.RetrySafety
@@ -22,6 +24,8 @@
 /** A gateway on loopback with targets whose connections are served by the test. */
 internal class GatewayFixture(
     graceMs: Long = 8_000,
+    revocationMs: Long? = null,
+    hostClock: HostClock = SystemHostClock,
 ) : AutoCloseable {
     val loop = EventLoop()
     val scope = processScope(loop)
@@ -36,8 +40,9 @@
             readinessPath = "/ready",
             keeperPort = ports[2],
             graceMs = graceMs,
+            revocationMs = revocationMs,
         )
-    val gateway = Gateway(settings, NAMES, loop, scope, Metrics())
+    val gateway = Gateway(settings, NAMES, loop, scope, Metrics(), hostClock)
     private val loopThread = thread { loop.run() }
 
     /** Starts the gateway with a single [route] and a target on each of [hosts]; [target] serves their connections. */
--- a/gateway/src/test/kotlin/TargetDirectoryTest.kt
+++ b/gateway/src/test/kotlin/TargetDirectoryTest.kt
@@ -65,6 +65,49 @@
         assertEquals(setOf("a"), ready.keys)
     }
 
+    // Guards against a target that has ended and is used again, since the store came back from an older copy.
+    @Test
+    fun `a removed or draining target is used again only with a later start or a higher sequence`() {
+        directory.put(entry("draining", ready = false, sequence = 5, port = 81))
+        directory.put(entry("removed", sequence = 5, port = 82))
+        directory.put(entry("replaced", sequence = 5, port = 83))
+        directory.put(entry("new", startedMs = 2, port = 83))
+        directory.remove(TargetId("removed"), trusted = true)
+        directory.replaceAll(emptyList(), trusted = false)
+        clock.advanceBy(2_000)
+        directory.expire()
+        assertEquals(emptySet(), ready.keys)
+        val copy = listOf("draining" to 81, "removed" to 82, "replaced" to 83).map { (name, port) -> entry(name, sequence = 5, port = port) }
+        directory.replaceAll(copy, trusted = false)
+        directory.replaceAll(copy.map { it.copy(sequence = 4) }, trusted = false)
+        directory.replaceAll(copy.map { it.copy(startedMs = 0, sequence = 9) }, trusted = false)
+        assertEquals(emptySet(), ready.keys)
+        directory.put(copy[0].copy(sequence = 6))
+        directory.put(copy[1].copy(startedMs = 2, sequence = 1))
+        assertEquals(setOf("draining", "removed"), ready.keys)
+    }
+
+    // Guards against live targets that stay unused after a store that had lost them lists them again unchanged.
+    @Test
+    fun `a target whose entry only expired while the list was not trusted is used again as it was`() {
+        directory.put(entry("a", sequence = 5))
+        directory.replaceAll(emptyList(), trusted = false)
+        clock.advanceBy(2_000)
+        directory.expire()
+        assertEquals(emptySet(), ready.keys)
+        directory.put(entry("a", sequence = 5))
+        assertEquals(setOf("a"), ready.keys)
+    }
+
+    // Guards against memory that grows with every target that was ever removed.
+    @Test
+    fun `the oldest removed targets are forgotten`() {
+        val removed = RemovedTargets(maximumTargets = 2)
+        listOf("a", "b", "a", "c").forEach { removed.add(entry(it)) }
+        assertEquals(2, removed.size)
+        assertEquals(listOf(true, false, true), listOf("a", "b", "c").map { removed.covers(entry(it)) })
+    }
+
     @Test
     fun `entries that disappear from a trusted list are removed immediately`() {
         directory.replaceAll(listOf(entry("a"), entry("b")), trusted = true)
--- a/network/src/main/kotlin/HttpWriter.kt
+++ b/network/src/main/kotlin/HttpWriter.kt
@@ -53,6 +53,7 @@
             100 to "Continue",
             200 to "OK",
             400 to "Bad Request",
+            401 to "Unauthorized",
             404 to "Not Found",
             408 to "Request Timeout",
             413 to "Content Too Large",
