--- a/common/src/main/kotlin/HostClock.kt
+++ b/common/src/main/kotlin/HostClock.kt
@@ -28,7 +28,8 @@
  * The clocks of [source] without backward jumps of its wall clock.
  *
  * A backward jump would hide a later suspension of the host from the wall clock; the time of the monotonic clock is added in its place. It
- * is recognized by the next call of [now], which must therefore be called several times a second.
+ * is recognized by the next call of [now], which must therefore be called several times a second; a suspension between the same two calls
+ * as the jump is not recognized.
  */
 public class ForwardHostClock(
     private val source: HostClock,
