--- a/common/src/main/kotlin/Metrics.kt
+++ b/common/src/main/kotlin/Metrics.kt
@@ -82,4 +82,7 @@
     QUOTA_REFUSED("quota.refused"),
     QUOTA_RETURNED("quota.returned"),
     QUOTA_COORDINATOR_CHANGES("quota.coordinator.changes"),
+    CONFIGURATION_PROOF_CHANGES("configuration.proof.changes"),
+    CONFIGURATION_PROOF_AGE_MS("configuration.proof.age.milliseconds"),
+    STORE_ERA_RISES("store.era.rises"),
 }
