Hedged requests: slow repeatable requests get a second send

Callers of a route with a few slow targets waited for the slowest of them, although other targets were free. The share of the gateway's own first sends, the shared retry budget and the number of free targets limit the extra work. With share 0, requests are sent as before.

An attempt that fails while the other runs is counted but is no result, so "not run", "unknown" and relayed failures stay true.

--- a/decisions/src/main/kotlin/ForwardingDecision.kt
+++ b/decisions/src/main/kotlin/ForwardingDecision.kt
@@ -53,6 +53,9 @@
 
     /** Relay the failure response of the target to the caller. */
     public data object RelayFailure : ForwardingStep()
+
+    /** Wait for the result of another send of the same request. */
+    public data object AwaitOther : ForwardingStep()
 }
 
 /**
@@ -61,6 +64,7 @@
  * @property mayHaveRun whether an earlier send may have run
  * @property runsLeft further targets that may run it within the limit of its route
  * @property refusalsLeft further sends permitted after one that is known not to have run
+ * @property otherRuns whether another send of the request is in progress
  */
 public data class ForwardingState(
     val kind: RetrySafety,
@@ -68,6 +72,7 @@
     val runsLeft: Int,
     val refusalsLeft: Int,
     val timeLeftMs: Long,
+    val otherRuns: Boolean = false,
 )
 
 /** Decides the next step from the state of a request and the result of its last send. */
@@ -78,6 +83,7 @@
         result: SendResult,
         takeRetry: () -> Boolean,
     ): ForwardingStep {
+        if (state.otherRuns) return ForwardingStep.AwaitOther
         val mayHaveRun = state.mayHaveRun || !result.knownNotRun
         val allowed =
             when (result) {
--- a/decisions/src/test/kotlin/ForwardingDecisionTest.kt
+++ b/decisions/src/test/kotlin/ForwardingDecisionTest.kt
@@ -43,6 +43,15 @@
             assertEquals(case.expected, ForwardingDecision.after(state, case.result) { case.budget }, "$case")
         }
 
+    // Guards against a retry, or an error response, while the other send of a hedged request may still answer.
+    @Test
+    fun `no result is final while another send of the request is in progress`() =
+        cases.forEach { case ->
+            val state = ForwardingState(case.kind, case.mayHaveRun, case.runsLeft, case.refusalsLeft, case.timeLeftMs, otherRuns = true)
+            val step = ForwardingDecision.after(state, case.result) { error("$case took a retry from the budget") }
+            assertEquals(ForwardingStep.AwaitOther, step, "$case")
+        }
+
     @Test
     fun `a request that may have run is never reported as not run`() {
         val results = listOf(SendResult.NotSent, refused, SendResult.Lost, SendResult.Failed)
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -28,6 +28,7 @@
     private val names: HeaderNames,
     private val retryBudget: SharedRetryBudget,
     private val metrics: Metrics,
+    private val hedging: HedgedExchange,
 ) {
     private val active = mutableSetOf<ForwardingContext>()
 
@@ -78,13 +79,15 @@
     private suspend fun run(context: ForwardingContext) {
         while (true) {
             val target = awaitTarget(context) ?: return
-            val step = coroutineScope { markingProbe(context) { sendTo(this, target, context) } }
+            val step =
+                hedging.run(context, target) { chosen -> coroutineScope { markingProbe(context) { sendTo(this, chosen, context) } } }
             when (step) {
                 null -> return
                 ForwardingStep.Retry -> metrics.count(MetricName.RETRIES, context.detail.take(MAXIMUM_REASON_CHARACTERS))
                 ForwardingStep.AnswerNotRun -> return respondNotRun(context, RETRY_AFTER_REFUSAL_MS)
                 ForwardingStep.AnswerUnknown -> return respondUnknown(context, BAD_GATEWAY)
                 ForwardingStep.RelayFailure -> return relayFailure(context)
+                ForwardingStep.AwaitOther -> error("No send is in progress.")
             }
         }
     }
@@ -195,7 +198,7 @@
         val request = context.request
         val inFlight = newInFlightRequest(request, target, context)
         val exchange = Exchange(scope, target, names)
-        context.beginExchange(exchange)
+        context.beginExchange(exchange, scope)
         inFlight.cancel = { exchange.close() }
         target.begin(inFlight)
         context.tried[target] = clock.nowMs()
@@ -210,7 +213,7 @@
                 is ExchangeResult.Response -> handleResponse(target, exchange, context, answer, inFlight)
             }
         } finally {
-            context.endExchange()
+            context.endExchange(exchange)
             exchange.close()
             target.end(inFlight)
         }
@@ -287,10 +290,11 @@
                 runsLeft = context.request.route.maximumTargets - context.runs,
                 refusalsLeft = MAXIMUM_REFUSALS - context.refusals,
                 timeLeftMs = context.timeLeftMs,
+                otherRuns = context.raced,
             )
         if (!result.knownNotRun) context.mayHaveRun = true
         // Another send could end another target.
-        if (result == SendResult.Lost && state.crashes.isSuspect(context.request)) return ForwardingStep.AnswerUnknown
+        if (result == SendResult.Lost && !context.raced && state.crashes.isSuspect(context.request)) return ForwardingStep.AnswerUnknown
         return ForwardingDecision.after(forwarding, result) { retryBudget.tryRetry(clock.nowMs(), registry.gateways.size) }
     }
 
@@ -324,8 +328,10 @@
             context.detail = "status ${answer.head.status}"
             return decide(context, SendResult.Failed)
         }
+        hedging.recordComplete(context, target, exchange)
         context.outcome = ForwardingContext.SERVED
         context.detail = "status ${answer.head.status}"
+        if (succeeded) hedging.recordDuration(context, inFlight)
         if (succeeded) recordAnswer(target, exchange, context, inFlight)
         recordDuration(context)
         context.answer.relay(answer.head, body.bytes)
@@ -359,6 +365,7 @@
                     if (complete.isEmpty()) continue
                     target.recordActivity()
                     context.lastProgressMs = clock.nowMs()
+                    if (!inFlight.answering) hedging.recordDuration(context, inFlight)
                     if (!inFlight.answering) inFlight.answeringMs = context.lastProgressMs
                     inFlight.lastProgressMs = context.lastProgressMs
                     if (context.firstPartMs == null) {
--- a/gateway/src/main/kotlin/ForwardingContext.kt
+++ b/gateway/src/main/kotlin/ForwardingContext.kt
@@ -1,6 +1,8 @@
 package org.almondjunction.gateway
 
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import org.almondjunction.common.Clock
@@ -20,9 +22,14 @@
     val tried = mutableMapOf<Target, Long>()
     var lastTarget: Target? = null
 
-    /** The exchange in progress, or null. */
-    var exchange: Exchange? = null
-        private set
+    /** Exchanges in progress with the scopes in which they run; two while a hedged request is raced. */
+    private val exchanges = mutableMapOf<Exchange, CoroutineScope>()
+
+    /** The first exchange in progress, or null. */
+    val exchange: Exchange? get() = exchanges.keys.firstOrNull()
+
+    /** Whether two exchanges are in progress. */
+    val raced: Boolean get() = exchanges.size > 1
     private var lastExchangePhase: RequestPhase? = null
     val events = EventSplitter()
     val output = StreamOutput(answer)
@@ -30,6 +37,9 @@
     var runs = 0
     var refusals = 0
     var sends = 0
+
+    /** Result of the last hedged send, for the log; null if there was none. */
+    var hedged: String? = null
     var detail = ""
     var outcome = "cancelled"
     var failure: ExchangeResult.Response? = null
@@ -74,14 +84,26 @@
         lastExchangePhase = null
     }
 
-    fun beginExchange(started: Exchange) {
-        exchange = started
+    /** Records that [started] is in progress and runs in [scope]. */
+    fun beginExchange(
+        started: Exchange,
+        scope: CoroutineScope,
+    ) {
+        exchanges[started] = scope
     }
 
-    fun endExchange() {
-        if (cancelReason != null && exchange?.mayHaveArrived == true) mayHaveRun = true
-        lastExchangePhase = phase
-        exchange = null
+    fun endExchange(ended: Exchange) {
+        if (cancelReason != null && ended.mayHaveArrived) mayHaveRun = true
+        lastExchangePhase = maxOf(lastExchangePhase ?: RequestPhase.WAITING, phaseOf(ended))
+        exchanges -= ended
+    }
+
+    /** Cancels all exchanges in progress except [kept] and closes their connections, so that their targets stop. */
+    fun abandonExchanges(kept: Exchange? = null) {
+        exchanges.filterKeys { it !== kept }.forEach { (exchange, scope) ->
+            scope.cancel()
+            exchange.close()
+        }
     }
 
     private val phase: RequestPhase get() = lastExchangePhase ?: exchange?.let { phaseOf(it) } ?: RequestPhase.WAITING
@@ -110,6 +132,7 @@
                         "service" to request.service.value,
                         "model" to request.model?.let { request.weights },
                         "sends" to sends.toString(),
+                        "hedged" to hedged,
                         "tookMs" to (clock.nowMs() - request.arrivedMs).toString(),
                         "leftMs" to timeLeftMs.toString(),
                         "phase" to phase.label.takeUnless { served },
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -9,6 +9,7 @@
 import org.almondjunction.common.LogFields
 import org.almondjunction.common.MetricName
 import org.almondjunction.common.Metrics
+import org.almondjunction.decisions.HedgePolicy
 import org.almondjunction.decisions.PlannedStop
 import org.almondjunction.decisions.SharedRetryBudget
 import org.almondjunction.network.EventLoop
@@ -38,7 +39,9 @@
     private val selector = TargetSelector(clock, registry, settings.topology, state)
     private val preloader = ModelPreloader(registry, selector, state, settings.name)
     private val retryBudget = SharedRetryBudget(settings.retryLimits)
-    private val forwarder = Forwarder(clock, selector, registry, state, names, retryBudget, metrics)
+    private val hedgePolicy = HedgePolicy(settings.hedgedShare)
+    private val hedging = HedgedExchange(clock, selector, registry, state, hedgePolicy, retryBudget, metrics)
+    private val forwarder = Forwarder(clock, selector, registry, state, names, retryBudget, metrics, hedging)
     private val connections = mutableSetOf<CallerConnection>()
     private var targetsKnown = false
 
@@ -80,10 +83,17 @@
         EventLog.info("configuration in force", LogFields(extra = mapOf("version" to configuration.version.toString())))
     }
 
-    /** Applies those settings of [changed] that may change at run time: the grace time, the retry limits and the regions of zones. */
+    /** Applies those settings of [changed] that may change at run time: the grace time, the limits of retries and hedges, the regions of zones. */
     public fun applySettings(changed: GatewaySettings) {
-        settings = settings.copy(graceMs = changed.graceMs, retryLimits = changed.retryLimits, topology = changed.topology)
+        settings =
+            settings.copy(
+                graceMs = changed.graceMs,
+                retryLimits = changed.retryLimits,
+                hedgedShare = changed.hedgedShare,
+                topology = changed.topology,
+            )
         retryBudget.limits = changed.retryLimits
+        hedgePolicy.share = changed.hedgedShare
         selector.topology = changed.topology
     }
 
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -54,6 +54,9 @@
     /** Whether its keeper gets answers from it; true if no keeper is connected. */
     val answering: Boolean get() = status?.engineReachable ?: true
 
+    /** Whether it can begin another request at once, by the requests of this gateway and the last report of its load. */
+    val free: Boolean get() = !silent && maxOf(inFlight.size, load.active + load.queued) < entry.slots
+
     /** Models that accept requests now, with the loaded adapters. */
     var models: Map<String, Set<String>> = entry.models
         private set
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -92,6 +92,29 @@
         return requestAdapter(holders, engine, model, adapter)
     }
 
+    /** A target that can begin a request at once, with the expected time to the first part of its answer. */
+    class FreeTarget(
+        val target: Target,
+        val expectedMs: Double,
+    )
+
+    /** Chooses a free target for [request] that holds its model and is not in [excluded]; orders no load. */
+    fun chooseFree(
+        request: ForwardedRequest,
+        excluded: Set<Target>,
+    ): FreeTarget? {
+        val adapter = request.adapter
+        val candidates =
+            registry
+                .ready(request.service)
+                .filter { target ->
+                    val adapters = target.models[request.model]
+                    val holdsWeights = request.model == null || (adapters != null && (adapter == null || adapter in adapters))
+                    target.free && target !in excluded && holdsWeights
+                }.associateBy { candidate(it, request) }
+        return TargetChoice.choose(candidates.keys.toList())?.let { FreeTarget(candidates.getValue(it), it.expectedMs) }
+    }
+
     /** Returns the one of [holders] to which all gateways send requests with [part], so that they end at most one at a time. */
     private fun confine(
         holders: List<Target>,
