Gateways heed engines that are leaving or ask for a time without requests

Callers could be sent to an engine that had announced its shutdown in an answer, until the store or its keeper said so too, and requests went on to reach engines that had answered 503 with Retry-After. Both headers are now read from every answer and hold for that incarnation of the engine, whatever the store or a keeper reports later. A request that no engine can take in time is refused at once with a true, jittered time. Neither header of an engine is passed on to callers.

The check is repeated once a connection is established, since the engine may have spoken meanwhile.

--- a/common/src/main/kotlin/Metrics.kt
+++ b/common/src/main/kotlin/Metrics.kt
@@ -63,6 +63,7 @@
     REFUSALS("refusals"),
     UNKNOWN_OUTCOMES("unknown.outcomes"),
     RETRIES("retries"),
+    TARGET_SIGNALS("target.signals"),
     HEDGED_SENDS("hedged.sends"),
     HEDGES_WON("hedges.won"),
     HEDGES_WITHHELD("hedges.withheld"),
--- a/gateway/src/main/kotlin/Exchange.kt
+++ b/gateway/src/main/kotlin/Exchange.kt
@@ -36,6 +36,7 @@
     private val scope: CoroutineScope,
     val target: Target,
     private val names: HeaderNames,
+    private val signals: SignalReader,
 ) : AutoCloseable {
     private var connection: TargetConnection? = null
     private var writer: Job? = null
@@ -70,6 +71,8 @@
         connection = taken
         val opened = taken.tcp
         bytesWrittenBefore = opened.bytesWritten
+        // The target may have asked for no further requests while the connection was established.
+        if (!signals.accepts(target)) return ExchangeResult.Unusable(SendResult.NotSent, "the target accepts no more requests")
         val sent = CompletableDeferred<Boolean>()
         writer =
             scope.launch {
@@ -92,7 +95,7 @@
         repeat(MAXIMUM_UNMATCHED_ANSWERS) {
             val head =
                 when (val result = reader.responseHead(MAXIMUM_ANSWER_HEAD_BYTES)) {
-                    is HeadResult.Read -> result.head.also { target.recordActivity() }
+                    is HeadResult.Read -> result.head.also { receive(it) }
                     HeadResult.End, HeadResult.Broken -> return lost("the connection ended before an answer")
                     is HeadResult.Malformed -> return lost(result.detail)
                     HeadResult.TooLarge -> return lost("the head of the answer is too large")
@@ -111,6 +114,11 @@
         return lost("answers to other requests came")
     }
 
+    private fun receive(head: ResponseHead) {
+        target.recordActivity()
+        signals.read(target, head)
+    }
+
     private fun classify(
         head: ResponseHead,
         body: BodyReader,
@@ -128,7 +136,7 @@
             }
             head.status in SUCCESS && !signed -> lost("a success without signature came")
             head.headers["Content-Encoding"] != null -> lost("an encoded body came")
-            else -> ExchangeResult.Response(head, body)
+            else -> ExchangeResult.Response(signals.withoutSignals(head), body)
         }
     }
 
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -7,6 +7,7 @@
 import org.almondjunction.common.Clock
 import org.almondjunction.common.MetricName
 import org.almondjunction.common.Metrics
+import org.almondjunction.decisions.EngineSignals
 import org.almondjunction.decisions.ForwardingDecision
 import org.almondjunction.decisions.ForwardingState
 import org.almondjunction.decisions.ForwardingStep
@@ -18,6 +19,7 @@
 import org.almondjunction.network.BodyPart
 import org.almondjunction.network.BodyResult
 import org.almondjunction.network.HttpHeader
+import kotlin.random.Random
 
 /** Forwards requests to targets and relays the responses. */
 internal class Forwarder(
@@ -29,6 +31,7 @@
     private val retryBudget: SharedRetryBudget,
     private val metrics: Metrics,
     private val hedging: HedgedExchange,
+    private val signals: SignalReader,
 ) {
     private val active = mutableSetOf<ForwardingContext>()
 
@@ -152,6 +155,14 @@
                     }
                     state.changed.await(seen, LOAD_WAIT_MS)
                 }
+                is TargetSelector.Choice.AskedToWait -> {
+                    context.detail = "targets asked to wait"
+                    if (choice.waitMs > request.callerDisconnectMs - clock.nowMs() - MINIMUM_ANSWER_MS && !context.answer.begun) {
+                        giveUp(context, context.detail, EngineSignals.retryAfterMs(choice.waitMs, Random.Default))
+                        return null
+                    }
+                    state.changed.await(seen, minOf(choice.waitMs, LOAD_WAIT_MS))
+                }
                 is TargetSelector.Choice.None -> {
                     val waitedMs = clock.nowMs() - request.arrivedMs
                     if (waitedMs >= minOf(request.route.latencyObjectiveMs / OBJECTIVE_DIVISOR, MAXIMUM_TARGET_WAIT_MS)) {
@@ -197,7 +208,7 @@
     ): ForwardingStep? {
         val request = context.request
         val inFlight = newInFlightRequest(request, target, context)
-        val exchange = Exchange(scope, target, names)
+        val exchange = Exchange(scope, target, names, signals)
         context.beginExchange(exchange, scope)
         inFlight.cancel = { exchange.close() }
         target.begin(inFlight)
@@ -540,6 +551,9 @@
         const val LOAD_WAIT_MS = 100L
         const val TARGET_WAIT_MS = 30L
 
+        /** Time from the end of the wait for a target in which an answer can arrive: one round trip between regions. */
+        const val MINIMUM_ANSWER_MS = 40L
+
         /** Divides the latency objective; a request without a target is refused after that, so that its caller tries another gateway. */
         const val OBJECTIVE_DIVISOR = 8
         const val MAXIMUM_TARGET_WAIT_MS = 300L
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -41,7 +41,8 @@
     private val retryBudget = SharedRetryBudget(settings.retryLimits)
     private val hedgePolicy = HedgePolicy(settings.hedgedShare)
     private val hedging = HedgedExchange(clock, selector, registry, state, hedgePolicy, retryBudget, metrics)
-    private val forwarder = Forwarder(clock, selector, registry, state, names, retryBudget, metrics, hedging)
+    private val forwarder =
+        Forwarder(clock, selector, registry, state, names, retryBudget, metrics, hedging, SignalReader(clock, state, names, metrics))
     private val connections = mutableSetOf<CallerConnection>()
     private var targetsKnown = false
 
--- a/gateway/src/main/kotlin/GatewayState.kt
+++ b/gateway/src/main/kotlin/GatewayState.kt
@@ -2,6 +2,7 @@
 
 import org.almondjunction.decisions.AnswerDurations
 import org.almondjunction.decisions.DemandStatistics
+import org.almondjunction.decisions.EngineSignals
 import org.almondjunction.decisions.PlannedStop
 import org.almondjunction.decisions.WorkloadStatistics
 import org.almondjunction.network.ByteBudget
@@ -23,6 +24,9 @@
 
     /** Statistics of the requests for each model. */
     val demand = DemandStatistics()
+
+    /** What targets have said about themselves in their answers. */
+    val signals = EngineSignals()
     val waitingCallers = WaitingCallers()
     val workStatistics = WorkloadStatistics()
 
--- a/gateway/src/main/kotlin/HeaderNames.kt
+++ b/gateway/src/main/kotlin/HeaderNames.kt
@@ -16,6 +16,8 @@
  * @property urgency rank of the request within its target, 0 is first
  * @property apiKey key that identifies the tenant of a caller; never sent to a target
  * @property tenant name of the tenant, set by the gateway only
+ * @property serverLeaving present with the value 1 if the target that responds is shutting down
+ * @property retryAfter seconds for which a target that responds with 503 wants no request
  * @property reserved headers that only the system may set, in lower case; they are removed from callers' requests
  */
 public data class HeaderNames(
@@ -32,5 +34,7 @@
     val urgency: String,
     val apiKey: String,
     val tenant: String,
+    val serverLeaving: String,
+    val retryAfter: String,
     val reserved: Set<String>,
 )
--- a/gateway/src/main/kotlin/HedgedExchange.kt
+++ b/gateway/src/main/kotlin/HedgedExchange.kt
@@ -95,7 +95,7 @@
                 suspect = state.crashes.isSuspect(request),
                 elapsedMs = nowMs - startedMs,
                 expectedMs = other?.expectedMs,
-                targets = ready.size,
+                targets = registry.running(request.service).size,
                 freeTargets = ready.count { it.free },
             )
         return when (val decision = policy.decide(situation, nowMs) { retryBudget.tryRetry(nowMs, registry.gateways.size) }) {
--- a/gateway/src/main/kotlin/TargetRegistry.kt
+++ b/gateway/src/main/kotlin/TargetRegistry.kt
@@ -66,10 +66,17 @@
             if (suspended) targets.values.forEach { it.resetSilence() }
             removedTargets.removeIf { it.inFlight.isEmpty() }
             removedTargets.toList().forEach { it.checkSilence() }
+            reportEndedWaits(nowMs)
             if (targets.values.toList().count { it.checkSilence() } > 0) state.changed.raise()
         }
     }
 
+    private fun reportEndedWaits(nowMs: Long) {
+        val ended = state.signals.takeEnded(nowMs)
+        ended.forEach { EventLog.info("target accepts requests again", LogFields(target = it)) }
+        if (ended.isNotEmpty()) state.changed.raise()
+    }
+
     fun apply(change: TargetDirectory.Change) {
         when (change) {
             is TargetDirectory.Change.Put -> put(change.entry)
@@ -174,14 +181,31 @@
         return (totalParts / targets.size.coerceAtLeast(1)).toInt()
     }
 
-    fun ready(service: ServiceId): List<Target> =
-        targets.values
-            .filter {
-                it.entry.service == service &&
-                    it.entry.ready &&
-                    !it.closed &&
-                    it.answering
-            }.let { accepting -> accepting.filterNot { it.silent }.ifEmpty { accepting } }
+    fun ready(service: ServiceId): List<Target> {
+        val nowMs = loop.clock.nowMs()
+        return running(service)
+            .filter { state.signals.accepts(it.entry.target, it.entry.startedMs, nowMs) }
+            .let { accepting -> accepting.filterNot { it.silent }.ifEmpty { accepting } }
+    }
+
+    /** Returns the time until the first target of [service] with [model], null for any, accepts requests; null if none will. */
+    fun waitMs(
+        service: ServiceId,
+        model: String? = null,
+    ): Long? {
+        val nowMs = loop.clock.nowMs()
+        val holders = running(service).filter { model == null || model in it.models }
+        return holders.mapNotNull { state.signals.waitMs(it.entry.target, it.entry.startedMs, nowMs) }.minOrNull()
+    }
+
+    /** Returns the targets of [service] that run, including those that have asked for no requests. */
+    fun running(service: ServiceId): List<Target> =
+        targets.values.filter {
+            it.entry.service == service &&
+                it.entry.ready &&
+                !it.closed &&
+                it.answering
+        }
 
     /** Returns the other targets that accept requests for the service of [target]. */
     fun otherTargets(target: Target): List<Target> = ready(target.entry.service).filter { it !== target }
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -32,6 +32,11 @@
             val expectedMs: Long,
         ) : Choice()
 
+        /** All targets want no request before [waitMs] have passed. */
+        data class AskedToWait(
+            val waitMs: Long,
+        ) : Choice()
+
         /** No target can run the request, for [reason]. */
         data class None(
             val reason: String,
@@ -54,7 +59,10 @@
         confinedPart: Long? = null,
     ): Choice {
         val ready = registry.ready(request.service)
-        if (ready.isEmpty()) return Choice.None("no target")
+        if (ready.isEmpty()) {
+            return registry.waitMs(request.service)?.let { Choice.AskedToWait(it.coerceAtLeast(1)) }
+                ?: Choice.None("no target")
+        }
         val nowMs = clock.nowMs()
         val eligible = ready.filter { target -> tried[target]?.let { nowMs >= it + RETRY_SAME_TARGET_MS } ?: true }
         val model =
@@ -74,6 +82,9 @@
             ) {
                 Choice.None("holders tried")
             } else {
+                // A load, which may evict other models, takes longer than a short wait for an engine that holds the model.
+                val waitMs = registry.waitMs(request.service, model)
+                if (!elsewhere && waitMs != null && waitMs in 1..modelConfiguration.loadFromDiskMs) return Choice.AskedToWait(waitMs)
                 val waiting = state.waitingCallers.weight(model, nowMs + modelConfiguration.loadFromDiskMs)
                 requestModel(
                     ready,
--- a/gateway/src/test/kotlin/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/GatewayFixture.kt
@@ -40,6 +40,9 @@
     val gateway = Gateway(settings, NAMES, loop, scope, Metrics())
     private val loopThread = thread { loop.run() }
 
+    /** Entries of the targets that were started. */
+    val entries = mutableListOf<TargetEntry>()
+
     /** Starts the gateway with a single [route] and a target on each of [hosts]; [target] serves their connections. */
     fun start(
         route: Route,
@@ -65,7 +68,9 @@
                 hosts.forEachIndexed { index, host ->
                     val listener = TcpListener(loop, Address(host, 0)) { connection -> scope.launch { target(connection) } }
                     val address = Address(host, listener.port)
-                    gateway.directory.put(TargetEntry(TargetId("t$index"), SERVICE, address, ZoneId("z"), true, 4, 1, 1, emptyMap()))
+                    val entry = TargetEntry(TargetId("t$index"), SERVICE, address, ZoneId("z"), true, 4, 1, 1, emptyMap())
+                    entries += entry
+                    gateway.directory.put(entry)
                 }
             }
         runBlocking { started.await() }
@@ -104,6 +109,8 @@
                 "Urgency",
                 "Key",
                 "Tenant",
+                "Server-Leaving",
+                "Retry-After",
                 setOf("target", "key", "tenant"),
             )
 
--- a/gateway/src/test/kotlin/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/TargetSelectorTest.kt
@@ -135,6 +135,7 @@
             when (choice) {
                 is TargetSelector.Choice.Selected -> choice.target.entry.target.value
                 is TargetSelector.Choice.Later -> "in ${choice.expectedMs} ms"
+                is TargetSelector.Choice.AskedToWait -> "wait ${choice.waitMs} ms"
                 is TargetSelector.Choice.None -> choice.reason
             }
         assertEquals(case.expected, actual, case.pattern)
