Tests of hedged requests and engine signals: abandoned sends, late connections, other targets

A send that was not cancelled when the other had answered kept the caller's connection open until the time limit, and no test failed. The tests now bound the time until the connection ends.

--- a/gateway/src/test/kotlin/EngineSignalsTest.kt
+++ b/gateway/src/test/kotlin/EngineSignalsTest.kt
@@ -2,10 +2,15 @@
 
 import kotlinx.coroutines.async
 import kotlinx.coroutines.runBlocking
+import org.almondjunction.common.Metrics
 import org.almondjunction.decisions.RetrySafety
+import org.almondjunction.decisions.SendResult
 import org.almondjunction.network.HeadResult
+import org.almondjunction.network.HttpHeader
+import org.almondjunction.network.HttpHeaders
 import org.almondjunction.network.HttpReader
 import org.almondjunction.network.RequestHead
+import org.almondjunction.network.ResponseHead
 import org.almondjunction.network.TcpConnection
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -142,6 +147,34 @@
         assertFalse("Retry-After" in failure, failure)
     }
 
+    // Guards against a target that is avoided because another one at its address has answered.
+    @Test
+    fun `the word of another target at the address does not count for this one`() {
+        answer = { if (seen.size == 1) "421 X\r\nAnswering: t9\r\nServer-Leaving: 1\r\n" else served }
+        start(targets = 1)
+        assertEquals("200", statusOf(ask(0)))
+        assertEquals(2, targetsSeen().size)
+    }
+
+    // Guards against a request that was on its way to a target when the target asked for none.
+    @Test
+    fun `a request whose connection is established after the word of its target is not sent`() {
+        start(targets = 1)
+        val result =
+            onLoop {
+                val state = fixture.gateway.state
+                val reader = SignalReader(fixture.loop.clock, state, GatewayFixture.NAMES, Metrics())
+                val target = Target(fixture.loop, fixture.entries.single(), promptCacheTokens = 1)
+                reader.read(target, ResponseHead(200, HttpHeaders(listOf(HttpHeader("Server-Leaving", "1")))))
+                val head = RequestHead("GET", "/x", HttpHeaders(listOf(HttpHeader("Id", "1"))))
+                val route = GatewayFixture.route(RetrySafety.ONCE, streaming = false)
+                val request = ForwardedRequest.of(head, ByteArray(0), route, fixture.loop.clock.nowMs(), GatewayFixture.NAMES)
+                Exchange(fixture.scope, target, GatewayFixture.NAMES, reader).use { it.send(request, head.headers.lines, 0, 1_000) }
+            }
+        assertEquals(SendResult.NotSent, (result as? ExchangeResult.Unusable)?.result)
+        assertEquals(0, targetsSeen().size)
+    }
+
     @Test
     fun `a faulty time has no effect`() {
         val faulty = listOf("-1", "soon", "NaN")
--- a/gateway/src/test/kotlin/HedgedExchangeTest.kt
+++ b/gateway/src/test/kotlin/HedgedExchangeTest.kt
@@ -77,6 +77,12 @@
         deadlineMs: Long = 15_000,
     ): String = fixture.ask("GET /x HTTP/1.1\r\nHost: h\r\nId: $id\r\nDeadline: $deadlineMs\r\nConnection: close\r\n\r\n")
 
+    /** Sends the slow request; its connection must end with the answer, not with the time limit of the abandoned send. */
+    private fun askInTime(): String {
+        val beganMs = fixture.loop.clock.nowMs()
+        return ask().also { assertTrue(fixture.loop.clock.nowMs() - beganMs < CLOSE_LIMIT_MS, "the abandoned send was awaited") }
+    }
+
     private fun statusOf(answer: String) = answer.substringAfter(' ').take(3)
 
     private fun answering(
@@ -119,7 +125,7 @@
         start(RetrySafety.IDEMPOTENT)
         script += silent()
         script += answering(plain(SLOW, 200, "second"))
-        val answer = ask()
+        val answer = askInTime()
         assertEquals("200", statusOf(answer), answer)
         assertEquals("second", answer.substringAfter("\r\n\r\n"))
         awaitClosed(1)
@@ -135,7 +141,7 @@
         start(RetrySafety.IDEMPOTENT)
         script += answering(plain(SLOW, 200, "first"), afterMs = 150)
         script += silent("HTTP/1.1 200 OK\r\nId: $SLOW\r\nSignature: s\r\nContent-Length: 9\r\n\r\npart")
-        assertEquals("first", ask().substringAfter("\r\n\r\n"))
+        assertEquals("first", askInTime().substringAfter("\r\n\r\n"))
         awaitClosed(1)
         assertEquals(2, sends)
     }
