--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -7,6 +7,7 @@
 import org.almondjunction.common.Clock
 import org.almondjunction.common.MetricName
 import org.almondjunction.common.Metrics
+import org.almondjunction.decisions.EngineSignals
 import org.almondjunction.decisions.ForwardingDecision
 import org.almondjunction.decisions.ForwardingState
 import org.almondjunction.decisions.ForwardingStep
@@ -18,6 +19,7 @@
 import org.almondjunction.network.BodyPart
 import org.almondjunction.network.BodyResult
 import org.almondjunction.network.HttpHeader
+import kotlin.random.Random
 
 /** Forwards requests to targets and relays the responses. */
 internal class Forwarder(
@@ -29,6 +31,8 @@
     private val retryBudget: SharedRetryBudget,
     private val metrics: Metrics,
     private val quotas: QuotaClient,
+    private val hedging: HedgedExchange,
+    private val signals: SignalReader,
 ) {
     private val active = mutableSetOf<ForwardingContext>()
 
@@ -98,13 +102,15 @@
     private suspend fun run(context: ForwardingContext) {
         while (true) {
             val target = awaitTarget(context) ?: return
-            val step = coroutineScope { markingProbe(context) { sendTo(this, target, context) } }
+            val step =
+                hedging.run(context, target) { chosen -> coroutineScope { markingProbe(context) { sendTo(this, chosen, context) } } }
             when (step) {
                 null -> return
                 ForwardingStep.Retry -> metrics.count(MetricName.RETRIES, context.detail.take(MAXIMUM_REASON_CHARACTERS))
                 ForwardingStep.AnswerNotRun -> return respondNotRun(context, RETRY_AFTER_REFUSAL_MS)
                 ForwardingStep.AnswerUnknown -> return respondUnknown(context, BAD_GATEWAY)
                 ForwardingStep.RelayFailure -> return relayFailure(context)
+                ForwardingStep.AwaitOther -> error("No send is in progress.")
             }
         }
     }
@@ -169,6 +175,14 @@
                     }
                     state.changed.await(seen, LOAD_WAIT_MS)
                 }
+                is TargetSelector.Choice.AskedToWait -> {
+                    context.detail = "targets asked to wait"
+                    if (choice.waitMs > request.callerDisconnectMs - clock.nowMs() - MINIMUM_ANSWER_MS && !context.answer.begun) {
+                        giveUp(context, context.detail, EngineSignals.retryAfterMs(choice.waitMs, Random.Default))
+                        return null
+                    }
+                    state.changed.await(seen, minOf(choice.waitMs, LOAD_WAIT_MS))
+                }
                 is TargetSelector.Choice.None -> {
                     val waitedMs = clock.nowMs() - request.arrivedMs
                     if (waitedMs >= minOf(request.route.latencyObjectiveMs / OBJECTIVE_DIVISOR, MAXIMUM_TARGET_WAIT_MS)) {
@@ -214,8 +228,8 @@
     ): ForwardingStep? {
         val request = context.request
         val inFlight = newInFlightRequest(request, target, context)
-        val exchange = Exchange(scope, target, names)
-        context.beginExchange(exchange)
+        val exchange = Exchange(scope, target, names, signals)
+        context.beginExchange(exchange, scope)
         inFlight.cancel = { exchange.close() }
         target.begin(inFlight)
         context.tried[target] = clock.nowMs()
@@ -230,7 +244,7 @@
                 is ExchangeResult.Response -> handleResponse(target, exchange, context, answer, inFlight)
             }
         } finally {
-            context.endExchange()
+            context.endExchange(exchange)
             exchange.close()
             target.end(inFlight)
         }
@@ -302,10 +316,11 @@
                 runsLeft = context.request.route.maximumTargets - context.runs,
                 refusalsLeft = MAXIMUM_REFUSALS - context.refusals,
                 timeLeftMs = context.timeLeftMs,
+                otherRuns = context.raced,
             )
         if (!result.knownNotRun) context.mayHaveRun = true
         // Another send could end another target.
-        if (result == SendResult.Lost && state.crashes.isSuspect(context.request)) return ForwardingStep.AnswerUnknown
+        if (result == SendResult.Lost && !context.raced && state.crashes.isSuspect(context.request)) return ForwardingStep.AnswerUnknown
         return ForwardingDecision.after(forwarding, result) { retryBudget.tryRetry(clock.nowMs(), registry.gateways.size) }
     }
 
@@ -339,8 +354,10 @@
             context.detail = "status ${answer.head.status}"
             return decide(context, SendResult.Failed)
         }
+        hedging.recordComplete(context, target, exchange)
         context.outcome = ForwardingContext.SERVED
         context.detail = "status ${answer.head.status}"
+        if (succeeded) hedging.recordDuration(context, inFlight)
         if (succeeded) recordAnswer(target, exchange, context, inFlight)
         recordDuration(context)
         context.answer.relay(answer.head, body.bytes)
@@ -374,6 +391,7 @@
                     if (complete.isEmpty()) continue
                     target.recordActivity()
                     context.lastProgressMs = clock.nowMs()
+                    if (!inFlight.answering) hedging.recordDuration(context, inFlight)
                     if (!inFlight.answering) inFlight.answeringMs = context.lastProgressMs
                     inFlight.lastProgressMs = context.lastProgressMs
                     if (context.firstPartMs == null) {
@@ -550,6 +568,9 @@
         const val LOAD_WAIT_MS = 100L
         const val TARGET_WAIT_MS = 30L
 
+        /** Time from the end of the wait for a target in which an answer can arrive: one round trip between regions. */
+        const val MINIMUM_ANSWER_MS = 40L
+
         /** Divides the latency objective; a request without a target is refused after that, so that its caller tries another gateway. */
         const val OBJECTIVE_DIVISOR = 8
         const val MAXIMUM_TARGET_WAIT_MS = 300L
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -12,6 +12,7 @@
 import org.almondjunction.common.MetricName
 import org.almondjunction.common.Metrics
 import org.almondjunction.common.SystemHostClock
+import org.almondjunction.decisions.HedgePolicy
 import org.almondjunction.decisions.PlannedStop
 import org.almondjunction.decisions.SharedRetryBudget
 import org.almondjunction.network.EventLoop
@@ -47,7 +48,10 @@
     private val preloader = ModelPreloader(registry, selector, state, settings.name)
     private val retryBudget = SharedRetryBudget(settings.retryLimits)
     private val quotas = QuotaClient(hostClock, registry, state, names, settings.quotaLimits, metrics)
-    private val forwarder = Forwarder(clock, selector, registry, state, names, retryBudget, metrics, quotas)
+    private val hedgePolicy = HedgePolicy(settings.hedgedShare)
+    private val hedging = HedgedExchange(clock, selector, registry, state, hedgePolicy, retryBudget, metrics)
+    private val signals = SignalReader(clock, state, names, metrics)
+    private val forwarder = Forwarder(clock, selector, registry, state, names, retryBudget, metrics, quotas, hedging, signals)
     private val connections = mutableSetOf<CallerConnection>()
     private var targetsKnown = false
 
@@ -105,13 +109,20 @@
     }
 
     /**
-     * Applies those settings of [changed] that may change at run time: the grace time, the retry limits, the regions of zones and the
-     * limit on revoked keys.
+     * Applies those settings of [changed] that may change at run time: the grace time, the limits of retries and hedges, the regions of
+     * zones and the limit on revoked keys.
      */
     public fun applySettings(changed: GatewaySettings) {
-        settings = settings.copy(graceMs = changed.graceMs, retryLimits = changed.retryLimits, topology = changed.topology)
+        settings =
+            settings.copy(
+                graceMs = changed.graceMs,
+                retryLimits = changed.retryLimits,
+                hedgedShare = changed.hedgedShare,
+                topology = changed.topology,
+            )
         state.proof.revocationMs = changed.revocationMs
         retryBudget.limits = changed.retryLimits
+        hedgePolicy.share = changed.hedgedShare
         selector.topology = changed.topology
     }
 
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -33,6 +33,11 @@
             val expectedMs: Long,
         ) : Choice()
 
+        /** All targets want no request before [waitMs] have passed. */
+        data class AskedToWait(
+            val waitMs: Long,
+        ) : Choice()
+
         /** No target can run the request, for [reason]. */
         data class None(
             val reason: String,
@@ -57,7 +62,10 @@
         confinedPart: Long? = null,
     ): Choice {
         val ready = registry.ready(request.service)
-        if (ready.isEmpty()) return Choice.None("no target")
+        if (ready.isEmpty()) {
+            return registry.waitMs(request.service)?.let { Choice.AskedToWait(it.coerceAtLeast(1)) }
+                ?: Choice.None("no target")
+        }
         val nowMs = clock.nowMs()
         val eligible = ready.filter { target -> tried[target]?.let { nowMs >= it + RETRY_SAME_TARGET_MS } ?: true }
         val model =
@@ -77,6 +85,9 @@
             ) {
                 Choice.None("holders tried")
             } else {
+                // A load, which may evict other models, takes longer than a short wait for an engine that holds the model.
+                val waitMs = registry.waitMs(request.service, model)
+                if (!elsewhere && waitMs != null && waitMs in 1..modelConfiguration.loadFromDiskMs) return Choice.AskedToWait(waitMs)
                 val waiting = state.waitingCallers.weight(model, nowMs + modelConfiguration.loadFromDiskMs)
                 requestModel(
                     ready,
@@ -96,6 +107,29 @@
         return requestAdapter(holders, engine, model, adapter)
     }
 
+    /** A target that can begin a request at once, with the expected time to the first part of its answer. */
+    class FreeTarget(
+        val target: Target,
+        val expectedMs: Double,
+    )
+
+    /** Chooses a free target for [request] that holds its model and is not in [excluded]; orders no load. */
+    fun chooseFree(
+        request: ForwardedRequest,
+        excluded: Set<Target>,
+    ): FreeTarget? {
+        val adapter = request.adapter
+        val candidates =
+            registry
+                .ready(request.service)
+                .filter { target ->
+                    val adapters = target.models[request.model]
+                    val holdsWeights = request.model == null || (adapters != null && (adapter == null || adapter in adapters))
+                    target.free && target !in excluded && holdsWeights
+                }.associateBy { candidate(it, request) }
+        return TargetChoice.choose(candidates.keys.toList())?.let { FreeTarget(candidates.getValue(it), it.expectedMs) }
+    }
+
     /** Returns the one of [holders] to which all gateways send requests with [part], so that they end at most one at a time. */
     private fun confine(
         holders: List<Target>,
