Answers without length end with a written request; statuses from 100 to 599

A target may answer a long upload before it has read it, without a length, and close its side inside the answer. Callers of a plain route got the part as a complete 200, since the end of the connection looks like the end of such a body. It now counts as the end only if the whole request has been written; callers get a 502 or a stream without its last chunk.

A status of three digits above 599 was relayed. The parser now rejects it like 000 and 099, which it rejected before.

--- a/gateway/src/main/kotlin/Exchange.kt
+++ b/gateway/src/main/kotlin/Exchange.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.almondjunction.decisions.SendResult
 import org.almondjunction.network.BodyFraming
+import org.almondjunction.network.BodyPart
 import org.almondjunction.network.BodyReader
 import org.almondjunction.network.BodyResult
 import org.almondjunction.network.HeadResult
@@ -99,10 +100,10 @@
                 }
             if (head.status < FIRST_FINAL_STATUS) return@repeat
             val bodyFraming = HttpHeadParser.framingOf(head, request.head.method) ?: return lost("the answer's length is contradictory")
-            if (head.headers[names.requestId] == request.id) return classify(head, reader.body(bodyFraming), bodyFraming)
+            if (head.headers[names.requestId] == request.id) return classify(head, bodyOf(reader, bodyFraming), bodyFraming)
             mustClose = true
             if (head.headers[names.requestId] == null && head.headers[names.notExecuted] != null && taken.carriedOne) {
-                return classify(head, reader.body(bodyFraming), bodyFraming)
+                return classify(head, bodyOf(reader, bodyFraming), bodyFraming)
             }
             if (bodyFraming == BodyFraming.UntilEnd || reader.body(bodyFraming).readAll(MAXIMUM_DISCARDED_BYTES) !is BodyResult.Read) {
                 return lost("an answer to another request came")
@@ -111,6 +112,19 @@
         return lost("answers to other requests came")
     }
 
+    /** A body that ends with its connection is incomplete if the target stopped reading the request before. */
+    private fun bodyOf(
+        reader: HttpReader,
+        bodyFraming: BodyFraming,
+    ): BodyReader {
+        val read = reader.body(bodyFraming)
+        if (bodyFraming != BodyFraming.UntilEnd) return read
+        return BodyReader {
+            val part = read.next()
+            if (part == BodyPart.Complete && !requestSent) BodyPart.Broken("The connection ended before the request was written.") else part
+        }
+    }
+
     private fun classify(
         head: ResponseHead,
         body: BodyReader,
--- a/gateway/src/test/kotlin/BrokenAnswerTest.kt
+++ b/gateway/src/test/kotlin/BrokenAnswerTest.kt
@@ -83,6 +83,22 @@
         }
     }
 
+    // Guards against an answer with a status that does not exist, which callers cannot understand.
+    @Test
+    fun `an answer with a status outside 100 to 599 is no answer`() {
+        for (streaming in listOf(false, true)) {
+            GatewayFixture().use { own ->
+                own.start(GatewayFixture.route(RetrySafety.ONCE, streaming)) { target(it) }
+                for (status in listOf("000", "099", "600", "999")) {
+                    script.clear()
+                    script += error("$status Odd", "Signature: t\r\n")
+                    val answer = own.ask("GET /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nConnection: close\r\n\r\n")
+                    assertEquals("HTTP/1.1 502", answer.take("HTTP/1.1 502".length), "streaming $streaming: $status")
+                }
+            }
+        }
+    }
+
     // Guards against a stream that its target broke off and whose end looks like that of an answer without length.
     @Test
     fun `a stream without length ends only between events and not before the first`() {
--- a/network/src/main/kotlin/HttpHeadParser.kt
+++ b/network/src/main/kotlin/HttpHeadParser.kt
@@ -17,7 +17,7 @@
         val parts = lines.first().split(' ', limit = REQUEST_LINE_PARTS)
         val version = HttpVersion.entries.firstOrNull { it.text == parts[0] }
         val status = parts.getOrNull(1)?.takeIf { it.length == STATUS_DIGITS }?.toIntOrNull()
-        if (version == null || status == null || status < MINIMUM_STATUS) return HeadResult.Malformed("The status line cannot be read.")
+        if (version == null || status == null || status !in VALID_STATUSES) return HeadResult.Malformed("The status line cannot be read.")
         val headers = parseHeaders(lines) ?: return HeadResult.Malformed("A header line cannot be read.")
         return HeadResult.Read(ResponseHead(status, headers, version))
     }
@@ -73,7 +73,7 @@
 
     private const val REQUEST_LINE_PARTS = 3
     private const val STATUS_DIGITS = 3
-    private const val MINIMUM_STATUS = 100
+    private val VALID_STATUSES = 100..599
     private const val NO_CONTENT = 204
     private const val NOT_MODIFIED = 304
     private const val MAXIMUM_LENGTH_DIGITS = 15
--- a/network/src/test/kotlin/HttpReaderTest.kt
+++ b/network/src/test/kotlin/HttpReaderTest.kt
@@ -93,6 +93,22 @@
             assertEquals(expected, read(text, ::describe), text.take(120))
         }
 
+    private suspend fun describeAnswer(reader: HttpReader): String =
+        when (val result = reader.responseHead(MAXIMUM_BYTES)) {
+            is HeadResult.Read -> "status ${result.head.status}"
+            is HeadResult.Malformed -> "malformed"
+            else -> "unreadable"
+        }
+
+    // Guards against an answer with a status that does not exist, such as 000, which would be relayed to a caller.
+    @Test
+    fun `an answer is malformed unless its status is from 100 to 599`() {
+        listOf("100", "200", "503", "599").forEach { assertEquals("status $it", read("HTTP/1.1 $it X\r\n\r\n", ::describeAnswer), it) }
+        listOf("000", "099", "600", "999", "-99", "+99", "2OO", "20", "2000").forEach {
+            assertEquals("malformed", read("HTTP/1.1 $it X\r\n\r\n", ::describeAnswer), it)
+        }
+    }
+
     private companion object {
         const val MAXIMUM_BYTES = 8_192
     }
