Last prompt parts are evidence of what ends targets

Requests whose last part ended their target were repeated by gateways, callers and sessions until four and more targets had ended, since evidence was kept of all parts but the last.

A part that was the last of a prompt is now quarantined after two separate ends. Three are needed, as for other parts, while most ends of the last minute have no known cause: targets then end by chance, and an answer meets two ends now and then.

Last parts have their own bounds, a quarter of the kept parts and a list of answered parts of their own, so that they displace no other part.

--- a/decisions/src/main/kotlin/CrashEvidence.kt
+++ b/decisions/src/main/kotlin/CrashEvidence.kt
@@ -5,10 +5,12 @@
  *
  * @property part identity of the part, the same wherever it stands
  * @property position its place in the prompt; 0 is the first
+ * @property last whether it was the last part of its prompt, which few other requests have
  */
 public data class SuspectPart(
     val part: Long,
     val position: Int,
+    val last: Boolean = false,
 )
 
 /**
@@ -54,14 +56,32 @@
     private class Suspicion(
         val crashes: Int,
         val lastMs: Long,
+        val quarantineCrashes: Int,
+    ) {
+        val quarantined get() = crashes >= quarantineCrashes
+    }
+
+    /** An end of a target, of which [explained] tells whether a part explains it. */
+    private class KnownEnd(
+        val atMs: Long,
+        val explained: Boolean,
     )
 
     private val crashesBySource = mutableMapOf<String, List<TargetCrash>>()
     private val answeredMs = LruMap<Long, Long>(MAXIMUM_ANSWERED_PARTS)
+
+    /** Kept apart from [answeredMs], since almost every answer adds one of these. */
+    private val answeredLastMs = LruMap<Long, Long>(MAXIMUM_ANSWERED_PARTS)
+
+    /** Times of the ends of targets by source and incarnation, also of those whose parts are all innocent. */
+    private val endsMs = LruMap<Pair<String, Long>, Long>(MAXIMUM_ENDS)
     private var suspicions = emptyMap<Long, Suspicion>()
 
+    /** All parts that are kept with the ends of targets; spares a search for each answer, few of which have one of them. */
+    private var keptParts = emptySet<Long>()
+
     /** Parts that are quarantined now. */
-    public val quarantined: Set<Long> get() = suspicions.filterValues { it.crashes >= QUARANTINE_CRASHES }.keys
+    public val quarantined: Set<Long> get() = suspicions.filterValues { it.quarantined }.keys
 
     /** Number of parts that are kept with the ends of targets. */
     public val size: Int get() = crashesBySource.values.sumOf { crashes -> crashes.sumOf { it.parts.size } }
@@ -76,10 +96,11 @@
         crashes: List<TargetCrash>,
     ): Map<Long, Long> {
         val innocent = mutableMapOf<Long, Long>()
+        crashes.forEach { endsMs[source to it.id] = it.atMs }
         val remaining =
             crashes.map { crash ->
                 val (exonerated, suspect) = crash.parts.partition { isInnocent(it.part, crash.atMs) }
-                exonerated.forEach { innocent[it.part] = answeredMs.getValue(it.part) }
+                exonerated.forEach { innocent[it.part] = checkNotNull(lastAnswerMs(it.part)) }
                 crash.copy(parts = suspect)
             }
         store(source, remaining)
@@ -88,18 +109,28 @@
         return innocent
     }
 
+    /** Whether [source] has reported the end of the incarnation [id] of its target, also if answers have cleared all its parts since. */
+    public fun hasEnded(
+        source: String,
+        id: Long,
+    ): Boolean = (source to id) in endsMs
+
     /** Returns the ends that [source] reported. */
     public fun crashesOf(source: String): List<TargetCrash> = crashesBySource[source].orEmpty()
 
-    /** Records a complete answer to a request with [parts]; returns those that it exonerates, by source. */
+    /** Records a complete answer to a request with [parts] and the [last] part; returns those that it exonerates, by source. */
     public fun recordAnswer(
         parts: List<Long>,
         nowMs: Long,
+        last: SuspectPart? = null,
     ): Map<String, List<Long>> {
         parts.forEach { answeredMs[it] = nowMs }
+        last?.let { answeredLastMs[it.part] = nowMs }
+        val answered = (parts + listOfNotNull(last?.part)).filter { it in keptParts }
+        if (answered.isEmpty()) return emptyMap()
         val exonerated =
             crashesBySource
-                .mapValues { (_, crashes) -> parts.filter { part -> crashes.any { crash -> crash.parts.any { it.part == part } } } }
+                .mapValues { (_, crashes) -> answered.filter { part -> crashes.any { crash -> crash.parts.any { it.part == part } } } }
                 .filterValues { it.isNotEmpty() }
         for (source in exonerated.keys) {
             store(source, crashesOf(source).map { crash -> crash.copy(parts = crash.parts.filterNot { isInnocent(it.part, crash.atMs) }) })
@@ -108,26 +139,30 @@
         return exonerated
     }
 
-    /** Returns those of [parts], in the order of a prompt, that may have ended a target at [nowMs]. */
+    /** Returns those of [parts], in the order of a prompt, and of its [last] part that may have ended a target at [nowMs]. */
     public fun suspects(
         parts: List<Long>,
         nowMs: Long,
-    ): List<SuspectPart> = parts.mapIndexed { index, part -> SuspectPart(part, index) }.filterNot { isInnocent(it.part, nowMs) }
+        last: SuspectPart? = null,
+    ): List<SuspectPart> =
+        (parts.mapIndexed { index, part -> SuspectPart(part, index) } + listOfNotNull(last)).filterNot { isInnocent(it.part, nowMs) }
 
     /** Returns the verdict on the worst of [parts]. */
     public fun verdict(parts: List<Long>): PartVerdict {
         if (suspicions.isEmpty()) return PartVerdict.Sound
         val (part, suspicion) =
             parts.mapNotNull { part -> suspicions[part]?.let { part to it } }.maxByOrNull { it.second.crashes } ?: return PartVerdict.Sound
-        if (suspicion.crashes < QUARANTINE_CRASHES) return PartVerdict.Suspect(part)
-        val factor = 1L shl (PROBE_INTERVAL_SHIFT * (suspicion.crashes - QUARANTINE_CRASHES)).coerceAtMost(MAXIMUM_SHIFT)
+        if (!suspicion.quarantined) return PartVerdict.Suspect(part)
+        val factor = 1L shl (PROBE_INTERVAL_SHIFT * (suspicion.crashes - suspicion.quarantineCrashes)).coerceAtMost(MAXIMUM_SHIFT)
         return PartVerdict.Quarantined(part, suspicion.crashes, suspicion.lastMs + FIRST_PROBE_MS * factor)
     }
 
     private fun isInnocent(
         part: Long,
         crashMs: Long,
-    ): Boolean = answeredMs[part]?.let { exonerates(it, crashMs) } ?: false
+    ): Boolean = lastAnswerMs(part)?.let { exonerates(it, crashMs) } ?: false
+
+    private fun lastAnswerMs(part: Long): Long? = listOfNotNull(answeredMs[part], answeredLastMs[part]).maxOrNull()
 
     private fun store(
         source: String,
@@ -138,22 +173,65 @@
     }
 
     private fun dropOldest() {
+        dropOldestLastParts()
         while (size > maximumParts) {
             val (source, crashes) = crashesBySource.entries.minBy { entry -> entry.value.minOf { it.atMs } }
             store(source, crashes - crashes.minBy { it.atMs })
         }
     }
 
+    /** Last parts are as many as requests, so they have a share of the memory of their own. */
+    private fun dropOldestLastParts() {
+        while (crashesBySource.values.sumOf { crashes -> crashes.sumOf { crash -> crash.parts.count { it.last } } } >
+            maximumParts / LAST_PARTS_DIVISOR
+        ) {
+            val withLast = crashesBySource.mapValues { (_, crashes) -> crashes.filter { crash -> crash.parts.any { it.last } } }
+            val (source, crashes) = withLast.entries.filter { it.value.isNotEmpty() }.minBy { entry -> entry.value.minOf { it.atMs } }
+            val oldest = crashes.minBy { it.atMs }
+            store(source, crashesOf(source).map { if (it === oldest) it.copy(parts = it.parts.filterNot { part -> part.last }) else it })
+        }
+    }
+
     private fun explain() {
+        keptParts = crashesBySource.values.flatMapTo(mutableSetOf()) { crashes -> crashes.flatMap { crash -> crash.parts.map { it.part } } }
+        val found = findFewest()
+        val ends = knownEnds(found.map { it.part }.toSet())
+        suspicions = found.associate { it.part to Suspicion(it.crashes, it.lastMs, quarantineCrashes(it, ends)) }
+    }
+
+    /** A last part needs fewer ends than others, unless most targets that ended shortly before did so for no known part. */
+    private fun quarantineCrashes(
+        candidate: Candidate,
+        ends: List<KnownEnd>,
+    ): Int {
+        if (!candidate.last) return QUARANTINE_CRASHES
+        val (explained, unexplained) =
+            ends
+                .filter {
+                    it.atMs in candidate.lastMs - RECENT_ENDS_MS..candidate.lastMs
+                }.partition { it.explained }
+        val mostlyExplained = separate(unexplained.map { it.atMs }) < separate(explained.map { it.atMs })
+        return if (mostlyExplained) LAST_PART_QUARANTINE_CRASHES else QUARANTINE_CRASHES
+    }
+
+    private fun knownEnds(found: Set<Long>): List<KnownEnd> {
+        val explained =
+            crashesBySource
+                .flatMap { (source, crashes) -> crashes.filter { crash -> crash.parts.any { it.part in found } }.map { source to it.id } }
+                .toSet()
+        return endsMs.map { (end, atMs) -> KnownEnd(atMs, end in explained) }.sortedBy { it.atMs }
+    }
+
+    private fun findFewest(): List<Candidate> {
         var unexplained = crashesBySource.values.flatten()
-        val found = mutableMapOf<Long, Suspicion>()
+        val found = mutableListOf<Candidate>()
         while (true) {
             val best = candidates(unexplained).maxWithOrNull(compareBy({ it.crashes }, { it.position }, { it.part })) ?: break
             if (best.crashes < SUSPICIOUS_CRASHES) break
-            found[best.part] = Suspicion(best.crashes, best.lastMs)
+            found += best
             unexplained = unexplained.filter { crash -> crash.parts.none { it.part == best.part } }
         }
-        suspicions = found
+        return found
     }
 
     private class Candidate(
@@ -161,18 +239,23 @@
         val crashes: Int,
         val lastMs: Long,
         val position: Int,
+        val last: Boolean,
     )
 
     private fun candidates(crashes: List<TargetCrash>): List<Candidate> {
         val timesByPart = mutableMapOf<Long, MutableList<Long>>()
         val positions = mutableMapOf<Long, Int>()
+        val lastParts = mutableSetOf<Long>()
         crashes.sortedBy { it.atMs }.forEach { crash ->
             crash.parts.forEach { suspect ->
                 timesByPart.getOrPut(suspect.part) { mutableListOf() } += crash.atMs
                 positions.merge(suspect.part, suspect.position, ::minOf)
+                if (suspect.last) lastParts += suspect.part
             }
         }
-        return timesByPart.map { (part, times) -> Candidate(part, separate(times), times.last(), positions.getValue(part)) }
+        return timesByPart.map { (part, times) ->
+            Candidate(part, separate(times), times.last(), positions.getValue(part), part in lastParts)
+        }
     }
 
     /** Counts the ends at [times], which are in order; targets that end together have a common cause and count once. */
@@ -201,6 +284,18 @@
         public const val SUSPICIOUS_CRASHES: Int = 2
         public const val QUARANTINE_CRASHES: Int = 3
 
+        /** The same for a part that was the last of a prompt: few sound requests have it, so they are hardly refused for a coincidence. */
+        public const val LAST_PART_QUARANTINE_CRASHES: Int = 2
+
+        /** Time before the end of a target in which ends without a known cause show that targets end by chance. */
+        private const val RECENT_ENDS_MS = 60_000L
+
+        /** Ends that are remembered to tell whether targets end by chance; 100 targets would end five times each in that time. */
+        private const val MAXIMUM_ENDS = 512
+
+        /** Last parts may take this fraction of the memory for parts. */
+        private const val LAST_PARTS_DIVISOR = 4
+
         /** Targets on one rack or switch end within this time of each other. */
         private const val COMMON_CAUSE_MS = 100L
 
--- a/decisions/src/test/kotlin/CrashEvidenceTest.kt
+++ b/decisions/src/test/kotlin/CrashEvidenceTest.kt
@@ -53,8 +53,40 @@
                 mapOf(BAD to 3),
                 answersMs = mapOf(BAD to 500),
             ),
+            Case(
+                "two ends are enough for a last part",
+                listOf(lastCrash(1_000, FIRST, BAD), lastCrash(2_000, FIRST, BAD)),
+                mapOf(BAD to 2),
+            ),
+            Case("one end is not, so that a session is not refused for it", listOf(lastCrash(1_000, FIRST, BAD)), emptyMap()),
+            Case(
+                "two ends are enough for a last part of a request whose session went on with it",
+                listOf(lastCrash(1_000, FIRST, BAD), lastCrash(2_000, FIRST, BAD, 10)),
+                mapOf(BAD to 2),
+            ),
+            Case(
+                "two targets that end together are one piece of evidence against a last part as well",
+                listOf(lastCrash(1_000, FIRST, BAD), lastCrash(1_050, FIRST, BAD)),
+                emptyMap(),
+            ),
+            Case(
+                "three ends are needed for a last part while most targets end for no known part",
+                listOf(lastCrash(1_000, 10), lastCrash(2_000, 11), lastCrash(3_000, BAD), lastCrash(4_000, BAD)),
+                emptyMap(),
+            ),
+            Case(
+                "ends long before do not matter",
+                listOf(lastCrash(1_000, 10), lastCrash(2_000, 11), lastCrash(93_000, BAD), lastCrash(94_000, BAD)),
+                mapOf(BAD to 2),
+            ),
         )
 
+    /** An end under a request with [parts], of which the last one is the last of its prompt. */
+    private fun lastCrash(
+        atMs: Long,
+        vararg parts: Long,
+    ) = TargetCrash(atMs, atMs, parts.mapIndexed { index, part -> SuspectPart(part, index, last = index == parts.lastIndex) })
+
     @Test
     fun `the fewest parts that explain the ends of targets are quarantined`() {
         for (case in cases) {
@@ -109,7 +141,8 @@
         badPlace: Int?,
         chanceEndMs: Long,
         endsAtOnce: Int = 1,
-    ) = CrashSimulation(Random(seed), badPlace, chanceEndMs, endsAtOnce).also { simulation ->
+        callerRetries: Int = 0,
+    ) = CrashSimulation(Random(seed), badPlace, chanceEndMs, endsAtOnce, callerRetries).also { simulation ->
         simulation.run(durationMs = 3_600_000)
         val refused = simulation.refusedSoundRequests
         assertTrue(
@@ -139,6 +172,72 @@
         }
     }
 
+    // Guards against last parts of many requests that displace the other parts, and against memory that grows with them.
+    @Test
+    fun `last parts take a quarter of the memory at most and displace no other part`() {
+        val evidence = CrashEvidence(maximumParts = 100)
+        repeat(50) { source ->
+            val lastParts = List(20) { SuspectPart(1_000L * source + it, it, last = true) }
+            val sharedPart = SuspectPart(-source - 1L, 0)
+            evidence.replace("$source", listOf(TargetCrash(source * 1_000L, source * 1_000L, lastParts + sharedPart)))
+        }
+        assertEquals(50 to true, evidence.size - 20 to (evidence.size <= 100))
+        repeat(50) { source ->
+            assertEquals(
+                -source - 1L,
+                evidence
+                    .crashesOf("$source")
+                    .single()
+                    .parts
+                    .first { !it.last }
+                    .part,
+            )
+        }
+    }
+
+    // Guards against callers that send many requests, whose last parts make the gateway forget what answers have cleared.
+    @Test
+    fun `answered last parts do not displace other answered parts`() {
+        val evidence = CrashEvidence()
+        evidence.recordAnswer(listOf(FIRST), 1_000)
+        repeat(20_000) { evidence.recordAnswer(emptyList(), 1_000, SuspectPart(100L + it, 0, last = true)) }
+        assertEquals(emptyList(), evidence.suspects(listOf(FIRST), 2_000))
+    }
+
+    // Guards against requests whose last part ends one target after the other, sent again by gateways, callers and sessions.
+    @Test
+    fun `a last part that ends targets does so twice at most before requests with it are refused`() {
+        for (seed in 1..20) {
+            val simulation = LastPartSimulation(Random(seed), badRequests = 1 + seed % 3).also { it.run(durationMs = 60_000) }
+            assertTrue(simulation.ends.all { it <= 2 }, "seed $seed: ${simulation.ends.toList()} targets ended")
+            assertEquals(0, simulation.refusedSoundRequests, "seed $seed")
+        }
+    }
+
+    // Shows that the load of the case before ends more targets where last parts are no evidence, as before; a part that has moved
+    // forward in its session is then found at its third end there.
+    @Test
+    fun `a last part that is no evidence ends more targets`() {
+        val simulation = LastPartSimulation(Random(1), badRequests = 2, lastPartsReported = false).also { it.run(durationMs = 20_000) }
+        assertTrue(simulation.ends.all { it == 4 }, "${simulation.ends.toList()} targets ended")
+    }
+
+    // Guards against callers whose request met two ends by chance. Where a target ends every 30 s, one of 8, an answer of 1.65 s on average
+    // meets an end with a probability of 1.65 / 240, and two in a row with 5 in 100,000; the bound is twice that.
+    @Test
+    fun `sound callers who repeat a request after ends by chance are hardly refused`() {
+        var sound = 0
+        var refused = 0
+        for (seed in 1..10) {
+            simulate(seed, badPlace = null, chanceEndMs = 1_500, callerRetries = 2)
+            val rare = simulate(seed, badPlace = null, chanceEndMs = 30_000, callerRetries = 2)
+            sound += rare.soundRequests
+            refused += rare.refusedSoundRequests
+        }
+        println("refused $refused of $sound sound requests")
+        assertTrue(refused * 10_000L <= sound, "$refused of $sound sound requests refused")
+    }
+
     private companion object {
         const val FIRST = 1L
         const val BAD = -1L
--- a/decisions/src/test/kotlin/CrashSimulation.kt
+++ b/decisions/src/test/kotlin/CrashSimulation.kt
@@ -9,15 +9,23 @@
  *
  * @param chanceEndMs mean time between ends by chance
  * @param endsAtOnce number of targets that end together by chance
+ * @param callerRetries how often a sound caller sends a request again that its target broke off
  */
 internal class CrashSimulation(
     private val random: Random,
     private val badPlace: Int?,
     private val chanceEndMs: Long,
     private val endsAtOnce: Int,
+    private val callerRetries: Int = 0,
 ) {
-    private class Running(
+    private class Request(
         val parts: List<Long>,
+        val last: SuspectPart,
+        val sends: Int = 0,
+    )
+
+    private class Running(
+        val request: Request,
         val untilMs: Long,
     )
 
@@ -31,6 +39,8 @@
     private val running = List(TARGETS) { mutableListOf<Running>() }
     private val backMs = LongArray(TARGETS)
     private val reports = ArrayDeque<Report>()
+    private val repeated = ArrayDeque<Request>()
+    private var nextLastPart = FIRST_LAST_PART
     private var badCrashes = 0
     private var fifthCrashMs: Long? = null
     private var nextChanceEndMs = chanceEndMs
@@ -50,6 +60,7 @@
             deliverReports(nowMs)
             completeAnswers(nowMs)
             endByChance(nowMs)
+            repeat(repeated.size) { send(repeated.removeFirst(), nowMs) }
             request(nowMs)
         }
     }
@@ -64,7 +75,7 @@
     private fun completeAnswers(nowMs: Long) {
         for (requests in running) {
             val complete = requests.filter { it.untilMs <= nowMs }
-            complete.forEach { request -> evidence.forEach { it.recordAnswer(request.parts, nowMs) } }
+            complete.forEach { request -> evidence.forEach { it.recordAnswer(request.request.parts, nowMs, request.request.last) } }
             requests -= complete.toSet()
         }
     }
@@ -79,10 +90,13 @@
         target: Int,
         nowMs: Long,
     ) {
-        val broken = running[target].flatMap { it.parts }.distinct()
+        val broken = running[target].map { it.request }
         running[target].clear()
         backMs[target] = nowMs + RESTART_MS
-        crashes[target] += TargetCrash(nowMs, nowMs, evidence.first().suspects(broken, nowMs))
+        val suspects = evidence.first().suspects(broken.flatMap { it.parts }.distinct(), nowMs)
+        val lastSuspects = broken.flatMap { evidence.first().suspects(emptyList(), nowMs, it.last) }
+        crashes[target] += TargetCrash(nowMs, nowMs, suspects + lastSuspects)
+        repeated += broken.filter { BAD_PART !in it.parts && it.sends < callerRetries }.map { Request(it.parts, it.last, it.sends + 1) }
         reports += Report(nowMs + REPORT_DELAY_MS, target)
     }
 
@@ -90,12 +104,20 @@
         val bad = badPlace != null && random.nextInt(BAD_REQUEST_INTERVAL) == 0
         val parts = parts(bad)
         if (!bad) soundRequests++
+        send(Request(parts, SuspectPart(nextLastPart++, parts.size, last = true)), nowMs)
+    }
+
+    private fun send(
+        request: Request,
+        nowMs: Long,
+    ) {
+        val bad = BAD_PART in request.parts
         val target = (0 until TARGETS).filter { backMs[it] <= nowMs }.randomOrNull(random) ?: return
-        val verdict = evidence.random(random).verdict(parts)
+        val verdict = evidence.random(random).verdict(request.parts + request.last.part)
         when {
             verdict is PartVerdict.Quarantined && nowMs < verdict.probeMs -> if (!bad) refusedSoundRequests++
-            bad -> crash(target, parts, nowMs)
-            else -> running[target] += Running(parts, nowMs + random.nextLong(MINIMUM_ANSWER_MS, MAXIMUM_ANSWER_MS))
+            bad -> crash(target, request, nowMs)
+            else -> running[target] += Running(request, nowMs + random.nextLong(MINIMUM_ANSWER_MS, MAXIMUM_ANSWER_MS))
         }
     }
 
@@ -109,12 +131,12 @@
 
     private fun crash(
         target: Int,
-        parts: List<Long>,
+        request: Request,
         nowMs: Long,
     ) {
         val knownMs = fifthCrashMs?.let { it + CONTACT_MS }
         if (knownMs != null && nowMs > knownMs && nowMs < knownMs + QUIET_MS) lateArrivals++
-        running[target] += Running(parts, Long.MAX_VALUE)
+        running[target] += Running(request, Long.MAX_VALUE)
         end(target, nowMs)
         if (++badCrashes == CRASHES_UNTIL_KNOWN) fifthCrashMs = nowMs
     }
@@ -127,6 +149,7 @@
         const val BAD_PART = -1L
         const val SHARED_SESSIONS = 100L
         const val OWN_SESSIONS = 1_000L
+        const val FIRST_LAST_PART = 1_000_000L
         const val STEP_MS = 200L
         const val REPORT_DELAY_MS = 1_000L
         const val RESTART_MS = 3_000L
