Second attempts of broken streams wait until it is known whether the engine ended

A resumable stream that was broken off at its beginning was sent to another engine at once, and ended that one as well if a part of its prompt ends engines.

The gateway now waits until the keeper has settled its report (new field settledReports of the status), at most 1,500 ms and half of the time for which the caller still waits. If the engine has ended, the second attempt goes to the one engine to which its last suspected part is confined, and no third attempt is made. If the engine runs, or if all parts were cleared meanwhile, the stream is sent again at once. Requests that were refused, and streams that broke off after their beginning, do not wait.

Last parts are in the reports and logs of crashes, marked by a field with a default that processes of the previous version ignore; a keeper keeps 64 of them for each crash, apart from the 128 other parts.

--- a/gateway/src/main/kotlin/CrashTracker.kt
+++ b/gateway/src/main/kotlin/CrashTracker.kt
@@ -57,7 +57,7 @@
             evidence.replace(
                 source,
                 crashes.map { crash ->
-                    TargetCrash(crash.startedMs, nowMs - crash.ageMs, crash.parts.map { SuspectPart(it.part, it.position) })
+                    TargetCrash(crash.startedMs, nowMs - crash.ageMs, crash.parts.map { SuspectPart(it.part, it.position, it.last) })
                 },
             )
         update()
@@ -67,7 +67,7 @@
     /** Returns what is known of the crashes of the engine whose keeper is at [source]. */
     fun crashesOf(source: String): List<EngineCrash> =
         evidence.crashesOf(source).map { crash ->
-            EngineCrash(crash.id, clock.nowMs() - crash.atMs, crash.parts.map { PromptPart(it.part, it.position) })
+            EngineCrash(crash.id, clock.nowMs() - crash.atMs, crash.parts.map { it.toMessage() })
         }
 
     /** Returns the report of a [request] that [target] broke off; null if it cannot have ended the target. */
@@ -79,13 +79,27 @@
         val beginningMs = inFlight.answeringMs
         val pastBeginning = beginningMs != null && clock.nowMs() - beginningMs > ANSWER_BEGINNING_MS
         if (pastBeginning || !target.entry.ready) return null
-        val suspects = evidence.suspects(request.parts.shared, clock.nowMs())
-        return if (suspects.isEmpty()) null else BrokenOff(target.entry.startedMs, suspects.map { PromptPart(it.part, it.position) })
+        val suspects = suspects(request)
+        return if (suspects.isEmpty()) null else BrokenOff(target.entry.startedMs, suspects.map { it.toMessage() })
     }
 
+    private fun SuspectPart.toMessage() = PromptPart(part, position, last)
+
+    private fun suspects(request: ForwardedRequest): List<SuspectPart> =
+        evidence.suspects(request.parts.shared, clock.nowMs(), request.parts.last)
+
+    /** Returns the last of the parts of [request] that may end its target; null if complete answers have cleared all of them. */
+    fun lastSuspect(request: ForwardedRequest): Long? = suspects(request).lastOrNull()?.part
+
+    /** Whether the incarnation of the engine at [ip] that started at [startedMs] is known to have ended under requests. */
+    fun hasEnded(
+        ip: String,
+        startedMs: Long,
+    ): Boolean = evidence.hasEnded(ip, startedMs)
+
     /** Records a complete answer to [request]; returns its parts that were suspect, by the address of the keeper that reported them. */
     fun recordAnswer(request: ForwardedRequest): Map<String, List<AnsweredPart>> {
-        val exonerated = evidence.recordAnswer(request.parts.shared, clock.nowMs())
+        val exonerated = evidence.recordAnswer(request.parts.shared, clock.nowMs(), request.parts.last)
         if (exonerated.isNotEmpty()) update()
         return exonerated.mapValues { (_, parts) -> parts.map { AnsweredPart(it, ageMs = 0) } }
     }
@@ -95,7 +109,7 @@
         request: ForwardedRequest,
         gateways: Set<String>,
     ): Admission =
-        when (val verdict = evidence.verdict(request.parts.shared)) {
+        when (val verdict = evidence.verdict(request.parts.suspectable)) {
             PartVerdict.Sound -> Admission.Admitted
             is PartVerdict.Suspect -> Admission.Confined(verdict.part, probe = false)
             is PartVerdict.Quarantined -> {
@@ -112,10 +126,10 @@
         }
 
     /** Whether [request] is known to end its target. */
-    fun isQuarantined(request: ForwardedRequest): Boolean = request.parts.shared.any { it in quarantined }
+    fun isQuarantined(request: ForwardedRequest): Boolean = request.parts.suspectable.any { it in quarantined }
 
     /** Whether a target ended under requests with a part of [request]. */
-    fun isSuspect(request: ForwardedRequest): Boolean = evidence.verdict(request.parts.shared) != PartVerdict.Sound
+    fun isSuspect(request: ForwardedRequest): Boolean = evidence.verdict(request.parts.suspectable) != PartVerdict.Sound
 
     fun beginProbe(part: Long) {
         probes += part
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -30,6 +30,7 @@
     private val metrics: Metrics,
 ) {
     private val active = mutableSetOf<ForwardingContext>()
+    private val targetEndCheck = TargetEndCheck(clock, state)
 
     /** Serves [request]; returns when its response is complete or cannot be completed. */
     suspend fun forward(
@@ -81,7 +82,10 @@
             val step = coroutineScope { markingProbe(context) { sendTo(this, target, context) } }
             when (step) {
                 null -> return
-                ForwardingStep.Retry -> metrics.count(MetricName.RETRIES, context.detail.take(MAXIMUM_REASON_CHARACTERS))
+                ForwardingStep.Retry -> {
+                    metrics.count(MetricName.RETRIES, context.detail.take(MAXIMUM_REASON_CHARACTERS))
+                    awaitTargetEnd(context)
+                }
                 ForwardingStep.AnswerNotRun -> return respondNotRun(context, RETRY_AFTER_REFUSAL_MS)
                 ForwardingStep.AnswerUnknown -> return respondUnknown(context, BAD_GATEWAY)
                 ForwardingStep.RelayFailure -> return relayFailure(context)
@@ -89,6 +93,14 @@
         }
     }
 
+    /** A resumable stream that was broken off at its beginning is confined to one target if it may have ended the last one. */
+    private suspend fun awaitTargetEnd(context: ForwardingContext) {
+        val broken = context.brokenOff ?: return
+        context.brokenOff = null
+        if (context.request.route.retryKind != RetrySafety.RESUMABLE) return
+        context.endedTargetPart = targetEndCheck.confinedPart(context, broken) ?: context.endedTargetPart
+    }
+
     /** Runs [send]; while it is a probe, no other request of this gateway with the same part is one. */
     private suspend fun markingProbe(
         context: ForwardingContext,
@@ -139,7 +151,14 @@
                 giveUp(context, ENDS_TARGETS, admission.retryAfterMs)
                 return null
             }
-            when (val choice = selector.choose(request, context.tried, (admission as? CrashTracker.Admission.Confined)?.part)) {
+            when (
+                val choice =
+                    selector.choose(
+                        request,
+                        context.tried,
+                        (admission as? CrashTracker.Admission.Confined)?.part ?: context.endedTargetPart,
+                    )
+            ) {
                 is TargetSelector.Choice.Selected -> return choice.target
                 is TargetSelector.Choice.Later -> {
                     context.detail = "waits for weights"
@@ -284,7 +303,8 @@
             ForwardingState(
                 kind = context.request.route.retryKind,
                 mayHaveRun = context.mayHaveRun,
-                runsLeft = context.request.route.maximumTargets - context.runs,
+                // A request under which a target has ended may have ended it, and may end another one.
+                runsLeft = if (context.endedTargetPart == null) context.request.route.maximumTargets - context.runs else 0,
                 refusalsLeft = MAXIMUM_REFUSALS - context.refusals,
                 timeLeftMs = context.timeLeftMs,
             )
@@ -433,6 +453,7 @@
         val route = context.request.route
         return route.retryKind == RetrySafety.RESUMABLE &&
             context.runs + 1 < route.maximumTargets &&
+            context.endedTargetPart == null &&
             !state.crashes.isSuspect(context.request) &&
             retryBudget.allows(clock.nowMs(), registry.gateways.size)
     }
@@ -442,7 +463,8 @@
         context: ForwardingContext,
         inFlight: InFlightRequest,
     ) {
-        state.crashes.brokenOff(context.request, target, inFlight)?.let { registry.report(target, it) }
+        val brokenOff = state.crashes.brokenOff(context.request, target, inFlight) ?: return
+        context.brokenOff = TargetEndCheck.BrokenRequest(target, registry.report(target, brokenOff))
     }
 
     /** An answer that ends with its connection may have been broken off; that is known when its keeper knows whether the target has ended. */
--- a/gateway/src/main/kotlin/ForwardingContext.kt
+++ b/gateway/src/main/kotlin/ForwardingContext.kt
@@ -52,6 +52,19 @@
     /** Whether and how the request may be sent next. */
     var admission: CrashTracker.Admission = CrashTracker.Admission.Admitted
 
+    /** Set if the last send was broken off at the beginning of its answer. */
+    var brokenOff: TargetEndCheck.BrokenRequest? = null
+
+    /** Part by which the request is confined since a target ended under it; null if none has. */
+    var endedTargetPart: Long? = null
+
+    /** Time for which the caller still waits for the next part of the response. */
+    val callerPatienceMs: Long
+        get() {
+            val idleMs = lastProgressMs + request.route.callerIdleTimeoutMs - clock.nowMs()
+            return minOf(timeLeftMs, idleMs).coerceAtLeast(0)
+        }
+
     /** Whether it may end its target. */
     val probe: Boolean get() = (admission as? CrashTracker.Admission.Confined)?.probe == true
 
@@ -122,9 +135,9 @@
         )
     }
 
-    /** Returns the first shared parts of the prompt as in the lines on requests that crash targets; null if there are none. */
+    /** Returns the first parts of the prompt as in the lines on requests that crash targets; null if there are none. */
     private fun loggedParts(): String? =
-        request.parts.shared
+        request.parts.suspectable
             .take(MAXIMUM_LOGGED_PARTS)
             .joinToString(" ") { it.toULong().toString(HEXADECIMAL) }
             .ifEmpty { null }
--- a/gateway/src/main/kotlin/KeeperLink.kt
+++ b/gateway/src/main/kotlin/KeeperLink.kt
@@ -32,12 +32,18 @@
     /** Whether the keeper has reported its state at least once. */
     var heard = false
         private set
+
+    /** Number of requests broken off by the engine that were reported on the current connection. */
+    private var reports = 0
     val connected: Boolean get() = channel?.closed == false
     private val job: Job = scope.launchRestarting("keeper link") { run() }
 
     /** Sends [message] if the keeper is connected; returns whether it was written to the connection. */
     suspend fun send(message: KeeperMessage): Boolean = channel?.send(message) ?: false
 
+    /** Counts a report that is sent next; returns its number on the current connection. */
+    fun countReport(): Int = ++reports
+
     private suspend fun run() {
         while (true) {
             val connection = TcpConnection.connect(loop, address, CONNECT_TIMEOUT_MS)
@@ -53,6 +59,7 @@
     private suspend fun serve(connection: TcpConnection) {
         val opened = MessageChannel(connection)
         channel = opened
+        reports = 0
         lastMessageMs = loop.clock.nowMs()
         try {
             coroutineScope {
--- a/gateway/src/main/kotlin/PromptParts.kt
+++ b/gateway/src/main/kotlin/PromptParts.kt
@@ -1,5 +1,7 @@
 package org.almondjunction.gateway
 
+import org.almondjunction.decisions.SuspectPart
+
 /**
  * The parts of a prompt that requests may share, in order.
  *
@@ -8,10 +10,15 @@
 internal class PromptParts private constructor(
     /** Hashes of the first parts that other requests may share, wherever these stand in a prompt; never of the request's own last part. */
     val shared: List<Long>,
+    /** The request's own last part, wherever it stands; null if the list of parts is malformed. */
+    val last: SuspectPart?,
     private val prefixes: LongArray,
     private val tokens: IntArray,
     val size: Int,
 ) {
+    /** Hashes of [shared] and [last]. */
+    val suspectable: List<Long> = shared + listOfNotNull(last?.part)
+
     /** Returns the hash of the parts up to and including [index]. */
     fun prefix(index: Int): Long = prefixes[index]
 
@@ -22,7 +29,7 @@
     fun sharedKey(count: Int): String = if (size == 0) "" else prefixes[minOf(count, size) - 1].toString()
 
     companion object {
-        val NONE = PromptParts(emptyList(), LongArray(0), IntArray(0), 0)
+        val NONE = PromptParts(emptyList(), null, LongArray(0), IntArray(0), 0)
 
         /** Reads a list of `ID:TOKENS`; a malformed part ends it, since the parts after it cannot be shared either. */
         fun parse(text: String): PromptParts {
@@ -33,19 +40,30 @@
             val tokens = IntArray(maximumParts)
             var size = 0
             var hash = HASH_START
+            var last: SuspectPart? = null
             for (item in text.splitToSequence(',')) {
                 val count = item.substringAfter(':', "").trim()
-                val partTokens = count.toIntOrNull()?.takeIf { it >= 0 } ?: break
+                val partTokens = count.toIntOrNull()?.takeIf { it >= 0 } ?: return of(identities, null, prefixes, tokens, size)
                 val id = item.substringBefore(':').trim()
                 hash = combine(hash, id)
-                if (size <= MAXIMUM_SHARED_PARTS) identities += combine(HASH_START, id)
+                val identity = combine(HASH_START, id)
+                if (size < MAXIMUM_SHARED_PARTS) identities += identity
+                last = SuspectPart(identity, size, last = true)
                 prefixes[size] = hash
                 tokens[size] = partTokens
                 size++
             }
-            return PromptParts(identities.take(minOf(size - 1, MAXIMUM_SHARED_PARTS).coerceAtLeast(0)), prefixes, tokens, size)
+            return of(identities, last, prefixes, tokens, size)
         }
 
+        private fun of(
+            identities: List<Long>,
+            last: SuspectPart?,
+            prefixes: LongArray,
+            tokens: IntArray,
+            size: Int,
+        ) = PromptParts(identities.take((size - 1).coerceAtLeast(0)), last, prefixes, tokens, size)
+
         /** Continues the 64-bit FNV-1a hash of the parts before with the identity of the next part. */
         private fun combine(
             before: Long,
--- a/gateway/src/main/kotlin/TargetRegistry.kt
+++ b/gateway/src/main/kotlin/TargetRegistry.kt
@@ -114,11 +114,16 @@
     /** Whether all keepers have reported their state since this gateway started. */
     val keepersHeard: Boolean get() = targets.values.all { it.keeper?.heard ?: true }
 
-    /** Reports [brokenOff] to the keeper of [target]. */
+    /** Reports [brokenOff] to the keeper of [target]; returns the number of the report on the connection, null if there is none. */
     fun report(
         target: Target,
         brokenOff: BrokenOff,
-    ): Unit = send(target.entry.address.ip, KeeperMessage.Usage(emptyList(), brokenOff = listOf(brokenOff)))
+    ): Int? {
+        val ip = target.entry.address.ip
+        val number = connectedKeeper(ip)?.countReport()
+        send(ip, KeeperMessage.Usage(emptyList(), brokenOff = listOf(brokenOff)))
+        return number
+    }
 
     /** Records a complete answer to [request], and reports it to the keepers whose engines were suspected to end under its parts. */
     fun recordAnswer(request: ForwardedRequest) {
@@ -133,7 +138,7 @@
         target: Target,
     ) {
         scope.launch {
-            delay(END_DETECTION_MS)
+            delay(TargetEndCheck.END_DETECTION_MS)
             if (!target.closed && target.status?.engineReachable == true) recordAnswer(request)
         }
     }
@@ -143,7 +148,7 @@
         ip: String,
         message: KeeperMessage,
     ) {
-        val link = targets.values.firstOrNull { it.entry.address.ip == ip && it.keeper?.connected == true }?.keeper
+        val link = connectedKeeper(ip)
         if (link == null) {
             EventLog.warn("keeper not connected; report of a crash is lost", LogFields(extra = mapOf("keeper" to ip)))
         } else {
@@ -151,6 +156,9 @@
         }
     }
 
+    private fun connectedKeeper(ip: String): KeeperLink? =
+        targets.values.firstOrNull { it.entry.address.ip == ip && it.keeper?.connected == true }?.keeper
+
     /** Returns this gateway's demand for the models of [target], divided by the number of engines that hold the same model. */
     private fun demandAt(target: Target): List<Demand> {
         val nowMs = loop.clock.nowMs()
@@ -190,9 +198,6 @@
         const val SWEEP_INTERVAL_MS = 1_000L
         const val CHECK_INTERVAL_MS = 100L
 
-        /** Time within which a keeper detects the end of its engine and reports it. */
-        const val END_DETECTION_MS = 1_500L
-
         /** A longer interval between checks shows that this process was suspended; well below the shortest silence limit. */
         const val SUSPENSION_MS = 400L
 
--- a/gateway/src/test/kotlin/CrashTrackerTest.kt
+++ b/gateway/src/test/kotlin/CrashTrackerTest.kt
@@ -52,6 +52,35 @@
         assertEquals(gateways.size, quarantines)
     }
 
+    // Guards against a request whose last part ends engines, and against a session that is refused for one end.
+    @Test
+    fun `requests with a last part are refused after two ends, and a complete answer releases it`() {
+        val own = bad.parts.last ?: error("no last part")
+        val lastPart = PromptPart(own.part, own.position, last = true)
+
+        fun receive(crashes: Int) =
+            trackers.values.forEach { tracker ->
+                tracker.receive("10.0.0.1", (1..crashes).map { EngineCrash(it.toLong(), ageMs = 1_000L * (10 - it), listOf(lastPart)) })
+            }
+        receive(1)
+        assertEquals(setOf(CrashTracker.Admission.Admitted), admissions(bad).toSet())
+        receive(2)
+        assertEquals(setOf<CrashTracker.Admission>(CrashTracker.Admission.Refused(retryAfterMs = 7_000)), admissions(bad).toSet())
+        val goesOn = request("first:1,bad:1,own:1,next:1")
+        assertEquals(setOf<CrashTracker.Admission>(CrashTracker.Admission.Refused(retryAfterMs = 7_000)), admissions(goesOn).toSet())
+        assertEquals(setOf(CrashTracker.Admission.Admitted), admissions(request("first:1,bad:1,other:1")).toSet())
+        assertEquals(
+            listOf(lastPart),
+            trackers
+                .getValue("g0")
+                .crashesOf("10.0.0.1")
+                .first()
+                .parts,
+        )
+        assertEquals(setOf("10.0.0.1"), trackers.getValue("g0").recordAnswer(bad).keys)
+        assertEquals(CrashTracker.Admission.Admitted, trackers.getValue("g0").admit(bad, gateways))
+    }
+
     @Test
     fun `every gateway has its turn to send a probe`() {
         receive(3)
--- a/keeper/src/main/kotlin/CrashLog.kt
+++ b/keeper/src/main/kotlin/CrashLog.kt
@@ -10,11 +10,20 @@
 internal class CrashLog {
     private class Entry(
         val atMs: Long,
-        val parts: MutableMap<Long, Int> = mutableMapOf(),
+        val parts: MutableMap<Long, PromptPart> = mutableMapOf(),
     ) {
         fun add(reported: List<PromptPart>) {
-            for (part in reported) if (parts.size < MAXIMUM_PARTS || part.part in parts) parts.merge(part.part, part.position, ::minOf)
+            for (part in reported) if (part.part in parts || hasRoom(part)) parts.merge(part.part, part, ::merge)
         }
+
+        /** Last parts are as many as requests, so they have a limit of their own. */
+        private fun hasRoom(part: PromptPart): Boolean =
+            parts.values.count { it.last == part.last } < if (part.last) MAXIMUM_LAST_PARTS else MAXIMUM_PARTS
+
+        private fun merge(
+            known: PromptPart,
+            reported: PromptPart,
+        ) = PromptPart(known.part, minOf(known.position, reported.position), known.last || reported.last)
     }
 
     private class Report(
@@ -90,12 +99,13 @@
     }
 
     fun all(nowMs: Long): List<EngineCrash> =
-        crashes.map { (startedMs, entry) -> EngineCrash(startedMs, nowMs - entry.atMs, entry.parts.map { PromptPart(it.key, it.value) }) }
+        crashes.map { (startedMs, entry) -> EngineCrash(startedMs, nowMs - entry.atMs, entry.parts.values.toList()) }
 
     private companion object {
         /** Limits that keep a status with all of them far below the maximum size of a message. */
         const val MAXIMUM_CRASHES = 32
         const val MAXIMUM_PARTS = 128
+        const val MAXIMUM_LAST_PARTS = 64
         const val MAXIMUM_UNCONFIRMED = 512
     }
 }
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -41,6 +41,10 @@
         var statusSentMs = 0L
         var gatewaysSent: List<String>? = null
         var crashesSent = -1
+
+        /** Requests that the gateway reported as broken off, and those of them for which it is known whether the engine has ended. */
+        var reports = 0
+        var settledReports = 0
     }
 
     private val sessions = mutableSetOf<Session>()
@@ -121,6 +125,7 @@
             is KeeperMessage.Usage -> {
                 usage.record(session.gateway, message.uses, clock.nowMs())
                 message.demand.forEach { demand.record(session.gateway, it, clock.nowMs()) }
+                session.reports += message.brokenOff.size
                 updateCrashes(message)
                 answerUsage(session)
             }
@@ -149,6 +154,7 @@
     private suspend fun refresh(): EngineSnapshot? {
         val before = snapshot
         val askedMs = clock.nowMs()
+        val reported = sessions.filter { it.settledReports < it.reports }.associateWith { it.reports }
         val now = engine.report()
         if (now == null && before != null && ++missedReports < MISSED_REPORTS_UNTIL_UNREACHABLE) return null
         missedReports = 0
@@ -162,6 +168,7 @@
         if (now != null) lastContactMs = clock.nowMs()
         val crashesBefore = crashLog.version
         crashLog.settle(now, askedMs)
+        reported.forEach { (session, reports) -> tellSettled(session, reports) }
         if (crashLog.version != crashesBefore) crashesChanged.schedule()
         when {
             now == null -> if (before != null) markDirty()
@@ -171,6 +178,16 @@
         return now
     }
 
+    /** Gateways wait for this with their second attempts. */
+    private fun tellSettled(
+        session: Session,
+        reports: Int,
+    ) {
+        if (session !in sessions || reports <= session.settledReports) return
+        session.settledReports = reports
+        push(session.also { it.dirty = true })
+    }
+
     private fun describe(report: EngineSnapshot) =
         mapOf(
             "models" to report.models.keys.joinToString(),
@@ -222,7 +239,7 @@
         session.statusSentMs = clock.nowMs()
         val crashes = crashLog.all(clock.nowMs()).takeIf { crashLog.version != session.crashesSent }
         session.crashesSent = crashLog.version
-        return status(changed).copy(crashes = crashes)
+        return status(changed).copy(crashes = crashes, settledReports = session.settledReports)
     }
 
     private fun status(gateways: List<String>?): KeeperMessage.Status {
--- a/keeper/src/main/kotlin/KeeperMessage.kt
+++ b/keeper/src/main/kotlin/KeeperMessage.kt
@@ -66,6 +66,8 @@
      * @property engineReachable whether the engine answers its keeper
      * @property gateways names of all gateways that are connected; null when unchanged since the last status
      * @property crashes crashes of the engine under requests; null when unchanged since the last status
+     * @property settledReports of the requests broken off by the engine that the gateway reported on this connection, the number for which
+     *   the keeper knows whether the engine has ended
      */
     @Serializable
     @SerialName("s")
@@ -81,6 +83,7 @@
         val busy: Boolean = false,
         @SerialName("answering") val engineReachable: Boolean = true,
         val crashes: List<EngineCrash>? = null,
+        @SerialName("settled") val settledReports: Int = 0,
     ) : KeeperMessage()
 
     /** Current load of the engine. */
@@ -120,11 +123,13 @@
  *
  * @property part hash of its identity
  * @property position its place in the prompt; 0 is the first
+ * @property last whether it was the last part of a prompt
  */
 @Serializable
 public data class PromptPart(
     @SerialName("p") val part: Long,
     @SerialName("i") val position: Int,
+    @SerialName("l") val last: Boolean = false,
 )
 
 /**
--- a/keeper/src/test/kotlin/CrashLogTest.kt
+++ b/keeper/src/test/kotlin/CrashLogTest.kt
@@ -55,6 +55,20 @@
         assertEquals(emptyList(), log.all(100_001))
     }
 
+    // Guards against callers whose many requests fill the log with last parts and leave no room for the others.
+    @Test
+    fun `last parts have a limit of their own and displace no other parts`() {
+        val log = CrashLog()
+        val lastParts = List(500) { PromptPart(1_000L + it, it, last = true) }
+        log.report(BrokenOff(1_000, lastParts + PromptPart(7, 0)), nowMs = 100)
+        log.report(BrokenOff(1_000, listOf(PromptPart(8, 1), PromptPart(1_000, 0))), nowMs = 100)
+        log.settle(null, 100)
+        val parts = log.all(100).single().parts
+        assertEquals(64, parts.count { it.last })
+        assertEquals(listOf(PromptPart(7, 0), PromptPart(8, 1)), parts.filterNot { it.last })
+        assertEquals(PromptPart(1_000, 0, last = true), parts.single { it.part == 1_000L }, "once last, always counted as last")
+    }
+
     @Test
     fun `a restarted keeper takes what gateways know, and keeps its own`() {
         val known = listOf(EngineCrash(1_000, 500, listOf(PromptPart(7, 0))), EngineCrash(2_000, 100, listOf(PromptPart(8, 0))))
@@ -73,6 +87,8 @@
         val log = CrashLog()
         repeat(1_000) { crash ->
             log.report(brokenOff(crash * 1_000L, *LongArray(500) { Long.MAX_VALUE - crash * 1_000L - it }), nowMs = crash * 1_000L)
+            val lastParts = List(500) { PromptPart(Long.MIN_VALUE + crash * 1_000L + it, it, last = true) }
+            log.report(BrokenOff(crash * 1_000L, lastParts), nowMs = crash * 1_000L)
             log.settle(null, crash * 1_000L)
         }
         val frame = MessageChannel.encode(KeeperMessage.Status(emptyList(), crashes = log.all(1_000_000)))
--- a/keeper/src/test/kotlin/KeeperTest.kt
+++ b/keeper/src/test/kotlin/KeeperTest.kt
@@ -289,6 +289,21 @@
         assertEquals(REPORTS, answers)
     }
 
+    // Guards against gateways that wait with a second attempt although the engine runs.
+    @Test
+    fun `a gateway hears when its reports of broken requests are settled`() {
+        var settled = 0
+        withKeeper(seed = 1) { loop, port, _ ->
+            val channel = MessageChannel(checkNotNull(TcpConnection.connect(loop, Address("127.0.0.1", port), HANG_TIMEOUT_MS)))
+            channel.send(KeeperMessage.Greeting("g"))
+            repeat(2) { channel.send(KeeperMessage.Usage(emptyList(), brokenOff = listOf(BrokenOff(1, listOf(PromptPart(7, 0)))))) }
+            withTimeoutOrNull(SETTLED_TIMEOUT_MS) {
+                while (settled < 2) settled = (channel.receive() as? KeeperMessage.Status)?.settledReports ?: continue
+            }
+        }
+        assertEquals(2, settled)
+    }
+
     @Test
     fun `usage rates are reported repeatedly, even while usage reports are answered with the load only`() {
         val rates = mutableListOf<Float>()
@@ -354,6 +369,8 @@
         const val CLOSE_TIMEOUT_MS = 20_000L
 
         /** Ends a test that hangs; far longer than any machine needs. */
+        /** Below the interval at which gateways get a status in any case. */
+        const val SETTLED_TIMEOUT_MS = 1_500L
         const val HANG_TIMEOUT_MS = 300_000L
     }
 }
