--- a/gateway/src/test/kotlin/ApiKeyGatewayTest.kt
+++ b/gateway/src/test/kotlin/ApiKeyGatewayTest.kt
@@ -50,7 +50,9 @@
         keys: Map<Tenant, List<String>>?,
     ) = onLoop {
         val services = mapOf(ServiceId("s") to ServiceConfiguration(ServiceId("s"), 9))
-        gateway.applyConfiguration(GatewayConfiguration(version, listOf(closed, public, stream), services, apiKeys = keys?.let { ApiKeys.of(it) }))
+        gateway.applyConfiguration(
+            GatewayConfiguration(version, listOf(closed, public, stream), services, apiKeys = keys?.let { ApiKeys.of(it) }),
+        )
     }
 
     private fun confirm() = onLoop { gateway.confirmConfiguration(HostTime(SystemClock.nowMs(), System.currentTimeMillis() + jumpMs)) }
--- a/gateway/src/test/kotlin/TargetDirectoryTest.kt
+++ b/gateway/src/test/kotlin/TargetDirectoryTest.kt
@@ -77,7 +77,10 @@
         clock.advanceBy(2_000)
         directory.expire()
         assertEquals(emptySet(), ready.keys)
-        val copy = listOf("draining" to 81, "removed" to 82, "replaced" to 83).map { (name, port) -> entry(name, sequence = 5, port = port) }
+        val copy =
+            listOf("draining" to 81, "removed" to 82, "replaced" to 83).map { (name, port) ->
+                entry(name, sequence = 5, port = port)
+            }
         directory.replaceAll(copy, trusted = false)
         directory.replaceAll(copy.map { it.copy(sequence = 4) }, trusted = false)
         directory.replaceAll(copy.map { it.copy(startedMs = 0, sequence = 9) }, trusted = false)
