--- a/gateway/src/test/kotlin/QuotaGatewayTest.kt
+++ b/gateway/src/test/kotlin/QuotaGatewayTest.kt
@@ -18,6 +18,7 @@
 import org.almondjunction.decisions.LeaseAnswer
 import org.almondjunction.decisions.LeaseCall
 import org.almondjunction.decisions.LeaseRecord
+import org.almondjunction.decisions.HedgePolicy
 import org.almondjunction.decisions.QuotaLimits
 import org.almondjunction.decisions.QuotaUnit
 import org.almondjunction.decisions.RetryLimits
@@ -88,16 +89,20 @@
     private val metrics = Metrics()
     private val limits = QuotaLimits(windowMs = 8_000, overage = 0.1, slack = 20.0)
     private val quotas = QuotaClient(SystemHostClock, registry, state, GatewayFixture.NAMES, limits, metrics)
+    private val selector = TargetSelector(loop.clock, registry, topology, state)
+    private val retryBudget = SharedRetryBudget(RetryLimits())
     private val forwarder =
         Forwarder(
             loop.clock,
-            TargetSelector(loop.clock, registry, topology, state),
+            selector,
             registry,
             state,
             GatewayFixture.NAMES,
-            SharedRetryBudget(RetryLimits()),
+            retryBudget,
             metrics,
             quotas,
+            HedgedExchange(loop.clock, selector, registry, state, HedgePolicy(0.0), retryBudget, metrics),
+            SignalReader(loop.clock, state, GatewayFixture.NAMES, metrics),
         )
     private val tenants =
         listOf(
