A host with an old configuration proof lists the configuration instead of watching it

A watch from an old revision returns nothing while the store drops its history, so a host that came back at that time took the empty answer for a proof and accepted a key for 5.6 s after its removal (limit 5 s). Not yet run after this change: the tests of gateway and platform.

--- a/decisions/src/main/kotlin/ApiKeyLimits.kt
+++ b/decisions/src/main/kotlin/ApiKeyLimits.kt
@@ -23,9 +23,13 @@
     /** Whether an unknown key may be refused for good with a proof of [proofAgeMs]. */
     public fun mayRefuseUnknownKeys(proofAgeMs: Long?): Boolean = proofAgeMs != null && proofAgeMs <= unknownKeyMs
 
-    /** Wait of the next watch. With an old proof, a host that was suspended needs an answer at once, not after a full wait. */
-    public fun nextWatchMs(proofAgeMs: Long?): Long =
-        if (revocationMs == null || mayRefuseUnknownKeys(proofAgeMs)) watchMs else MINIMUM_WATCH_MS
+    /**
+     * Wait of the next watch; null if the configuration must be listed instead.
+     *
+     * A watch from an old revision proves nothing while the store drops its history, and its answer to a suspended host comes late.
+     */
+    public fun nextWatchMs(proofAgeMs: Long?): Long? =
+        if (revocationMs == null || (proofAgeMs != null && proofAgeMs <= watchMs + ROUND_TRIP_MS)) watchMs else null
 
     private companion object {
         /** Time for which a store that drops its history may deliver nothing to watches, 1 s, and the latency to the host. */
@@ -33,7 +37,6 @@
 
         /** Wait of a watch without a limit on revocation. */
         const val PLAIN_WATCH_MS = 3_000L
-        const val MINIMUM_WATCH_MS = 1L
 
         /** Time within which a host that reaches the store has the newest configuration in force. */
         const val CONFIGURATION_BOUND_MS = 4_000L
--- a/gateway/src/main/kotlin/ConfigurationProof.kt
+++ b/gateway/src/main/kotlin/ConfigurationProof.kt
@@ -34,8 +34,8 @@
 
     val fresh: Boolean get() = limits.isFresh(ageMs)
 
-    /** Wait of the next watch of the configuration. */
-    val nextWatchMs: Long get() = limits.nextWatchMs(ageMs)
+    /** Wait of the next watch of the configuration; null if it must be listed instead. */
+    val nextWatchMs: Long? get() = limits.nextWatchMs(ageMs)
 
     /** Records a proof; returns whether requests may have waited for it. */
     fun confirm(at: HostTime): Boolean {
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -66,8 +66,8 @@
     /** Whether callers with an API key cannot be served, since their keys may have been removed. */
     private val lacksProof: Boolean get() = state.configuration?.apiKeys != null && !state.proof.fresh
 
-    /** Wait of the next watch of the configuration, so that the proof that it is the newest stays young enough. */
-    public val nextConfigurationWatchMs: Long get() = state.proof.nextWatchMs
+    /** Wait of the next watch of the configuration, so that its proof stays young enough; null if it must be listed instead. */
+    public val nextConfigurationWatchMs: Long? get() = state.proof.nextWatchMs
 
     /** Starts listening and starts the background tasks. */
     public fun start() {
