--- a/decisions/src/main/kotlin/QuotaBucket.kt
+++ b/decisions/src/main/kotlin/QuotaBucket.kt
@@ -59,10 +59,10 @@
         }
         val refused = want.costs.getOrNull(served)
         if (refused == null || served > 0) queue -= gateway
-        if (refused != null) {
-            queue[gateway] = nowMs
-        } else if (queue.isEmpty()) {
-            granted += takeAhead(want.ahead)
+        when {
+            refused == null -> if (queue.isEmpty()) granted += takeAhead(want.ahead)
+            // A request that can never be granted must not hold up those of other gateways.
+            refused <= bounds.largestCost -> queue[gateway] = nowMs
         }
         if (granted > 0) record(granted, nowMs)
         val waitMs = refused?.let { waitMs(it, queue.keys.firstOrNull() == gateway) } ?: 0
