Last parts that end targets do not excuse each other

In CrashingPartTest three callers, each with a last part of its own that ends engines, ended 10 engines where 9 were expected at most: two of their requests ran on the engine that a third one ended. Ends that a found part explains accuse nobody else, so a quarantined part was released when another one was found.

A last part now counts in all ends but those that a part explains which is not a last one. CrashEvidenceTest has the case.

--- a/decisions/src/main/kotlin/CrashEvidence.kt
+++ b/decisions/src/main/kotlin/CrashEvidence.kt
@@ -194,11 +194,24 @@
 
     private fun explain() {
         keptParts = crashesBySource.values.flatMapTo(mutableSetOf()) { crashes -> crashes.flatMap { crash -> crash.parts.map { it.part } } }
-        val found = findFewest()
+        val fewest = findFewest()
+        val found = fewest + lastPartsWithin(fewest)
         val ends = knownEnds(found.map { it.part }.toSet())
         suspicions = found.associate { it.part to Suspicion(it.crashes, it.lastMs, quarantineCrashes(it, ends)) }
     }
 
+    /**
+     * Returns further last parts that were in several ends, except in ends that a part of [fewest] explains which is not a last one.
+     *
+     * Several requests whose last parts end targets may run on one target; none of them excuses the others.
+     */
+    private fun lastPartsWithin(fewest: List<Candidate>): List<Candidate> {
+        val known = fewest.map { it.part }.toSet()
+        val excusing = fewest.filterNot { it.last }.map { it.part }.toSet()
+        return candidates(crashesBySource.values.flatten().filter { crash -> crash.parts.none { it.part in excusing } })
+            .filter { it.last && it.crashes >= SUSPICIOUS_CRASHES && it.part !in known }
+    }
+
     /** A last part needs fewer ends than others, unless most targets that ended shortly before did so for no known part. */
     private fun quarantineCrashes(
         candidate: Candidate,
--- a/decisions/src/test/kotlin/CrashEvidenceTest.kt
+++ b/decisions/src/test/kotlin/CrashEvidenceTest.kt
@@ -69,6 +69,15 @@
                 listOf(lastCrash(1_000, FIRST, BAD), lastCrash(1_050, FIRST, BAD)),
                 emptyMap(),
             ),
+            Case(
+                "last parts that ran on one target do not excuse each other",
+                listOf(
+                    TargetCrash(1_000, 1_000, listOf(SuspectPart(BAD, 1, last = true), SuspectPart(OTHER_BAD, 1, last = true))),
+                    lastCrash(2_000, FIRST, BAD),
+                    lastCrash(3_000, FIRST, OTHER_BAD),
+                ),
+                mapOf(BAD to 2, OTHER_BAD to 2),
+            ),
             Case(
                 "three ends are needed for a last part while most targets end for no known part",
                 listOf(lastCrash(1_000, 10), lastCrash(2_000, 11), lastCrash(3_000, BAD), lastCrash(4_000, BAD)),
