--- a/decisions/src/test/kotlin/QuotaLedgerTest.kt
+++ b/decisions/src/test/kotlin/QuotaLedgerTest.kt
@@ -81,7 +81,7 @@
         val nowMs = fill()
         val lowered = bounds.copy(ratePerSecond = 1.0, burst = 1.0, tolerance = 0.5)
         ask(nowMs, limits = lowered, version = 3)
-        assertEquals(0, ask(nowMs, 50, limits = bounds, version = 2).units)
+        assertEquals(0, ask(nowMs, 30, limits = bounds, version = 2).units)
         assertEquals(1, ask(nowMs + 2_000, 1, limits = bounds, version = 2).units)
     }
 
