--- a/gateway/src/test/kotlin/EngineSignalsPropertyTest.kt
+++ b/gateway/src/test/kotlin/EngineSignalsPropertyTest.kt
@@ -26,13 +26,17 @@
 class EngineSignalsPropertyTest {
     private val service = ServiceId("s")
 
+    private val clock = VirtualClock(1_000)
+
+    /** Shared by all histories, since each event loop holds descriptors; it never runs. */
+    private val loop = EventLoop(clock)
+
     /** Reports of one history, applied to a registry, with the answers that engines gave in it. */
     private inner class History(
         private val random: Random,
     ) {
-        private val clock = VirtualClock(1_000)
         private val state = GatewayState(CrashTracker(clock, "g"))
-        private val registry = TargetRegistry(EventLoop(clock), CoroutineScope(SupervisorJob()), "g", 1, state)
+        private val registry = TargetRegistry(loop, CoroutineScope(SupervisorJob()), "g", 1, state)
         private val directory = TargetDirectory(clock, retentionMs = 2_000) { registry.apply(it) }
         private val reader = SignalReader(clock, state, GatewayFixture.NAMES, Metrics())
         private val startedMs = LongArray(ENGINES) { 1 }
