--- a/gateway/src/test/kotlin/ModelPreloaderTest.kt
+++ b/gateway/src/test/kotlin/ModelPreloaderTest.kt
@@ -42,7 +42,6 @@
             }
         val engine = EngineConfiguration(batch = 64, promptCacheTokens = 100, weightsMb = 100, adapterSlots = 2, models = models)
         val route = Route("r", "h", "/", RetrySafety.ONCE, true, listOf(Destination(service, 1.0)), 20_000, 2_000, 0, maximumTargets = 1)
-        state.configuration = GatewayConfiguration(1, listOf(route), mapOf(service to ServiceConfiguration(service, 9, engine)))
         val registry = TargetRegistry(loop, CoroutineScope(SupervisorJob()), gateway, 1, state)
         held.forEachIndexed { index, model ->
             val address = Address("127.0.0.1", 1 + index)
@@ -58,6 +57,8 @@
                 )
             target.update(status)
         }
+        // Set after the targets, so that no connections to keepers are opened.
+        state.configuration = GatewayConfiguration(1, listOf(route), mapOf(service to ServiceConfiguration(service, 9, engine)))
         state.changed.raise()
         val topology = Topology(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r")))
         val selector = TargetSelector(loop.clock, registry, topology, state)
