--- a/decisions/src/main/kotlin/ApiKeyLimits.kt
+++ b/decisions/src/main/kotlin/ApiKeyLimits.kt
@@ -33,7 +33,7 @@
 
     private companion object {
         /** Time for which a store that drops its history may deliver nothing to watches, 1 s, and the latency to the host. */
-        const val DELIVERY_MARGIN_MS = 1_500L
+        const val DELIVERY_MARGIN_MS = 1_200L
 
         /** Wait of a watch without a limit on revocation. */
         const val PLAIN_WATCH_MS = 3_000L
--- a/gateway/src/test/kotlin/QuotaGatewayTest.kt
+++ b/gateway/src/test/kotlin/QuotaGatewayTest.kt
@@ -15,10 +15,10 @@
 import org.almondjunction.common.SystemHostClock
 import org.almondjunction.common.TargetId
 import org.almondjunction.common.ZoneId
+import org.almondjunction.decisions.HedgePolicy
 import org.almondjunction.decisions.LeaseAnswer
 import org.almondjunction.decisions.LeaseCall
 import org.almondjunction.decisions.LeaseRecord
-import org.almondjunction.decisions.HedgePolicy
 import org.almondjunction.decisions.QuotaLimits
 import org.almondjunction.decisions.QuotaUnit
 import org.almondjunction.decisions.RetryLimits
