--- a/gateway/src/main/kotlin/ForwardingContext.kt
+++ b/gateway/src/main/kotlin/ForwardingContext.kt
@@ -148,6 +148,7 @@
                     mapOf(
                         "route" to request.route.name,
                         "service" to request.service.value,
+                        "tenant" to request.tenant?.name,
                         "model" to request.model?.let { request.weights },
                         "sends" to sends.toString(),
                         "hedged" to hedged,
