--- a/keeper/src/test/kotlin/KeeperTest.kt
+++ b/keeper/src/test/kotlin/KeeperTest.kt
@@ -368,9 +368,10 @@
         /** Far longer than closing a connection takes. */
         const val CLOSE_TIMEOUT_MS = 20_000L
 
-        /** Ends a test that hangs; far longer than any machine needs. */
         /** Below the interval at which gateways get a status in any case. */
         const val SETTLED_TIMEOUT_MS = 1_500L
+
+        /** Ends a test that hangs; far longer than any machine needs. */
         const val HANG_TIMEOUT_MS = 300_000L
     }
 }
