--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -52,7 +52,7 @@
     )
 
     private val pendingLoads = mutableMapOf<String, PendingLoad>()
-    private val storeLoadLimit = StoreLoadLimit(MAXIMUM_STORE_LOADS)
+    private val storeLoadLimit = StoreLoadLimit()
     private val startedMs = clock.nowMs()
 
     /** Chooses a target for [request] that is not in [tried]; requests with [confinedPart] use one target only. */
@@ -215,7 +215,7 @@
         if (withLocalCopy.isEmpty() && model.loadMs > callerLeftMs) return Choice.Later(model.loadMs)
         val demand = demandFor(model)
         val maximumLoads =
-            if (demand >= BUSY_REQUESTS_PER_SECOND) MAXIMUM_STORE_LOADS_FOR_BUSY_MODELS else storeLoadLimit.current(nowMs)
+            if (demand >= BUSY_REQUESTS_PER_SECOND) MAXIMUM_STORE_LOADS_FOR_BUSY_MODELS else storeLoadLimit.current(model.loadMs, nowMs)
         if (withLocalCopy.isEmpty() &&
             connected.count { it.loadsFromStore } + requestedStoreLoads >= maximumLoads
         ) {
@@ -460,10 +460,7 @@
         /** Time after a start in which the gateway connects to keepers, some of which may have local copies of the weights. */
         const val KEEPER_DISCOVERY_MS = 2_000L
 
-        /** Concurrent loads from the weight store over all engines: the fewest that any of the users' stores supports at full speed. */
-        const val MAXIMUM_STORE_LOADS = 2
-
-        /** The same limit for models with high demand, so that rarely requested models never delay them. */
+        /** Concurrent loads from the weight store up to which a model with high demand is loaded, also while these slow each other down. */
         const val MAXIMUM_STORE_LOADS_FOR_BUSY_MODELS = 4
 
         /** Demand over all gateways from which a model counts as busy: above that of any rarely requested model. */
