--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -95,7 +95,6 @@
                     modelConfiguration,
                     mayEvict = true,
                     callers = maxOf(waiting, LoadValue.callerWeight(inTime = false)),
-                    callerLeftMs = request.callerDisconnectMs - nowMs,
                 )
             }
         }
@@ -188,18 +187,13 @@
         return Choice.Later(if (free.isEmpty()) ADAPTER_BEHIND_LOAD_MS else ADAPTER_LOAD_MS)
     }
 
-    /**
-     * Requests that one of [ready] loads [model] for [callers], the number of waiting callers weighted by [LoadValue].
-     *
-     * A load from the weight store that ends after [callerLeftMs] is left to [ModelPreloader], which orders such loads for all gateways.
-     */
+    /** Requests that one of [ready] loads [model] for [callers], the number of waiting callers weighted by [LoadValue]. */
     suspend fun requestModel(
         ready: List<Target>,
         engine: EngineConfiguration,
         model: ModelConfiguration,
         mayEvict: Boolean,
         callers: Double = 0.0,
-        callerLeftMs: Long = Long.MAX_VALUE,
     ): Choice {
         val name = model.model.value
         val nowMs = clock.nowMs()
@@ -212,7 +206,6 @@
         if (withLocalCopy.isEmpty() && connected.size < ready.size && nowMs - startedMs < KEEPER_DISCOVERY_MS) {
             return Choice.Later(KEEPER_DISCOVERY_MS)
         }
-        if (withLocalCopy.isEmpty() && model.loadMs > callerLeftMs) return Choice.Later(model.loadMs)
         val demand = demandFor(model)
         val maximumLoads =
             if (demand >= BUSY_REQUESTS_PER_SECOND) MAXIMUM_STORE_LOADS_FOR_BUSY_MODELS else storeLoadLimit.current(model.loadMs, nowMs)
