Store loads are ordered by one gateway only where no caller waits for them

The configuration tells where that does not matter: the load takes longer than the callers of any route wait.

--- a/decisions/src/main/kotlin/StoreLoadLimit.kt
+++ b/decisions/src/main/kotlin/StoreLoadLimit.kt
@@ -3,22 +3,23 @@
 /**
  * Limits the models that are loaded from the weight store at the same time, by how long such loads take.
  *
- * The store serves a few loads at full speed; how many is not known in advance. With more, each takes longer in proportion, so that the
- * first model is there later and none is there sooner.
+ * The store serves a few loads at full speed. With more, each takes longer in proportion, so that the first model is there later and none
+ * is there sooner.
+ *
+ * @param maximum limit as long as loads take their usual time
  */
-public class StoreLoadLimit {
+public class StoreLoadLimit(
+    private val maximum: Int,
+) {
     /** Number of concurrent loads that is known to slow them down; null if none is. */
     private var slowCount: Int? = null
     private var slowMs = 0L
 
-    /** Returns how many loads that take [usualMs] at full speed may run at once. */
-    public fun current(
-        usualMs: Long,
-        nowMs: Long,
-    ): Int {
-        val bearable = (BEARABLE_MS / usualMs.coerceAtLeast(1)).coerceIn(1, MAXIMUM_LOADS).toInt()
-        val slow = slowCount?.takeIf { nowMs - slowMs < MEMORY_MS } ?: return bearable
-        return (slow - 1).coerceIn(1, bearable)
+    /** Returns the number of concurrent loads that the store is expected to serve at full speed. */
+    public fun current(nowMs: Long): Int {
+        val slow = slowCount ?: return maximum
+        if (nowMs - slowMs >= MEMORY_MS) return maximum
+        return (slow - 1).coerceIn(1, maximum)
     }
 
     /** Records that a load has taken [takenMs] so far, usually [usualMs], while [concurrent] loads were running. */
@@ -29,15 +30,11 @@
         nowMs: Long,
     ) {
         if (concurrent < 2 || takenMs < usualMs * SLOW_FACTOR) return
-        slowCount = minOf(concurrent, current(usualMs, nowMs) + 1)
+        slowCount = minOf(concurrent, current(nowMs) + 1)
         slowMs = nowMs
     }
 
     private companion object {
-        /** Time within which concurrent loads have ended even if the store serves only one at full speed: the longest that callers wait. */
-        const val BEARABLE_MS = 25_000L
-        const val MAXIMUM_LOADS = 4L
-
         /** Loads at full speed take up to a tenth longer than configured. */
         const val SLOW_FACTOR = 1.25
 
--- a/gateway/src/main/kotlin/GatewayConfiguration.kt
+++ b/gateway/src/main/kotlin/GatewayConfiguration.kt
@@ -17,6 +17,20 @@
     val limits: CallerLimits = CallerLimits(),
     val apiKeys: ApiKeys? = null,
 ) {
+    /** For each service, the longest time that callers of any of its routes wait for the first part of a response. */
+    private val longestWaitsMs by lazy {
+        routes
+            .flatMap { route -> route.destinations.map { it.service to minOf(route.timeoutMs, route.callerIdleTimeoutMs) } }
+            .groupBy({ it.first }, { it.second })
+            .mapValues { (_, waitsMs) -> waitsMs.max() }
+    }
+
+    /** Whether no caller of [service] waits until [model] is loaded from the weight store, so that such loads serve only later callers. */
+    public fun loadsTooLateForCallers(
+        service: ServiceId,
+        model: ModelConfiguration,
+    ): Boolean = longestWaitsMs[service]?.let { model.loadMs > it } ?: false
+
     private val routesByHost by lazy {
         routes.groupBy { it.host.lowercase() }.mapValues { (_, group) -> group.sortedByDescending { it.pathPrefix.length } }
     }
--- a/gateway/src/main/kotlin/ModelPreloader.kt
+++ b/gateway/src/main/kotlin/ModelPreloader.kt
@@ -9,8 +9,9 @@
  *
  * A model that no target holds is loaded where memory is free; if no host has a copy of its weights, the load may evict another model,
  * so that a copy is on the disk of a host when the model is requested. Each model is assigned to one gateway by rendezvous hashing over
- * the gateways connected to keepers. Models without any copy are all assigned to the same gateway: gateways that act at the same moment
- * do not see each other's requests, and together would begin more loads from the weight store than it serves at full speed.
+ * the gateways connected to keepers. Models without any copy whose load no caller waits for are all assigned to the same gateway: gateways
+ * that act at the same moment do not see each other's requests, and together would begin more loads from the weight store than it serves
+ * at full speed.
  */
 internal class ModelPreloader(
     private val registry: TargetRegistry,
@@ -28,18 +29,21 @@
 
     /** Requests the loads that are needed now. */
     suspend fun preload() {
-        val services = state.configuration?.services?.values ?: return
+        val configuration = state.configuration ?: return
         val gateways = registry.gateways
-        services.forEach { service ->
+        configuration.services.values.forEach { service ->
             val engine = service.engine ?: return@forEach
             val ready = registry.ready(service.service)
             val connected = ready.count { it.status != null }
             if (connected < ready.size * MINIMUM_CONNECTED_SHARE) return@forEach
             selector.observeStoreLoads(ready, engine)
-            val (missing, others) = engine.models.values.partition { model -> ready.none { it.holdsOrHasCopy(model.model.value) } }
+            val (ordered, others) =
+                engine.models.values.partition { model ->
+                    configuration.loadsTooLateForCallers(service.service, model) && ready.none { it.holdsOrHasCopy(model.model.value) }
+                }
             others.filter { isAssigned(it.model.value, gateways) }.forEach { preload(it, engine, ready) }
-            if (missing.isNotEmpty() && isAssigned("$STORE_LOADS${service.service.value}", gateways)) {
-                missing.sortedByDescending { selector.demandFor(it) }.forEach { preload(it, engine, ready) }
+            if (ordered.isNotEmpty() && isAssigned("$STORE_LOADS${service.service.value}", gateways)) {
+                ordered.sortedByDescending { selector.demandFor(it) }.forEach { preload(it, engine, ready, ordering = true) }
             }
         }
     }
@@ -57,12 +61,13 @@
         model: ModelConfiguration,
         engine: EngineConfiguration,
         ready: List<Target>,
+        ordering: Boolean = false,
     ) {
         val name = model.model.value
         val (holders, others) = ready.partition { it.holds(name) }
         if (holders.isEmpty()) {
             val withLocalCopy = ready.filter { it.hasLocalCopy(name) }
-            selector.requestModel(withLocalCopy.ifEmpty { ready }, engine, model, mayEvict = withLocalCopy.isEmpty())
+            selector.requestModel(withLocalCopy.ifEmpty { ready }, engine, model, mayEvict = withLocalCopy.isEmpty(), ordering = ordering)
             return
         }
         val load = selector.loadOf(name, holders, engine)
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -52,7 +52,7 @@
     )
 
     private val pendingLoads = mutableMapOf<String, PendingLoad>()
-    private val storeLoadLimit = StoreLoadLimit()
+    private val storeLoadLimit = StoreLoadLimit(MAXIMUM_STORE_LOADS)
     private val startedMs = clock.nowMs()
 
     /** Chooses a target for [request] that is not in [tried]; requests with [confinedPart] use one target only. */
@@ -95,6 +95,7 @@
                     modelConfiguration,
                     mayEvict = true,
                     callers = maxOf(waiting, LoadValue.callerWeight(inTime = false)),
+                    tooLateForCallers = state.configuration?.loadsTooLateForCallers(request.service, modelConfiguration) ?: false,
                 )
             }
         }
@@ -187,13 +188,20 @@
         return Choice.Later(if (free.isEmpty()) ADAPTER_BEHIND_LOAD_MS else ADAPTER_LOAD_MS)
     }
 
-    /** Requests that one of [ready] loads [model] for [callers], the number of waiting callers weighted by [LoadValue]. */
+    /**
+     * Requests that one of [ready] loads [model] for [callers], the number of waiting callers weighted by [LoadValue].
+     *
+     * If loads from the weight store are [tooLateForCallers], they are left to [ModelPreloader], which orders them for all gateways; it sets
+     * [ordering].
+     */
     suspend fun requestModel(
         ready: List<Target>,
         engine: EngineConfiguration,
         model: ModelConfiguration,
         mayEvict: Boolean,
         callers: Double = 0.0,
+        tooLateForCallers: Boolean = false,
+        ordering: Boolean = false,
     ): Choice {
         val name = model.model.value
         val nowMs = clock.nowMs()
@@ -206,14 +214,16 @@
         if (withLocalCopy.isEmpty() && connected.size < ready.size && nowMs - startedMs < KEEPER_DISCOVERY_MS) {
             return Choice.Later(KEEPER_DISCOVERY_MS)
         }
+        if (withLocalCopy.isEmpty() && tooLateForCallers) return Choice.Later(model.loadMs)
         val demand = demandFor(model)
         val maximumLoads =
-            if (demand >= BUSY_REQUESTS_PER_SECOND) MAXIMUM_STORE_LOADS_FOR_BUSY_MODELS else storeLoadLimit.current(model.loadMs, nowMs)
-        if (withLocalCopy.isEmpty() &&
-            connected.count { it.loadsFromStore } + requestedStoreLoads >= maximumLoads
-        ) {
-            return Choice.Later(model.loadMs * 2)
-        }
+            when {
+                demand >= BUSY_REQUESTS_PER_SECOND -> MAXIMUM_STORE_LOADS_FOR_BUSY_MODELS
+                ordering -> storeLoadLimit.current(nowMs)
+                else -> MAXIMUM_STORE_LOADS
+            }
+        val loads = connected.count { it.loadsFromStore } + if (ordering) requestedStoreLoads else 0
+        if (withLocalCopy.isEmpty() && loads >= maximumLoads) return Choice.Later(model.loadMs * 2)
         val valueMs = LoadValue.valueMs(callers, demand)
         val candidates = withLocalCopy.ifEmpty { connected }
         val best =
@@ -453,7 +463,10 @@
         /** Time after a start in which the gateway connects to keepers, some of which may have local copies of the weights. */
         const val KEEPER_DISCOVERY_MS = 2_000L
 
-        /** Concurrent loads from the weight store up to which a model with high demand is loaded, also while these slow each other down. */
+        /** Concurrent loads from the weight store over all engines: the fewest that any of the users' stores supports at full speed. */
+        const val MAXIMUM_STORE_LOADS = 2
+
+        /** The same limit for models with high demand, so that rarely requested models never delay them. */
         const val MAXIMUM_STORE_LOADS_FOR_BUSY_MODELS = 4
 
         /** Demand over all gateways from which a model counts as busy: above that of any rarely requested model. */
