Gateways without quotas do not wake up for them; store loads are observed only by the gateway that orders them

Every gateway woke 50 times a second to step its accounts, also where no tenant has a quota, and each noted how long store loads take although only the one that orders them uses it. What callers see is the same.

--- a/gateway/src/main/kotlin/ModelPreloader.kt
+++ b/gateway/src/main/kotlin/ModelPreloader.kt
@@ -36,13 +36,13 @@
             val ready = registry.ready(service.service)
             val connected = ready.count { it.status != null }
             if (connected < ready.size * MINIMUM_CONNECTED_SHARE) return@forEach
-            selector.observeStoreLoads(ready, engine)
             val (ordered, others) =
                 engine.models.values.partition { model ->
                     configuration.loadsTooLateForCallers(service.service, model) && ready.none { it.holdsOrHasCopy(model.model.value) }
                 }
             others.filter { isAssigned(it.model.value, gateways) }.forEach { preload(it, engine, ready) }
             if (ordered.isNotEmpty() && isAssigned("$STORE_LOADS${service.service.value}", gateways)) {
+                selector.observeStoreLoads(ready, engine)
                 ordered.sortedByDescending { selector.demandFor(it) }.forEach { preload(it, engine, ready, ordering = true) }
             }
         }
--- a/gateway/src/main/kotlin/QuotaClient.kt
+++ b/gateway/src/main/kotlin/QuotaClient.kt
@@ -39,7 +39,7 @@
         while (true) {
             applyConfiguration()
             shards.forEach { it.step(clock.now()) }
-            delay(STEP_MS)
+            delay(if (shards.all { it.idle }) IDLE_STEP_MS else STEP_MS)
         }
     }
 
@@ -153,6 +153,9 @@
     private companion object {
         const val STEP_MS = 20L
 
+        /** Without accounts only a new configuration is awaited; requests take it up themselves. */
+        const val IDLE_STEP_MS = 500L
+
         /** The wait for units takes at most this part of the time until the deadline. */
         const val PATIENCE_DIVISOR = 4
         const val MAXIMUM_PATIENCE_MS = 3_000L
--- a/gateway/src/main/kotlin/QuotaShardClient.kt
+++ b/gateway/src/main/kotlin/QuotaShardClient.kt
@@ -32,6 +32,9 @@
     var answeredMs: Long? = null
         private set
 
+    /** Whether there are no accounts, so that nothing is asked. */
+    val idle: Boolean get() = accounts.isEmpty()
+
     /** Returns the account of [tenant], which is added if it is missing. */
     fun account(
         tenant: String,
@@ -45,7 +48,7 @@
 
     /** Asks the coordinator if that is due. */
     fun step(now: HostTime) {
-        if (accounts.isEmpty()) return
+        if (idle) return
         val pending = inFlight
         if (pending != null) {
             if (pending.asked.longestMsUntil(now) < CoordinatorSearch.ANSWER_TIMEOUT_MS) return
