Streams: the identity of an event ends with its line

What callers saw: nothing yet; found by looking for names of others in request heads.

Cause: a carriage return alone ends a line of an event stream, but the identity of an event was read up to the next line feed. With it, what the engine wrote behind the carriage return went into the header Last-Event-Id of the request that resumes the stream, as a line of its own for a reader that takes a carriage return as a line end.

Evidence: EventSplitterTest failed before: "7\rX-Other: y" in place of "7".

Fix: the identity ends at the first carriage return or line feed.

--- a/gateway/src/main/kotlin/EventSplitter.kt
+++ b/gateway/src/main/kotlin/EventSplitter.kt
@@ -45,7 +45,8 @@
         val text = String(complete, Charsets.ISO_8859_1)
         val start = if (text.startsWith(ID_FIELD)) 0 else text.lastIndexOf("\n$ID_FIELD").let { if (it < 0) return else it + 1 }
         val last = maxOf(start, text.lastIndexOf("\n$ID_FIELD") + 1)
-        lastEvent = text.substring(last + ID_FIELD.length, text.indexOf('\n', last)).trim()
+        // A carriage return alone ends a line too, and must not get into the header that carries the identity.
+        lastEvent = text.substring(last + ID_FIELD.length, text.indexOfAny(LINE_ENDS, last)).trim()
     }
 
     /** Discards the bytes of an incomplete event, which another target sends again. */
@@ -59,6 +60,7 @@
         const val MAXIMUM_EVENT_BYTES = 256 * 1024
         private val EMPTY = ByteArray(0)
         private const val ID_FIELD = "id:"
+        private val LINE_ENDS = charArrayOf('\n', '\r')
         private const val LINE_FEED = '\n'.code.toByte()
         private const val CARRIAGE_RETURN = '\r'.code.toByte()
     }
--- a/gateway/src/test/kotlin/EventSplitterTest.kt
+++ b/gateway/src/test/kotlin/EventSplitterTest.kt
@@ -34,6 +34,17 @@
             }
         }
 
+    // Guards against an identity that adds a header to the request with which a stream is resumed.
+    @Test
+    fun `the identity of an event ends with its line`() {
+        val identities = mapOf("id: 7\n" to "7", "id:7\r\n" to "7", "id: 7\rX-Other: y\n" to "7", "id: 7 \r\r\n" to "7", "id:\n" to "")
+        for ((line, identity) in identities) {
+            val splitter = EventSplitter()
+            splitter.feed("id: 6\ndata: a\n\n${line}data: b\n\n".toByteArray())
+            assertEquals(identity, splitter.lastEvent, line)
+        }
+    }
+
     @Test
     fun `an incomplete event is discarded, and the next event is returned as a complete one`() {
         val splitter = EventSplitter()
