Targets: an entry of a service that is not configured removes no target at its address

What callers saw: nothing yet; an entry of another writer with the address of a running engine, a later start and a service that no configuration names would have taken that engine out of use, for good.

Cause: of two targets at one address the one that started later is kept, whatever service it names.

Evidence: TargetDirectoryTest failed with the protection taken out: only "unknown" is left of "running" and "unknown", in either order.

Fix: only targets of configured services compete for an address. A new configuration decides again (updateServices), so a service that is configured after its targets were listed replaces the earlier ones at their addresses as before.

--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -11,6 +11,7 @@
 import org.almondjunction.common.LogFields
 import org.almondjunction.common.MetricName
 import org.almondjunction.common.Metrics
+import org.almondjunction.common.ServiceId
 import org.almondjunction.common.SystemHostClock
 import org.almondjunction.decisions.HedgePolicy
 import org.almondjunction.decisions.PlannedStop
@@ -60,7 +61,10 @@
     private val stopped = CompletableDeferred<Unit>()
 
     /** Targets known to this gateway. */
-    public val directory: TargetDirectory = TargetDirectory(clock, settings.entryRetentionMs) { registry.apply(it) }
+    public val directory: TargetDirectory =
+        TargetDirectory(clock, settings.entryRetentionMs, isConfigured = { isConfigured(it) }) { registry.apply(it) }
+
+    private fun isConfigured(service: ServiceId): Boolean = state.configuration?.services?.containsKey(service) == true
 
     /** Whether this gateway accepts requests of callers. */
     public val ready: Boolean get() =
@@ -97,6 +101,7 @@
         val current = state.configuration
         if (current != null && current.version >= configuration.version) return
         state.configuration = configuration
+        directory.updateServices()
         recordConfigured()
         registry.connectKeepers()
         state.changed.raise()
--- a/gateway/src/main/kotlin/TargetDirectory.kt
+++ b/gateway/src/main/kotlin/TargetDirectory.kt
@@ -33,10 +33,13 @@
  *
  * An entry that disappears while the list is not trusted is kept for [retentionMs]. An entry that was removed is used again only with a
  * later start or a higher sequence, since the platform's list may come back from an older copy.
+ *
+ * @param isConfigured whether a service is in the configuration in force; [updateServices] must be called when that changes
  */
 public class TargetDirectory(
     private val clock: Clock,
     private val retentionMs: Long,
+    private val isConfigured: (ServiceId) -> Boolean = { true },
     private val onChange: (Change) -> Unit,
 ) {
     /** Change of the directory. */
@@ -60,19 +63,15 @@
     /**
      * Adds or replaces the entry of a target; an entry older than the known one is ignored.
      *
-     * Of two targets listed at one address, only the one that started later is kept, since the other can no longer be running.
+     * Of two targets of configured services listed at one address, only the one that started later is kept, since the other can no longer
+     * be running. An entry of any other service says nothing about the targets at its address.
      */
     public fun put(entry: TargetEntry) {
         val known = entries[entry.target]
         if (known != null && isOlder(entry, known)) return
         if (known == null && removed.covers(entry)) return
-        val entryAtAddress = targetsByAddress[entry.address]?.takeIf { it != entry.target }?.let { entries[it] }
-        if (entryAtAddress != null && entryAtAddress.startedMs > entry.startedMs) return drop(entry.target)
-        if (entryAtAddress != null && entryAtAddress.startedMs < entry.startedMs) {
-            removeForGood(entryAtAddress)
-        }
+        if (!claimAddress(entry)) return drop(entry.target)
         if (known != null && known.address != entry.address) targetsByAddress.remove(known.address, entry.target)
-        targetsByAddress[entry.address] = entry.target
         retained -= entry.target
         entries[entry.target] = entry
         if (known?.copy(sequence = entry.sequence) == entry) return
@@ -80,6 +79,23 @@
         onChange(Change.Put(entry))
     }
 
+    /** Records [entry] as the target at its address and removes an earlier one; returns false if a later one is known there. */
+    private fun claimAddress(entry: TargetEntry): Boolean {
+        if (!isConfigured(entry.service)) return true
+        val other = targetsByAddress[entry.address]?.takeIf { it != entry.target }?.let { entries[it] }
+        if (other != null && isConfigured(other.service)) {
+            if (other.startedMs > entry.startedMs) return false
+            if (other.startedMs < entry.startedMs) removeForGood(other)
+        }
+        targetsByAddress[entry.address] = entry.target
+        return true
+    }
+
+    /** Decides again which targets are kept where several are listed at one address. */
+    public fun updateServices() {
+        entries.values.toList().forEach { if (it.target in entries && !claimAddress(it)) drop(it.target) }
+    }
+
     private fun isOlder(
         entry: TargetEntry,
         known: TargetEntry,
--- a/gateway/src/test/kotlin/TargetDirectoryTest.kt
+++ b/gateway/src/test/kotlin/TargetDirectoryTest.kt
@@ -11,8 +11,9 @@
 class TargetDirectoryTest {
     private val clock = VirtualClock()
     private val ready = mutableMapOf<String, Boolean>()
+    private val services = mutableSetOf("s", "t")
     private val directory =
-        TargetDirectory(clock, retentionMs = 2_000) { change ->
+        TargetDirectory(clock, retentionMs = 2_000, isConfigured = { it.value in services }) { change ->
             when (change) {
                 is TargetDirectory.Change.Put -> ready[change.entry.target.value] = change.entry.ready
                 is TargetDirectory.Change.Removed -> ready -= change.target.value
@@ -25,7 +26,8 @@
         startedMs: Long = 1,
         sequence: Long = 1,
         port: Int = 80,
-    ) = TargetEntry(TargetId(name), ServiceId("s"), Address("10.0.0.1", port), ZoneId("z"), ready, 4, startedMs, sequence, emptyMap())
+        service: String = "s",
+    ) = TargetEntry(TargetId(name), ServiceId(service), Address("10.0.0.1", port), ZoneId("z"), ready, 4, startedMs, sequence, emptyMap())
 
     @Test
     fun `a stale report never makes a draining target ready again`() {
@@ -53,6 +55,34 @@
         assertEquals(mapOf("c" to true, "d" to true), ready)
     }
 
+    // Guards against a running target that is replaced by an entry of another writer with its address and a later start.
+    @Test
+    fun `an entry of a service that is not configured removes no target at its address`() {
+        val running = entry("running", startedMs = 5)
+        val unknown = entry("unknown", startedMs = 9, service = "nobody")
+        for (order in listOf(listOf(running, unknown), listOf(unknown, running))) {
+            directory.replaceAll(emptyList(), trusted = true)
+            order.forEach { directory.put(it.copy(sequence = it.sequence + clock.nowMs())) }
+            assertEquals(setOf("running", "unknown"), ready.keys)
+            clock.advanceBy(1)
+        }
+    }
+
+    // Guards against a target that is still used although another one has taken its address, since its service was configured later.
+    @Test
+    fun `a target of a service that is configured later replaces an earlier one at its address`() {
+        services -= "t"
+        directory.put(entry("old", startedMs = 1))
+        directory.put(entry("new", startedMs = 2, service = "t"))
+        directory.put(entry("older", startedMs = 0, service = "t"))
+        assertEquals(setOf("old", "new", "older"), ready.keys)
+        services += "t"
+        directory.updateServices()
+        assertEquals(setOf("new"), ready.keys)
+        directory.put(entry("again", startedMs = 1))
+        assertEquals(setOf("new"), ready.keys)
+    }
+
     @Test
     fun `entries that disappear while the list is not trusted are kept for the retention time`() {
         directory.replaceAll(listOf(entry("a"), entry("b"), entry("leaving", ready = false)), trusted = true)
