Object service: an entry that cannot be decoded does not affect the other entries

What callers saw: nothing yet. Entry hosts would learn no further state or fleet while one object, host or target of the lists is odd.

Cause: lists of objects and of hosts were decoded as one document.

Fix: each object, host and target is decoded by itself; one that cannot be is logged and left out.

--- a/objectstore/src/main/kotlin/HttpObjectStore.kt
+++ b/objectstore/src/main/kotlin/HttpObjectStore.kt
@@ -18,8 +18,15 @@
 import io.ktor.http.isSuccess
 import kotlinx.coroutines.CancellationException
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.decodeFromJsonElement
 import org.almondjunction.common.Address
+import org.almondjunction.common.EventLog
+import org.almondjunction.common.LogFields
 import org.almondjunction.common.MetricName
 import org.almondjunction.common.Metrics
 import org.almondjunction.decisions.Fleet
@@ -27,6 +34,7 @@
 import org.almondjunction.decisions.StoreCall
 import org.almondjunction.decisions.StoreReply
 import org.almondjunction.decisions.StoredObject
+import org.almondjunction.decisions.TargetRecord
 
 /**
  * Client of the platform's object service over HTTP, with conditional requests as in RFC 9110.
@@ -118,14 +126,31 @@
                     parameter("wait-ms", waitMs)
                 }
             if (!response.status.isSuccess()) return@attempt null
-            json.decodeFromString<HostsDocument>(response.bodyAsText()).let { FleetListing(it.version, Fleet(it.hosts)) }
+            val document = json.decodeFromString<HostsDocument>(response.bodyAsText())
+            FleetListing(document.version, Fleet(document.hosts.mapNotNull { decodeHost(it) }))
         }
 
     private suspend fun HttpResponse.listing(): ObjectListing? {
         if (!status.isSuccess()) return null
-        return json.decodeFromString<ObjectsDocument>(bodyAsText()).let { ObjectListing(it.revision, it.objects) }
+        val document = json.decodeFromString<ObjectsDocument>(bodyAsText())
+        return ObjectListing(document.revision, document.objects.mapNotNull { decode<StoredObject>(it) })
     }
 
+    private fun decodeHost(element: JsonElement): HostRecord? {
+        val targets = ((element as? JsonObject)?.get(TARGETS) as? JsonArray) ?: return decode(element)
+        val decodable = targets.filter { decode<TargetRecord>(it) != null }
+        return decode(JsonObject(element + (TARGETS to JsonArray(decodable))))
+    }
+
+    /** Decodes one element of a list; null if that is not possible, which affects none of the other elements. */
+    private inline fun <reified T> decode(element: JsonElement): T? =
+        try {
+            json.decodeFromJsonElement<T>(element)
+        } catch (failure: SerializationException) {
+            EventLog.warn("entry of the object service ignored", LogFields(reason = failure.message))
+            null
+        }
+
     private fun HttpRequestBuilder.limitRequestTime(durationMs: Long) = timeout { requestTimeoutMillis = durationMs }
 
     private fun objectUrl(key: String) = "http://$address/v1/objects/${key.encodeURLPath()}"
@@ -155,16 +180,19 @@
     @Serializable
     private data class ObjectsDocument(
         val revision: Long,
-        val objects: List<StoredObject>,
+        val objects: List<JsonElement>,
     )
 
     @Serializable
     private data class HostsDocument(
         val version: Long,
-        val hosts: List<HostRecord>,
+        val hosts: List<JsonElement>,
     )
 
     private companion object {
         const val CALL_TIMEOUT_MS = 2_000L
+
+        /** Member of a host's entry that lists its targets. */
+        const val TARGETS = "targets"
     }
 }
