Accepted state: an object that cannot be decoded does not affect the others

What callers saw: nothing yet. The coroutine that follows the accepted state would have ended with the first odd object below state/, and the entry host kept its state for good.

Cause: ClusterView.apply and StateController decoded heads, members and shards of rights without a check; keys such as state/rights/256 or state/rights/+3, which the system never writes, were taken for shards.

Evidence: ClusterViewTest failed before: JsonDecodingException, expected start of the object.

Fix: an object that cannot be decoded, or whose key is not one of ours, is ignored and the former content stays in force; StateController logs it.

--- a/decisions/src/main/kotlin/ClusterView.kt
+++ b/decisions/src/main/kotlin/ClusterView.kt
@@ -1,6 +1,7 @@
 package org.almondjunction.decisions
 
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.almondjunction.common.HostId
 import org.almondjunction.common.ModelId
@@ -16,7 +17,25 @@
     val key: String,
     val version: Long,
     val value: String,
-)
+) {
+    /** Decodes [value]; null if that is not possible. */
+    public inline fun <reified T> decode(): T? =
+        try {
+            Json.decodeFromString<T>(value)
+        } catch (_: SerializationException) {
+            null
+        }
+
+    /** Whether [value] can be decoded as what [key] stands for; true for keys that the system does not use. */
+    public val decodable: Boolean
+        get() =
+            when {
+                key == StoreKeys.HEAD -> decode<TicketHead>() != null
+                key == StoreKeys.MEMBERS -> decode<Members>() != null
+                key.startsWith(ClusterView.RIGHTS_PREFIX) -> decode<RightsShard>() != null
+                else -> true
+            }
+}
 
 /**
  * A change of the accepted state, from the platform's object store or from another entry host.
@@ -72,11 +91,11 @@
         return rightsByModel[model].orEmpty().filter { !it.recalled && it.rank < offer.replicas }
     }
 
-    /** Returns this view after [change]; parts that are older than this view or leave a gap are ignored. */
+    /** Returns this view after [change]; parts that are older than this view, leave a gap or cannot be decoded are ignored. */
     public fun apply(change: StateChange): ClusterView {
         if (change.catalogue?.leavesGap(catalogue) == true) return this
-        val newHead = change.objects.firstOrNull { it.key == StoreKeys.HEAD && it.version > headVersion }
-        val newMembers = change.objects.firstOrNull { it.key == StoreKeys.MEMBERS && it.version > membersVersion }
+        val newHead = change.objects.newer<TicketHead>(StoreKeys.HEAD, headVersion)
+        val newMembers = change.objects.newer<Members>(StoreKeys.MEMBERS, membersVersion)
         val newShards =
             change.objects.mapNotNull { it.toShard() }.filter { (index, shard) ->
                 shard.version > (shards[index]?.version ?: 0)
@@ -85,11 +104,11 @@
         return copy(
             revision = maxOf(revision, change.revision),
             catalogue = change.catalogue?.applyTo(catalogue) ?: catalogue,
-            head = newHead?.let { Json.decodeFromString<TicketHead>(it.value) } ?: head,
-            headVersion = newHead?.version ?: headVersion,
+            head = newHead?.first ?: head,
+            headVersion = newHead?.second ?: headVersion,
             shards = if (newShards.isEmpty()) shards else shards + newShards,
-            members = newMembers?.let { Json.decodeFromString<Members>(it.value) } ?: members,
-            membersVersion = newMembers?.version ?: membersVersion,
+            members = newMembers?.first ?: members,
+            membersVersion = newMembers?.second ?: membersVersion,
             fleet = newFleet ?: fleet,
             fleetVersion = if (newFleet == null) fleetVersion else change.fleetVersion,
             hostOfLostTarget = newFleet?.let { lostTargets(it) } ?: hostOfLostTarget,
@@ -99,9 +118,19 @@
     private fun lostTargets(newFleet: Fleet): Map<TargetId, HostId> =
         (hostOfLostTarget + fleet.targets.mapValues { it.value.host }).filterKeys { it !in newFleet.targets }
 
+    /** Returns the content and version of the object [key] if it is newer than [knownVersion]. */
+    private inline fun <reified T> List<StoredObject>.newer(
+        key: String,
+        knownVersion: Long,
+    ): Pair<T, Long>? {
+        val newer = firstOrNull { it.key == key && it.version > knownVersion }
+        return newer?.decode<T>()?.let { it to newer.version }
+    }
+
     private fun StoredObject.toShard(): Pair<Int, VersionedShard>? {
         val index = key.removePrefix(RIGHTS_PREFIX).takeIf { it != key }?.toIntOrNull() ?: return null
-        return index to VersionedShard(version, Json.decodeFromString(value))
+        if (index !in 0 until RightsShard.COUNT || key != StoreKeys.rights(index)) return null
+        return decode<RightsShard>()?.let { index to VersionedShard(version, it) }
     }
 
     /** Returns the complete content of this view as one change, for a process without state. */
@@ -132,7 +161,7 @@
                 StoredObject(StoreKeys.rights(index), shard.version, Json.encodeToString(RightsShard.serializer(), shard.shard))
             }
 
-    private companion object {
+    internal companion object {
         const val RIGHTS_PREFIX = "state/rights/"
     }
 }
--- a/decisions/src/test/kotlin/ClusterViewTest.kt
+++ b/decisions/src/test/kotlin/ClusterViewTest.kt
@@ -26,6 +26,22 @@
         assertEquals(false, ClusterView().apply(StateChange(revision = NO_REVISION, fleet = Fleet(), fleetVersion = 1)).ready)
     }
 
+    // Guards against an entry host whose state is never updated again because of one object of another writer.
+    @Test
+    fun `objects that cannot be decoded or are not ours are ignored`() {
+        val shard = Json.encodeToString(RightsShard(nextEpoch = 7))
+        val sound = listOf(StoredObject(StoreKeys.MEMBERS, 5, text), StoredObject(StoreKeys.rights(3), 5, shard))
+        val view = ClusterView().apply(StateChange(revision = 5, objects = sound))
+        val odd =
+            listOf(StoreKeys.HEAD, StoreKeys.MEMBERS, StoreKeys.rights(3), StoreKeys.rights(4)).flatMap { key ->
+                listOf("", "7", "[]", "{", "{\"rights\":7,\"hosts\":7,\"recent\":7}").map { StoredObject(key, 6, it) }
+            } + listOf("-1", "256", "+3", "03", "3/4", "x").map { StoredObject("state/rights/$it", 6, shard) }
+        for (entry in odd) {
+            val change = StateChange(revision = 6, objects = listOf(entry, StoredObject(StoreKeys.rights(9), 6, shard)))
+            assertEquals(view.apply(change.copy(objects = change.objects.drop(1))), view.apply(change), "$entry")
+        }
+    }
+
     @Test
     fun `a view never returns to an older state and a relayed change contains everything that the receiver lacks`() {
         val new = ClusterView().apply(StateChange(revision = 5, objects = listOf(StoredObject(StoreKeys.MEMBERS, 5, text))))
--- a/entry/src/main/kotlin/StateController.kt
+++ b/entry/src/main/kotlin/StateController.kt
@@ -6,9 +6,10 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.serialization.json.Json
 import org.almondjunction.common.Address
 import org.almondjunction.common.Clock
+import org.almondjunction.common.EventLog
+import org.almondjunction.common.LogFields
 import org.almondjunction.common.MetricName
 import org.almondjunction.common.Metrics
 import org.almondjunction.decisions.Backoff
@@ -103,11 +104,14 @@
     private suspend fun refresh(): Boolean = store.list(StoreKeys.WATCHED_PREFIX)?.let { applyListing(it) } ?: false
 
     private suspend fun applyListing(listing: ObjectListing): Boolean {
-        val head = listing.objects.firstOrNull { it.key == StoreKeys.HEAD }?.let { Json.decodeFromString<TicketHead>(it.value) }
+        val head = listing.objects.firstOrNull { it.key == StoreKeys.HEAD }?.decode<TicketHead>()
         val known = holder.view.catalogue
         val catalogue = if (head == null) null else CatalogueChange.between(known, catalogues.catchUp(known, head) ?: return false)
         lastAnswerMs = clock.nowMs()
         backoff.reset()
+        listing.objects.filterNot { it.decodable }.forEach {
+            EventLog.warn("stored object ignored", LogFields(reason = "cannot be decoded", extra = mapOf("key" to it.key)))
+        }
         holder.apply(StateChange(revision = listing.revision, objects = listing.objects, catalogue = catalogue))
         return true
     }
