--- a/objectstore/src/test/kotlin/HttpObjectStoreTest.kt
+++ b/objectstore/src/test/kotlin/HttpObjectStoreTest.kt
@@ -33,7 +33,8 @@
     fun `an object that cannot be decoded does not affect the others`() {
         val odd = listOf("null", "7", "[]", "{}", """{"key":"b","version":"x","value":"v"}""", """{"key":"b","version":1,"value":{}}""")
         for (entry in odd) {
-            val body = """{"revision":9,"objects":[{"key":"a","version":1,"value":"v"},$entry,{"key":"c","version":2,"value":"v","new":1}]}"""
+            val objects = """{"key":"a","version":1,"value":"v"},$entry,{"key":"c","version":2,"value":"v","new":1}"""
+            val body = """{"revision":9,"objects":[$objects]}"""
             assertEquals(listOf("a", "c"), answered(body) { list("") }?.objects?.map { it.key }, entry)
             assertEquals(listOf("a", "c"), answered(body) { watch("", 0, 0) }?.objects?.map { it.key }, entry)
         }
