--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -368,6 +368,7 @@
         private long revision = 100;
         private final Set<Socket> all = ConcurrentHashMap.newKeySet();
         private final Set<Socket> silent = ConcurrentHashMap.newKeySet();
+        private volatile boolean down;
 
         Store(Rig rig) throws IOException {
             this.rig = rig;
@@ -377,6 +378,10 @@
             rig.pool.submit(() -> {
                 while (true) {
                     Socket s = server.accept();
+                    if (down) {
+                        closeQuietly(s);
+                        continue;
+                    }
                     all.add(s);
                     rig.pool.submit(() -> serve(s));
                 }
@@ -415,6 +420,12 @@
             }
         }
 
+        /** While it is down, connections are reset as they come. */
+        public void down(boolean now) {
+            down = now;
+            if (now) resetAll();
+        }
+
         /** Open connections go silent for good; new ones work. */
         public void silence() {
             silent.addAll(all);
