Event loop: a connection with endless input does not keep the loop from others

Cause: the loop ran ready tasks until there were none and looked at its sockets only then, and a read returned at once while bytes were there. A reader that is slower than its peer thus never gave way. Change: a turn of the loop has at most 256 tasks, a connection reads at most 64 KB in a turn and then waits for the next look at the sockets, and a listener accepts at most 64 clients in a turn.

--- a/network/src/main/kotlin/EventLoop.kt
+++ b/network/src/main/kotlin/EventLoop.kt
@@ -32,6 +32,10 @@
     private val timers = PriorityQueue<Timer>()
     private var timerCount = 0L
 
+    /** Number of times that the loop has looked at its sockets. */
+    internal var turn = 0L
+        private set
+
     /** Number of disposed timers among [timers], without those that another thread disposed of. */
     private var disposedTimers = 0
 
@@ -51,7 +55,7 @@
         selector.close()
     }
 
-    /** Makes [run] return after the tasks that are ready now. */
+    /** Makes [run] return after the tasks of its current turn. */
     public fun stop() {
         stopped = true
         selector.wakeup()
@@ -106,8 +110,9 @@
         return timer
     }
 
+    /** Runs ready tasks. A limited number, since tasks that make further ones ready would keep the loop from its sockets. */
     private fun runReady() {
-        while (true) {
+        repeat(MAXIMUM_TASKS_PER_TURN) {
             while (true) readyTasks.addLast(postedTasks.poll() ?: break)
             runTimers()
             val task = readyTasks.removeFirstOrNull() ?: return
@@ -140,7 +145,8 @@
     }
 
     private fun awaitEvents() {
-        val waitMs = timers.peek()?.let { it.dueMs - clock.nowMs() }
+        turn++
+        val waitMs = if (readyTasks.isEmpty()) timers.peek()?.let { it.dueMs - clock.nowMs() } else 0
         when {
             waitMs == null -> selector.select()
             waitMs <= 0 -> selector.selectNow()
@@ -203,6 +209,9 @@
         /** Longer than any delay in use; prevents overflow when a delay is added to the current time. */
         const val MAXIMUM_DELAY_MS = 365L * 24 * 3_600_000
 
+        /** Several times the tasks that one event of a socket causes; a look at the sockets costs about as much as a few tasks. */
+        const val MAXIMUM_TASKS_PER_TURN = 256
+
         /** Fewer disposed timers are not worth a removal. */
         const val MINIMUM_PURGED_TIMERS = 64
     }
--- a/network/src/main/kotlin/TcpConnection.kt
+++ b/network/src/main/kotlin/TcpConnection.kt
@@ -33,7 +33,7 @@
  * At most one coroutine may read and one may write at a time.
  */
 public class TcpConnection internal constructor(
-    loop: EventLoop,
+    private val loop: EventLoop,
     private val channel: SocketChannel,
 ) : AutoCloseable {
     /** Bytes that were received and not consumed yet. */
@@ -47,6 +47,9 @@
     public var bytesWritten: Long = 0
         private set
 
+    private var lastReadTurn = 0L
+    private var bytesReadInTurn = 0
+
     private var readWaiter: CancellableContinuation<Unit>? = null
     private var writeWaiter: CancellableContinuation<Unit>? = null
     private val key: SelectionKey = loop.register(channel, SelectionKey.OP_READ) { onEvent() }
@@ -66,10 +69,15 @@
         }
     }
 
-    /** Reads the available bytes into [input]; suspends until there is at least one, an end or a failure. */
+    /**
+     * Reads the available bytes into [input]; suspends until there is at least one, an end or a failure.
+     *
+     * Suspends also when this connection has had its share of the loop's current turn, so that a peer that sends faster than its bytes are
+     * processed does not keep the loop from other connections.
+     */
     public suspend fun fill(): ReadResult {
         while (true) {
-            val result = tryFill()
+            val result = if (mayRead()) tryFill() else null
             if (result != null) return result
             if (key.interestOps() and SelectionKey.OP_READ == 0) key.interestOpsOr(SelectionKey.OP_READ)
             suspendCancellableCoroutine { continuation ->
@@ -79,6 +87,8 @@
         }
     }
 
+    private fun mayRead(): Boolean = closed || lastReadTurn != loop.turn || bytesReadInTurn < MAXIMUM_BYTES_PER_TURN
+
     /** Reads the available bytes into [input] without suspending; returns null when there are none. */
     public fun tryFill(): ReadResult? {
         if (closed) return ReadResult.RESET
@@ -89,7 +99,7 @@
                 close()
                 return ReadResult.RESET
             }
-        if (count > 0) input.commit(count)
+        if (count > 0) recordRead(count)
         return when {
             count > 0 -> ReadResult.DATA
             count < 0 -> ReadResult.END
@@ -97,6 +107,12 @@
         }
     }
 
+    private fun recordRead(count: Int) {
+        input.commit(count)
+        bytesReadInTurn = if (lastReadTurn == loop.turn) bytesReadInTurn + count else count
+        lastReadTurn = loop.turn
+    }
+
     /** Writes all of [bytes]; returns false when the connection has failed. */
     public suspend fun write(vararg bytes: ByteArray): Boolean {
         val buffers = Array(bytes.size) { ByteBuffer.wrap(bytes[it]) }
@@ -146,6 +162,9 @@
     }
 
     public companion object {
+        /** More than most messages have; little enough that a connection with small chunks does not delay the others noticeably. */
+        private const val MAXIMUM_BYTES_PER_TURN = 64 * 1024
+
         /** Connects to [address]; returns null when that fails or takes longer than [timeoutMs]. */
         public suspend fun connect(
             loop: EventLoop,
--- a/network/src/main/kotlin/TcpListener.kt
+++ b/network/src/main/kotlin/TcpListener.kt
@@ -31,11 +31,13 @@
     private var acceptFailing = false
 
     init {
-        loop.register(channel, SelectionKey.OP_ACCEPT) { acceptAll(it) }
+        loop.register(channel, SelectionKey.OP_ACCEPT) { acceptPending(it) }
     }
 
-    private fun acceptAll(key: SelectionKey) {
-        while (channel.isOpen) {
+    /** Accepts pending connections. A limited number, since clients may connect faster than that; the channel stays ready for the rest. */
+    private fun acceptPending(key: SelectionKey) {
+        repeat(MAXIMUM_ACCEPTS_PER_TURN) {
+            if (!channel.isOpen) return
             val accepted =
                 try {
                     accept(channel)
@@ -93,6 +95,9 @@
         /** Maximum number of connections pending acceptance; larger than any burst that one host can serve. */
         const val BACKLOG = 1_024
 
+        /** Connections accepted before the loop serves other sockets; bursts of callers are rarely larger. */
+        const val MAXIMUM_ACCEPTS_PER_TURN = 64
+
         /** Time for file descriptors to become free after a failed accept; well below the connect timeouts of clients. */
         const val ACCEPT_RETRY_DELAY_MS = 50L
     }
--- a/network/src/test/kotlin/TcpListenerTest.kt
+++ b/network/src/test/kotlin/TcpListenerTest.kt
@@ -6,6 +6,7 @@
 import java.io.IOException
 import java.net.Socket
 import java.nio.channels.ServerSocketChannel
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
@@ -54,7 +55,28 @@
         assertTrue(failures in 1..MAXIMUM_ATTEMPTS, "$failures attempts in $SHORTAGE_MS ms")
     }
 
+    // Guards against clients that keep the loop from established connections by connecting without end.
+    @Test
+    fun `pending clients are accepted over several turns of the loop`() {
+        val turns = ConcurrentLinkedQueue<Long>()
+        val allAccepted = CountDownLatch(PENDING_CLIENTS)
+        val loopBlocked = CountDownLatch(1)
+        scope.launch { loopBlocked.await() }
+        val listener =
+            TcpListener(loop, Address("127.0.0.1", 0)) {
+                turns += loop.turn
+                allAccepted.countDown()
+            }
+        val clients = List(PENDING_CLIENTS) { Socket("127.0.0.1", listener.port) }
+        loopBlocked.countDown()
+        assertTrue(allAccepted.await(TIMEOUT_S, TimeUnit.SECONDS))
+        clients.forEach { it.close() }
+        val mostInTurn = turns.groupingBy { it }.eachCount().values.max()
+        assertTrue(mostInTurn < PENDING_CLIENTS, "$mostInTurn of $PENDING_CLIENTS clients were accepted in one turn")
+    }
+
     private companion object {
+        const val PENDING_CLIENTS = 200
         const val SHORTAGE_MS = 500L
         const val TIMEOUT_S = 20L
 
