Streams: an empty line ends an event only if a field precedes it

Change: an event has a data, event or id field. Other lines, such as comments, are passed on with the event that follows or at the end. Why it works: bytes without an event fill the limit of one event, which ends the attempt as one that broke off.

--- a/gateway/src/main/kotlin/EventSplitter.kt
+++ b/gateway/src/main/kotlin/EventSplitter.kt
@@ -2,32 +2,43 @@
 
 import java.io.ByteArrayOutputStream
 
-/** Splits a stream of bytes into complete server-sent events and records the identity of the last one. */
+/**
+ * Splits a stream of bytes into complete server-sent events and records the identity of the last one.
+ *
+ * An event ends with an empty line and has a field. Lines without a known field, such as comments, belong to the event that follows.
+ */
 internal class EventSplitter {
     private var pending = ByteArrayOutputStream()
-    private var lineEmpty = true
+    private val line = EventLine()
+
+    /** Whether a field stands between the last empty line and the end of the received bytes. */
+    private var hasField = false
+
+    /** Whether the received bytes end with an empty line. */
+    private var afterEmptyLine = true
 
     /** Identity of the last complete event that has one; null before that. */
     var lastEvent: String? = null
         private set
 
-    /** Whether bytes of an incomplete event are buffered. */
-    val hasIncompleteEvent: Boolean get() = pending.size() > 0
+    /** Whether the received bytes end inside an event or a comment. */
+    val hasIncompleteEvent: Boolean get() = !afterEmptyLine
 
-    /** Number of buffered bytes of the incomplete event. */
+    /** Number of buffered bytes that have been received since the last complete event. */
     val pendingBytes: Int get() = pending.size()
 
     /** Returns the bytes of the events that [bytes] completes; empty if there are none. */
     fun feed(bytes: ByteArray): ByteArray {
         var completeUntil = 0
         for (index in bytes.indices) {
-            when (bytes[index]) {
-                LINE_FEED -> {
-                    if (lineEmpty) completeUntil = index + 1
-                    lineEmpty = true
-                }
-                CARRIAGE_RETURN -> Unit
-                else -> lineEmpty = false
+            if (bytes[index] == LINE_FEED) {
+                if (line.isEmpty && hasField) completeUntil = index + 1
+                hasField = !line.isEmpty && (hasField || line.isField)
+                afterEmptyLine = line.isEmpty
+                line.clear()
+            } else {
+                line.add(bytes[index])
+                afterEmptyLine = false
             }
         }
         if (completeUntil == 0) {
@@ -49,10 +60,15 @@
         lastEvent = text.substring(last + ID_FIELD.length, text.indexOfAny(LINE_ENDS, last)).trim()
     }
 
+    /** Removes and returns the bytes after the last complete event. */
+    fun takePending(): ByteArray = pending.toByteArray().also { discardIncompleteEvent() }
+
     /** Discards the bytes of an incomplete event, which another target sends again. */
     fun discardIncompleteEvent() {
         pending = ByteArrayOutputStream()
-        lineEmpty = true
+        line.clear()
+        hasField = false
+        afterEmptyLine = true
     }
 
     companion object {
@@ -62,6 +78,5 @@
         private const val ID_FIELD = "id:"
         private val LINE_ENDS = charArrayOf('\n', '\r')
         private const val LINE_FEED = '\n'.code.toByte()
-        private const val CARRIAGE_RETURN = '\r'.code.toByte()
     }
 }
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -428,6 +428,7 @@
                     if (exchange.endsWithConnection && !inFlight.answering && context.events.lastEvent == null) {
                         return handleBrokenStream(target, context, inFlight, "the stream ended before its first event")
                     }
+                    context.output.add(answer.head, context.events.takePending())
                     recordAnswer(target, exchange, context, inFlight)
                     exchange.finish(bodyRead = true)
                     target.recordResult(failed = false)
--- a/gateway/src/test/kotlin/BrokenAnswerTest.kt
+++ b/gateway/src/test/kotlin/BrokenAnswerTest.kt
@@ -112,6 +112,25 @@
         assertEquals("HTTP/1.1 502", ask().take("HTTP/1.1 502".length), "before the first event")
     }
 
+    // Guards against a caller that gets bytes which are no events until it leaves, though another target could answer.
+    @Test
+    fun `a stream of bytes without events is continued at another target`() {
+        fixture.start(GatewayFixture.route(RetrySafety.RESUMABLE, streaming = true)) { target(it) }
+        val noEvents = "<html><body>core dumped</body></html>\r\n\r\n".repeat(20_000)
+        listOf(
+            Case("instead of events", listOf("$signed\r\n$noEvents", chunked + chunk(events(1, 2)) + LAST_CHUNK), events(1, 2) + "|end"),
+            Case("after an event", listOf("$signed\r\n${events(1)}$noEvents", chunked + chunk(events(2)) + LAST_CHUNK), events(1, 2) + "|end"),
+        ).forEach { check(it) }
+    }
+
+    // Guards against comments after the last event that are missing in a stream that looks complete.
+    @Test
+    fun `comments are passed on with the event that follows or at the end`() {
+        fixture.start(GatewayFixture.route(RetrySafety.RESUMABLE, streaming = true)) { target(it) }
+        val body = ": first\n\n" + events(1) + ": between\n" + events(2) + ": last\n\n"
+        check(Case("comments", listOf(chunked + chunk(body) + LAST_CHUNK), "$body|end"))
+    }
+
     // Guards against an earlier refusal, written once more on a kept connection, that is told to the caller of a later request.
     @Test
     fun `a refusal that is written once more is not the answer to the next request`() {
@@ -136,5 +155,6 @@
 
     private companion object {
         const val REFUSED_SENDS = 8
+        const val LAST_CHUNK = "0\r\n\r\n"
     }
 }
--- a/gateway/src/test/kotlin/EventSplitterTest.kt
+++ b/gateway/src/test/kotlin/EventSplitterTest.kt
@@ -45,6 +45,33 @@
         }
     }
 
+    // Guards against bytes that are no events, but have empty lines and so kept a stream alive without end.
+    @Test
+    fun `an empty line ends an event only if a field precedes it`() {
+        val cases =
+            mapOf(
+                "data: a\n\n" to 9,
+                "event: a\r\n\r\n" to 12,
+                "id:\n\n" to 5,
+                "x-other: 1\nid: 2\n\n" to 18,
+                "\n\n" to 0,
+                ": a comment\n\n" to 0,
+                "<html></html>\r\n\r\n" to 0,
+                "database: a\n\n" to 0,
+                "\tdata: a\n\n" to 0,
+                "data: a\n\n: a comment\n\n" to 9,
+                ": a comment\n\ndata: a\n\n" to 22,
+            )
+        for ((text, completeBytes) in cases) {
+            val whole = EventSplitter()
+            assertEquals(completeBytes, whole.feed(text.toByteArray()).size, text)
+            assertEquals(text.drop(completeBytes), whole.takePending().decodeToString(), text)
+            assertEquals(false, whole.hasIncompleteEvent, text)
+            val single = EventSplitter()
+            assertEquals(completeBytes, text.toByteArray().sumOf { single.feed(byteArrayOf(it)).size }, "$text, byte by byte")
+        }
+    }
+
     @Test
     fun `an incomplete event is discarded, and the next event is returned as a complete one`() {
         val splitter = EventSplitter()
