Bodies: parts are collected in few arrays whose memory is reserved

Cause: each part of a body was kept as an array of its own, and only its bytes were counted. A part of one byte takes some 28 times as much, so the budget of the process admitted more than its heap. Change: parts are collected in arrays that grow with the body, reserved before they are created; a body that fails releases them. Why it works: the memory of a body is at most twice its size and 512 bytes, which is what the budget counts.

--- a/network/src/main/kotlin/BodyReader.kt
+++ b/network/src/main/kotlin/BodyReader.kt
@@ -7,39 +7,30 @@
     /** Returns the next part; no part follows [BodyPart.Complete] or [BodyPart.Broken]. */
     public suspend fun next(): BodyPart = read()
 
-    /** Reads the whole body, unless it is truncated, is longer than [maximumBytes] or exceeds the budget of [reservation]. */
+    /** Reads the whole body, unless it is truncated, is longer than [maximumBytes] or exceeds the budget of [reservation], which holds nothing of it then. */
     public suspend fun readAll(
         maximumBytes: Long,
         reservation: ByteBudget.Reservation? = null,
     ): BodyResult {
-        val parts = mutableListOf<ByteArray>()
-        var size = 0L
+        val buffer = BodyBuffer(reservation)
+        return readInto(buffer, maximumBytes).also { if (it !is BodyResult.Read) buffer.release() }
+    }
+
+    private suspend fun readInto(
+        buffer: BodyBuffer,
+        maximumBytes: Long,
+    ): BodyResult {
         while (true) {
             when (val part = next()) {
                 is BodyPart.Data -> {
-                    size += part.bytes.size
-                    if (size > maximumBytes) return BodyResult.TooLarge
-                    if (reservation?.grow(part.bytes.size) == false) return BodyResult.BudgetExceeded
-                    parts += part.bytes
+                    if (buffer.size + part.bytes.size > maximumBytes) return BodyResult.TooLarge
+                    if (!buffer.append(part.bytes)) return BodyResult.BudgetExceeded
                 }
-                BodyPart.Complete -> return BodyResult.Read(parts.singleOrNull() ?: join(parts, size.toInt()))
+                BodyPart.Complete -> return BodyResult.Read(buffer.toByteArray())
                 is BodyPart.Broken -> return BodyResult.Broken(part.detail)
             }
         }
     }
-
-    private fun join(
-        parts: List<ByteArray>,
-        size: Int,
-    ): ByteArray {
-        val bytes = ByteArray(size)
-        var position = 0
-        parts.forEach { part ->
-            part.copyInto(bytes, position)
-            position += part.size
-        }
-        return bytes
-    }
 }
 
 /** Result of one read from a body: a part of it, or how it ended. */
--- a/network/src/main/kotlin/ByteBudget.kt
+++ b/network/src/main/kotlin/ByteBudget.kt
@@ -18,6 +18,11 @@
         /** Reserves [bytes] more; returns false, and changes nothing, when the budget has no room for them. */
         public fun grow(bytes: Int): Boolean = resize(sizeBytes + bytes)
 
+        /** Releases [bytes] of this reservation. */
+        internal fun shrink(bytes: Long) {
+            resize(sizeBytes - bytes)
+        }
+
         /** Sets the size of this reservation to [bytes]; returns false, and changes nothing, when the budget has no room for them. */
         public fun resize(bytes: Long): Boolean {
             if (reservedBytes - sizeBytes + bytes > totalBytes) return false
