Targets: entries that are missing after a failed call are kept until one moment

Cause: a chain of waits. A removal is read up to 1 s late, and one that was read within 2.5 s of a failed call was kept for another 2 s. Change: all entries found missing are kept until 2 s after the first answer that follows the failure, whenever they are read; what is read later is removed at once. Why it works: owners list expired entries again within 2 s of the store's return, so the wait belongs to the return; the delay of the reading no longer adds to it.

--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -62,7 +62,7 @@
 
     /** Targets known to this gateway. */
     public val directory: TargetDirectory =
-        TargetDirectory(clock, settings.entryRetentionMs, isConfigured = { isConfigured(it) }) { registry.apply(it) }
+        TargetDirectory(clock, isConfigured = { isConfigured(it) }) { registry.apply(it) }
 
     private fun isConfigured(service: ServiceId): Boolean = state.configuration?.services?.containsKey(service) == true
 
--- a/gateway/src/main/kotlin/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/GatewaySettings.kt
@@ -18,7 +18,6 @@
  * no such limit applies
  * @property quotaLimits how far all gateways together may exceed a quota
  * @property hedgedShare share of the first sends that may be spent on hedged requests, 0 to 0.2; 0 switches them off
- * @property entryRetentionMs time for which an entry is kept after it disappeared while the platform's list of targets was not trusted
  */
 public data class GatewaySettings(
     val name: String,
@@ -29,7 +28,6 @@
     val keeperPort: Int,
     val graceMs: Long = 8_000,
     val retryLimits: RetryLimits = RetryLimits(),
-    val entryRetentionMs: Long = 2_000,
     val revocationMs: Long? = null,
     val quotaLimits: QuotaLimits = QuotaLimits(),
     val hedgedShare: Double = 0.0,
--- a/gateway/src/main/kotlin/TargetDirectory.kt
+++ b/gateway/src/main/kotlin/TargetDirectory.kt
@@ -31,14 +31,13 @@
 /**
  * Targets listed by the platform.
  *
- * An entry that disappears while the list is not trusted is kept for [retentionMs]. An entry that was removed is used again only with a
- * later start or a higher sequence, since the platform's list may come back from an older copy.
+ * An entry that was removed is used again only with a later start or a higher sequence, since the platform's list may come back from an
+ * older copy. One that was kept beyond its disappearance, since its target may be running, is used again as it was.
  *
  * @param isConfigured whether a service is in the configuration in force; [updateServices] must be called when that changes
  */
 public class TargetDirectory(
     private val clock: Clock,
-    private val retentionMs: Long,
     private val isConfigured: (ServiceId) -> Boolean = { true },
     private val onChange: (Change) -> Unit,
 ) {
@@ -106,27 +105,27 @@
             else -> entry.ready && !known.ready
         }
 
-    /** Removes [target]; [trusted] is false if entries may have expired in the store while their targets are still running. */
+    /** Removes [target] at [keepUntilMs], until when it may be listed again, or immediately if that is null or past or it is draining. */
     public fun remove(
         target: TargetId,
-        trusted: Boolean,
+        keepUntilMs: Long? = null,
     ) {
         val entry = entries[target] ?: return
-        if (!trusted && entry.ready) {
-            retained.putIfAbsent(target, clock.nowMs() + retentionMs)
+        if (keepUntilMs != null && keepUntilMs > clock.nowMs() && entry.ready) {
+            retained.putIfAbsent(target, keepUntilMs)
         } else {
             removeForGood(entry)
         }
     }
 
-    /** Replaces the complete list. */
+    /** Replaces the complete list; targets that are not in it are removed as by [remove]. */
     public fun replaceAll(
         all: List<TargetEntry>,
-        trusted: Boolean,
+        keepUntilMs: Long? = null,
     ) {
         all.forEach { put(it) }
         val listed = all.map { it.target }.toSet()
-        entries.keys.filter { it !in listed }.forEach { remove(it, trusted) }
+        entries.keys.filter { it !in listed }.forEach { remove(it, keepUntilMs) }
     }
 
     /** Drops the entries whose retention time has passed; must be called periodically. */
--- a/gateway/src/test/kotlin/EngineSignalsPropertyTest.kt
+++ b/gateway/src/test/kotlin/EngineSignalsPropertyTest.kt
@@ -37,7 +37,7 @@
     ) {
         private val state = GatewayState(CrashTracker(clock, "g"))
         private val registry = TargetRegistry(loop, CoroutineScope(SupervisorJob()), "g", 1, state)
-        private val directory = TargetDirectory(clock, retentionMs = 2_000) { registry.apply(it) }
+        private val directory = TargetDirectory(clock) { registry.apply(it) }
         private val reader = SignalReader(clock, state, GatewayFixture.NAMES, Metrics())
         private val startedMs = LongArray(ENGINES) { 1 }
         private var sequence = 1L
@@ -66,11 +66,11 @@
             val index = random.nextInt(ENGINES)
             when (random.nextInt(8)) {
                 0, 1 -> directory.put(entry(index))
-                2 -> directory.remove(TargetId("t$index"), trusted = random.nextBoolean())
+                2 -> directory.remove(TargetId("t$index"), keepUntilMs = if (random.nextBoolean()) null else clock.nowMs() + 2_000)
                 3 ->
                     directory.replaceAll(
                         (0 until ENGINES).filter { random.nextBoolean() }.map { entry(it) },
-                        trusted = random.nextBoolean(),
+                        keepUntilMs = if (random.nextBoolean()) null else clock.nowMs() + 2_000,
                     )
                 4 -> known.randomOrNull(random)?.update(KeeperMessage.Status(models = emptyList(), engineReachable = random.nextInt(4) > 0))
                 5 -> if (random.nextInt(4) == 0) startedMs[index]++
--- a/gateway/src/test/kotlin/EngineSignalsTest.kt
+++ b/gateway/src/test/kotlin/EngineSignalsTest.kt
@@ -89,7 +89,7 @@
         assertEquals("200", statusOf(ask(0)))
         val entry = fixture.entries.single()
         onLoop {
-            fixture.gateway.directory.remove(entry.target, trusted = true)
+            fixture.gateway.directory.remove(entry.target)
             fixture.gateway.directory.put(entry.copy(sequence = 9))
         }
         assertEquals("503", statusOf(ask(1)))
--- a/gateway/src/test/kotlin/GatewayTest.kt
+++ b/gateway/src/test/kotlin/GatewayTest.kt
@@ -409,7 +409,7 @@
                 socket.getOutputStream().write("GET /x HTTP/1.1\r\nHost: h\r\nId: 7\r\nDeadline: 15000\r\n\r\n".toByteArray())
                 received.await()
                 gateways.scope.launch {
-                    repeat(GatewayFixture.TARGETS) { gateways.gateway.directory.remove(TargetId("t$it"), trusted = true) }
+                    repeat(GatewayFixture.TARGETS) { gateways.gateway.directory.remove(TargetId("t$it")) }
                     gateways.gateway.shutDown()
                 }
                 val answer = ByteArray("HTTP/1.1 502".length).also { socket.getInputStream().readNBytes(it, 0, it.size) }
--- a/gateway/src/test/kotlin/TargetDirectoryTest.kt
+++ b/gateway/src/test/kotlin/TargetDirectoryTest.kt
@@ -13,7 +13,7 @@
     private val ready = mutableMapOf<String, Boolean>()
     private val services = mutableSetOf("s", "t")
     private val directory =
-        TargetDirectory(clock, retentionMs = 2_000, isConfigured = { it.value in services }) { change ->
+        TargetDirectory(clock, isConfigured = { it.value in services }) { change ->
             when (change) {
                 is TargetDirectory.Change.Put -> ready[change.entry.target.value] = change.entry.ready
                 is TargetDirectory.Change.Removed -> ready -= change.target.value
@@ -61,7 +61,7 @@
         val running = entry("running", startedMs = 5)
         val unknown = entry("unknown", startedMs = 9, service = "nobody")
         for (order in listOf(listOf(running, unknown), listOf(unknown, running))) {
-            directory.replaceAll(emptyList(), trusted = true)
+            directory.replaceAll(emptyList())
             order.forEach { directory.put(it.copy(sequence = it.sequence + clock.nowMs())) }
             assertEquals(setOf("running", "unknown"), ready.keys)
             clock.advanceBy(1)
@@ -84,9 +84,9 @@
     }
 
     @Test
-    fun `entries that disappear while the list is not trusted are kept for the retention time`() {
-        directory.replaceAll(listOf(entry("a"), entry("b"), entry("leaving", ready = false)), trusted = true)
-        directory.replaceAll(emptyList(), trusted = false)
+    fun `entries that disappear are kept until the given time`() {
+        directory.replaceAll(listOf(entry("a"), entry("b"), entry("leaving", ready = false)))
+        directory.replaceAll(emptyList(), keepUntilMs = clock.nowMs() + 2_000)
         assertEquals(setOf("a", "b"), ready.keys)
         clock.advanceBy(1_500)
         directory.put(entry("a", sequence = 2))
@@ -102,8 +102,8 @@
         directory.put(entry("removed", sequence = 5, port = 82))
         directory.put(entry("replaced", sequence = 5, port = 83))
         directory.put(entry("new", startedMs = 2, port = 83))
-        directory.remove(TargetId("removed"), trusted = true)
-        directory.replaceAll(emptyList(), trusted = false)
+        directory.remove(TargetId("removed"))
+        directory.replaceAll(emptyList(), keepUntilMs = clock.nowMs() + 2_000)
         clock.advanceBy(2_000)
         directory.expire()
         assertEquals(emptySet(), ready.keys)
@@ -111,9 +111,9 @@
             listOf("draining" to 81, "removed" to 82, "replaced" to 83).map { (name, port) ->
                 entry(name, sequence = 5, port = port)
             }
-        directory.replaceAll(copy, trusted = false)
-        directory.replaceAll(copy.map { it.copy(sequence = 4) }, trusted = false)
-        directory.replaceAll(copy.map { it.copy(startedMs = 0, sequence = 9) }, trusted = false)
+        directory.replaceAll(copy, keepUntilMs = clock.nowMs() + 2_000)
+        directory.replaceAll(copy.map { it.copy(sequence = 4) }, keepUntilMs = clock.nowMs() + 2_000)
+        directory.replaceAll(copy.map { it.copy(startedMs = 0, sequence = 9) }, keepUntilMs = clock.nowMs() + 2_000)
         assertEquals(emptySet(), ready.keys)
         directory.put(copy[0].copy(sequence = 6))
         directory.put(copy[1].copy(startedMs = 2, sequence = 1))
@@ -122,9 +122,9 @@
 
     // Guards against live targets that stay unused after a store that had lost them lists them again unchanged.
     @Test
-    fun `a target whose entry only expired while the list was not trusted is used again as it was`() {
+    fun `a target whose entry only expired is used again as it was`() {
         directory.put(entry("a", sequence = 5))
-        directory.replaceAll(emptyList(), trusted = false)
+        directory.replaceAll(emptyList(), keepUntilMs = clock.nowMs() + 2_000)
         clock.advanceBy(2_000)
         directory.expire()
         assertEquals(emptySet(), ready.keys)
@@ -142,10 +142,10 @@
     }
 
     @Test
-    fun `entries that disappear from a trusted list are removed immediately`() {
-        directory.replaceAll(listOf(entry("a"), entry("b")), trusted = true)
-        directory.replaceAll(listOf(entry("b")), trusted = true)
-        directory.remove(TargetId("b"), trusted = true)
+    fun `entries that disappear are removed immediately if no other time is given`() {
+        directory.replaceAll(listOf(entry("a"), entry("b")))
+        directory.replaceAll(listOf(entry("b")))
+        directory.remove(TargetId("b"))
         assertEquals(emptySet(), ready.keys)
     }
 }
