Crashes of an engine are kept in the platform's store

Cause: what is known of such parts was in the memory of gateways and keepers only. Each restores it to the other after a restart, but nothing does after the loss of all at once. Change: each keeper writes its crash log to an object of its own in the store, conditionally and at most twice a second, and restores it at its start. Why it works: a keeper that restarts reports the crashes with their age to all gateways, as if it had not restarted.

--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -24,6 +24,7 @@
  *
  * @param firstFence fencing number of the first order; must increase with each start of this process
  * @param quotas coordinator of quotas on this host; null if it is not to be one
+ * @param crashStore where the crashes of the engine are kept; null if they need not outlive the loss of all processes
  */
 public class Keeper(
     private val scope: CoroutineScope,
@@ -31,6 +32,7 @@
     private val engine: EngineControl,
     firstFence: Long,
     private val quotas: QuotaCoordinator? = null,
+    crashStore: CrashStore? = null,
 ) {
     private class Session(
         val channel: MessageChannel,
@@ -72,14 +74,17 @@
     /** A crash breaks off requests of many gateways at once. */
     private val crashesChanged = CoalescedAction(scope, CRASH_REPORT_WINDOW_MS) { markDirty() }
 
+    private val crashStorage = crashStore?.let { CrashLogStorage(clock, crashLog, it) { crashesChanged.schedule() } }
+
     /** Any model fits on an empty engine, so the first load waits for requests of more gateways to choose the most valuable. */
     private val firstLoadRequests = CoalescedAction(scope, FIRST_REQUESTS_WINDOW_MS) { startNextLoad() }
 
     /** Time of the engine's last report, or of the last connection of a gateway. */
     private var lastContactMs = clock.nowMs()
 
-    /** Starts to poll the engine. */
+    /** Starts to poll the engine, and to restore and keep its crashes. */
     public fun start() {
+        crashStorage?.let { storage -> scope.launchRestarting("storage of crashes") { storage.run() } }
         scope.launchRestarting("engine poll") {
             while (true) {
                 refresh()
@@ -145,7 +150,12 @@
         if (snapshot == null) crashLog.settle(null, nowMs)
         crashLog.restore(message.crashes, nowMs)
         crashLog.exonerate(message.answered, nowMs)
-        if (crashLog.version != before) crashesChanged.schedule()
+        if (crashLog.version != before) onCrashesChanged()
+    }
+
+    private fun onCrashesChanged() {
+        crashesChanged.schedule()
+        crashStorage?.schedule()
     }
 
     /** Answers each usage report, because a gateway with requests in flight treats a silent keeper as a silent engine. */
@@ -191,7 +201,7 @@
         val crashesBefore = crashLog.version
         crashLog.settle(now, askedMs)
         reported.forEach { (session, reports) -> tellSettled(session, reports) }
-        if (crashLog.version != crashesBefore) crashesChanged.schedule()
+        if (crashLog.version != crashesBefore) onCrashesChanged()
         when {
             now == null -> if (before != null) markDirty()
             now.models != before?.models || now.busy != before.busy -> markDirty()
