Prompt parts: two separate ends are enough, unless targets end by chance

Cause: three ends were needed for every part but the last of a prompt, also when nothing else ended engines. Change: the rule of last parts holds for all: two ends that few parts explain, three if most ends of the last minute have no known cause. Evidence: a case of CrashEvidenceTest, "two ends are enough if most ends are explained", fails before. Why it works: a part without an answer since the ends has few requests, so two ends under it by chance are rare, and the ends of other causes raise the number.

--- a/decisions/src/main/kotlin/CrashEvidence.kt
+++ b/decisions/src/main/kotlin/CrashEvidence.kt
@@ -212,19 +212,18 @@
             .filter { it.last && it.crashes >= SUSPICIOUS_CRASHES && it.part !in known }
     }
 
-    /** A last part needs fewer ends than others, unless most targets that ended shortly before did so for no known part. */
+    /** A part needs more ends if most targets that ended shortly before did so for no known part. */
     private fun quarantineCrashes(
         candidate: Candidate,
         ends: List<KnownEnd>,
     ): Int {
-        if (!candidate.last) return QUARANTINE_CRASHES
         val (explained, unexplained) =
             ends
                 .filter {
                     it.atMs in candidate.lastMs - RECENT_ENDS_MS..candidate.lastMs
                 }.partition { it.explained }
         val mostlyExplained = separate(unexplained.map { it.atMs }) < separate(explained.map { it.atMs })
-        return if (mostlyExplained) LAST_PART_QUARANTINE_CRASHES else QUARANTINE_CRASHES
+        return if (mostlyExplained) QUARANTINE_CRASHES else QUARANTINE_CRASHES_AMONG_CHANCE
     }
 
     private fun knownEnds(found: Set<Long>): List<KnownEnd> {
@@ -293,12 +292,12 @@
         /** Time after a complete answer in which its parts are not suspected; a new version of a target may change what ends it. */
         public const val INNOCENCE_MS: Long = 30_000
 
-        /** Number of separate ends of targets from which a part is suspect, and from which it is quarantined. */
+        /** Number of separate ends of targets from which a part is suspect. */
         public const val SUSPICIOUS_CRASHES: Int = 2
-        public const val QUARANTINE_CRASHES: Int = 3
 
-        /** The same for a part that was the last of a prompt: few sound requests have it, so they are hardly refused for a coincidence. */
-        public const val LAST_PART_QUARANTINE_CRASHES: Int = 2
+        /** Number of separate ends from which a part is quarantined, and the same while targets end by chance. */
+        public const val QUARANTINE_CRASHES: Int = 2
+        public const val QUARANTINE_CRASHES_AMONG_CHANCE: Int = 3
 
         /** Time before the end of a target in which ends without a known cause show that targets end by chance. */
         private const val RECENT_ENDS_MS = 60_000L
