--- a/decisions/src/test/kotlin/StoreRecoveryTest.kt
+++ b/decisions/src/test/kotlin/StoreRecoveryTest.kt
@@ -25,7 +25,9 @@
             calls.sortedBy { it.first }.forEach { (atMs, answered) ->
                 if (answered) recovery.recordAnswer(atMs) else recovery.recordFailure()
             }
-            case.keptUntilMs.forEach { (readMs, expectedMs) -> assertEquals(expectedMs, recovery.keepUntilMs(readMs), "${case.name}, $readMs") }
+            for ((readMs, expectedMs) in case.keptUntilMs) {
+                assertEquals(expectedMs, recovery.keepUntilMs(readMs), "${case.name}, read at $readMs")
+            }
         }
     }
 
--- a/gateway/src/test/kotlin/BrokenAnswerTest.kt
+++ b/gateway/src/test/kotlin/BrokenAnswerTest.kt
@@ -117,9 +117,11 @@
     fun `a stream of bytes without events is continued at another target`() {
         fixture.start(GatewayFixture.route(RetrySafety.RESUMABLE, streaming = true)) { target(it) }
         val noEvents = "<html><body>core dumped</body></html>\r\n\r\n".repeat(20_000)
+
+        fun rest(vararg ids: Int) = chunked + chunk(events(*ids)) + LAST_CHUNK
         listOf(
-            Case("instead of events", listOf("$signed\r\n$noEvents", chunked + chunk(events(1, 2)) + LAST_CHUNK), events(1, 2) + "|end"),
-            Case("after an event", listOf("$signed\r\n${events(1)}$noEvents", chunked + chunk(events(2)) + LAST_CHUNK), events(1, 2) + "|end"),
+            Case("instead of events", listOf("$signed\r\n$noEvents", rest(1, 2)), events(1, 2) + "|end"),
+            Case("after an event", listOf("$signed\r\n${events(1)}$noEvents", rest(2)), events(1, 2) + "|end"),
         ).forEach { check(it) }
     }
 
--- a/network/src/main/kotlin/BodyReader.kt
+++ b/network/src/main/kotlin/BodyReader.kt
@@ -7,7 +7,10 @@
     /** Returns the next part; no part follows [BodyPart.Complete] or [BodyPart.Broken]. */
     public suspend fun next(): BodyPart = read()
 
-    /** Reads the whole body, unless it is truncated, is longer than [maximumBytes] or exceeds the budget of [reservation], which holds nothing of it then. */
+    /**
+     * Reads the whole body, unless it is truncated, is longer than [maximumBytes] or exceeds the budget of [reservation]; nothing is
+     * reserved for it then.
+     */
     public suspend fun readAll(
         maximumBytes: Long,
         reservation: ByteBudget.Reservation? = null,
--- a/network/src/main/kotlin/EventLoop.kt
+++ b/network/src/main/kotlin/EventLoop.kt
@@ -209,7 +209,7 @@
         /** Longer than any delay in use; prevents overflow when a delay is added to the current time. */
         const val MAXIMUM_DELAY_MS = 365L * 24 * 3_600_000
 
-        /** Several times the tasks that one event of a socket causes; a look at the sockets costs about as much as a few tasks. */
+        /** Several times the tasks that one event of a socket causes. */
         const val MAXIMUM_TASKS_PER_TURN = 256
 
         /** Fewer disposed timers are not worth a removal. */
--- a/network/src/test/kotlin/TcpListenerTest.kt
+++ b/network/src/test/kotlin/TcpListenerTest.kt
@@ -71,7 +71,12 @@
         loopBlocked.countDown()
         assertTrue(allAccepted.await(TIMEOUT_S, TimeUnit.SECONDS))
         clients.forEach { it.close() }
-        val mostInTurn = turns.groupingBy { it }.eachCount().values.max()
+        val mostInTurn =
+            turns
+                .groupingBy { it }
+                .eachCount()
+                .values
+                .max()
         assertTrue(mostInTurn < PENDING_CLIENTS, "$mostInTurn of $PENDING_CLIENTS clients were accepted in one turn")
     }
 
