--- a/review/rig-3/ModelEngine.java
+++ b/review/rig-3/ModelEngine.java
@@ -21,6 +21,15 @@
     volatile String poison;
     volatile String id;
     volatile boolean up;
+    /** Memory for weights; each model takes [MODEL_MB]. */
+    int weightsMb = 200_000;
+    static final int MODEL_MB = 72_700;
+    /** Whether it starts again under the id that it had. */
+    boolean keepsId;
+    /** Called with the model of an order to load; returns the time after which it is carried out without an answer, 0 for as usual. */
+    volatile java.util.function.ToDoubleFunction<String> lateness = model -> 0;
+    /** How often it was ordered to load more than its memory holds. */
+    final java.util.concurrent.atomic.AtomicInteger overloads = new java.util.concurrent.atomic.AtomicInteger();
     private volatile long born;
     private volatile boolean busy;
     private long sequence, fence;
@@ -33,7 +42,7 @@
 
     synchronized void start(List<String> models) throws IOException {
         starts++;
-        id = "i-wax" + number + "-" + starts;
+        id = "i-model" + number + (keepsId ? "" : "-" + starts);
         born = System.currentTimeMillis();
         busy = false;
         sequence = 0;
@@ -60,18 +69,18 @@
     }
 
     /** Ends at once, and is back after three seconds; its entry goes after three heartbeats. */
-    private void crash(String requestId) {
+    void crash(String cause, double downMs) {
         synchronized (this) {
             if (!up) return;
             up = false;
             crashes.add(rig.ms());
-            rig.log("engine %s CRASHES as it begins to answer %s", id, requestId);
+            rig.log("engine %s CRASHES %s", id, cause);
             server.close();
         }
         String ended = id;
-        Http.daemon(() -> { Rig.sleep(3600); store.remove("servers", ended); });
+        if (!keepsId) Http.daemon(() -> { Rig.sleep(3600); store.remove("servers", ended); });
         Http.daemon(() -> {
-            Rig.sleep(3000);
+            Rig.sleep(downMs);
             try { start(List.of()); } catch (IOException e) { rig.log("engine %d cannot start: %s", number, e); }
         });
     }
@@ -83,7 +92,20 @@
                 + busy + ",\"sequence\":" + sequence + ",\"queued\":0,\"active\":" + active + ",\"kvUsed\":0,\"kvTotal\":232000,\"handles\":0,"
                 + "\"coming\":[],\"atHand\":{\"inMemory\":[],\"onDisk\":[" + quoted(onDisk) + "]},\"born\":" + born + "}");
         } else if (request.path().equals("/v1/order")) {
-            int status = target != null && !target.equals(id) ? 421 : order(new String(request.body, StandardCharsets.UTF_8));
+            String body = new String(request.body, StandardCharsets.UTF_8);
+            double lateMs = "load".equals(field(body, "operation")) ? lateness.applyAsDouble(field(body, "model")) : 0;
+            if (lateMs > 0) {
+                rig.log("engine %s leaves unanswered: %s", id, body);
+                Http.daemon(() -> {
+                    Rig.sleep(lateMs);
+                    int carriedOut = !up ? 0 : target != null && !target.equals(id) ? 421 : order(body);
+                    rig.log("engine %s, %.0f ms late, carries out: %s: status %d", id, lateMs, body, carriedOut);
+                });
+                while (connection.in.read() >= 0) { /* until the caller closes */ }
+                return;
+            }
+            int status = target != null && !target.equals(id) ? 421 : order(body);
+            rig.log("engine %s is ordered: %s: status %d", id, body, status);
             connection.answer(status, Map.of("Content-Type", "application/json"), "{}");
         } else {
             generate(request, connection, target);
@@ -110,14 +132,20 @@
         if (held.containsKey(model) == load) return 200;
         if (busy || (expected != null && Long.parseLong(expected) != sequence)) return 409;
         sequence++;
+        if (load && (held.size() + 1) * MODEL_MB > weightsMb) {
+            overloads.incrementAndGet();
+            rig.log("BROKEN: engine %s holds %s and is ordered to load %s: %d MB of %d MB", id, held.keySet(), model, (held.size() + 1) * MODEL_MB,
+                weightsMb);
+            Http.daemon(() -> crash("as it is ordered to load more than it holds", 3000));
+            return 202;
+        }
         busy = true;
-        rig.log("engine %s carries out: %s %s", id, operation, model);
-        String incarnation = id;
+        int incarnation = starts;
         double takesMs = !load ? 100 : onDisk.contains(model) ? 840 : 6000;
         Http.daemon(() -> {
             Rig.sleep(takesMs);
             synchronized (this) {
-                if (!up || !incarnation.equals(id)) return;
+                if (!up || incarnation != starts) return;
                 if (load) { held.put(model, 1); onDisk.add(model); } else held.remove(model);
                 busy = false;
                 register();
@@ -139,7 +167,7 @@
         synchronized (this) { active++; }
         try {
             Rig.sleep(60);
-            if (deadly) { crash(requestId); return; }
+            if (deadly) { crash("as it begins to answer " + requestId, 3000); return; }
             connection.out.write(("HTTP/1.1 200 OK\r\nX-Almondjunction-Request-Id: " + requestId + "\r\nX-Almondjunction-Response-Stamp: s." + id
                 + "." + requestId + "\r\nX-Almondjunction-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nKeep-Alive: timeout=5\r\n"
                 + "Transfer-Encoding: chunked\r\n\r\n").getBytes());
--- a/review/rig-3/Rig.java
+++ b/review/rig-3/Rig.java
@@ -103,13 +103,13 @@
                 + "]\nseeds = []\nbootstrap = true\nfaultCounted = false\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = 1200\n"
                 + "contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"fleet\",\"stream\",\"engine\",\"platform\"]\n"
                 + (app == null ? "" : "app = \"" + app + "\"\nservice = \"" + appService + "\"\n")
-                + "[zones]\nsplit-a = \"dalmacija\"\ndelnice-a = \"gorski\"\nosijek-a = \"slavonija\"\n[listen]\n"
+                + "[zones]\n" + Site.zones() + "[listen]\n"
                 + (front ? "frontendAddr = \"" + callers + "\"\nreadyAddr = \"" + ready + "\"\n" : "")
                 + "[limits]\ncpuShare = 0.57\ncores = 1\nmemoryMb = 430\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n"
                 + "[faultTolerance]\nmachines = 1\nzones = 0\nregions = 0\n"
                 + "[bounds]\nseedLagS = 3\naddrReuseS = 2\ncontactMs = 4000\nackMs = 5000\ncatchUpS = 4\ndrainMs = 2500\ngraceS = 8\n"
                 + "lossSlackMs = 200\nconfigApplyMs = 2500\nrollbackSlackMs = 250\nmaxStretchMs = 6000\nretryBudgetRatio = 0.2\n"
-                + "budgetWindowS = 10\nbudgetExtra = 58\nrecoveryS = 12\npassMs = 250\nretryAfterS = 0\nrequireFence = true\n"
+                + "budgetWindowS = 10\nbudgetExtra = " + Site.budgetExtra + "\nrecoveryS = 12\npassMs = 250\nretryAfterS = 0\nrequireFence = true\n"
                 + "leaseMs = 3000\nthawSlackMs = 300\nceilingWindowS = 5\nceilingOverage = 1.1\n"
                 + "[platform]\naddress = \"" + store + "\"\nform = \"objects\"\nwritesPerS = 400\nreadsPerS = 2000\nhistoryS = 20\n"
                 + "valueBytes = 1048576\nttlMinMs = 1000\n");
@@ -163,8 +163,20 @@
 
 /** Names of the small site. */
 final class Site {
-    static final Map<String, String> REGIONS = Map.of("split-a", "dalmacija", "delnice-a", "gorski", "osijek-a", "slavonija");
-    static final List<String> ZONES = List.of("split-a", "delnice-a", "osijek-a");
+    static Map<String, String> REGIONS = Map.of("split-a", "dalmacija", "delnice-a", "gorski", "osijek-a", "slavonija");
+    static List<String> ZONES = List.of("split-a", "delnice-a", "osijek-a");
+    static int budgetExtra = 58;
+    /** From now on, sites/lsea-swap in place of sites/vostara-ops. */
+    static void useLevant() {
+        REGIONS = Map.of("amman-a", "amman", "irbid-a", "irbid", "aqaba-a", "aqaba");
+        ZONES = List.of("amman-a", "irbid-a", "aqaba-a");
+        budgetExtra = 54;
+    }
+    static String zones() {
+        StringBuilder lines = new StringBuilder();
+        ZONES.forEach(zone -> lines.append(zone).append(" = \"").append(REGIONS.get(zone)).append("\"\n"));
+        return lines.toString();
+    }
     static final String HOST = "bench.example";
     static String config(int version, String routes, String services) {
         return "{\"version\":" + version + ",\"routes\":[" + routes + "],\"services\":[" + services
@@ -178,14 +190,15 @@
     static final String CHAT = "{\"name\":\"r-chat\",\"host\":\"" + HOST + "\",\"pathPrefix\":\"/chat/\",\"routeType\":\"stream\","
         + "\"timeoutMs\":15000,\"targetLatencyMs\":500,\"priority\":0,\"service\":\"wax-advisor\",\"maxAttempts\":1,\"sticky\":true,"
         + "\"resumable\":false,\"gapTargetMs\":400}";
-    static String advisor(int models) {
+    static String advisor(int models) { return advisor(models, 200_000); }
+    static String advisor(int models, int weightsMb) {
         StringBuilder list = new StringBuilder();
         for (int i = 0; i < models; i++) {
             list.append(i == 0 ? "" : ",").append("{\"name\":\"m").append(i).append("\",\"weightsMb\":72700.0,\"loadS\":6.0,\"adapters\":0,"
                 + "\"adapterMb\":66.0,\"warmS\":0.4,\"diskS\":0.84}");
         }
         return "{\"name\":\"wax-advisor\",\"healthPath\":\"/health\",\"maxConns\":370,\"protocol\":\"h1\",\"tls\":false,\"engine\":{"
-            + "\"slots\":64,\"kvCapacity\":232000,\"weightsMb\":200000.0,\"adapterSlots\":8,\"hostMb\":130000.0,\"diskMb\":730000.0,"
+            + "\"slots\":64,\"kvCapacity\":232000,\"weightsMb\":" + weightsMb + ".0,\"adapterSlots\":8,\"hostMb\":130000.0,\"diskMb\":730000.0,"
             + "\"models\":[" + list + "]}}";
     }
 }
