Gateway: a target's own failure never states that a request has not run

What callers saw: an engine booked a deposit and answered with a failure of its own, 503 without the mark that it has not run the request. Cause: whether a request has run was read from the mark, but the status that went to the caller was the target's. 408, 429 and 503 state by themselves that a request has not run, so a target's failure with one of them made the gateway state what nobody knew. 408 and 429 were relayed as served, 503 as a failure, also when it was kept from an earlier send and the request was given up later. CallerAnswer.relay refuses the four statuses, so that no later path can relay one. Why it works: only the gateway's own refusals bear these statuses now, and they are written where no send may have run.

--- a/gateway/src/main/kotlin/CallerAnswer.kt
+++ b/gateway/src/main/kotlin/CallerAnswer.kt
@@ -1,5 +1,6 @@
 package org.almondjunction.gateway
 
+import org.almondjunction.common.RefusalStatus
 import org.almondjunction.network.HttpHeader
 import org.almondjunction.network.HttpVersion
 import org.almondjunction.network.HttpWriter
@@ -36,11 +37,14 @@
         writeComplete(status, headers, body)
     }
 
-    /** Writes the response of a target with its complete [body]. */
+    /** Writes the response of a target with its complete [body]; only the gateway itself states by a status that a request has not run. */
     suspend fun relay(
         head: ResponseHead,
         body: ByteArray,
-    ): Unit = writeComplete(head.status, head.headers.endToEnd(), body)
+    ) {
+        check(head.status !in RefusalStatus) { "A target's status ${head.status} would state that the request has not run." }
+        writeComplete(head.status, head.headers.endToEnd(), body)
+    }
 
     private suspend fun writeComplete(
         status: Int,
--- a/gateway/src/test/kotlin/HedgedExchangeTest.kt
+++ b/gateway/src/test/kotlin/HedgedExchangeTest.kt
@@ -231,6 +231,14 @@
         assertEquals(2, sends)
     }
 
+    // Guards against the status of a target's own failure, which states the same, when it is the last result of two sends.
+    @Test
+    fun `a failure that would state that the request has not run is not relayed`() {
+        start(RetrySafety.IDEMPOTENT)
+        check(Outcome("broken, then failed", closing(60), answering(plain(SLOW, 503, "bad"), 200), "502"))
+        assertEquals(2, sends)
+    }
+
     @Test
     fun `a request that both targets refused is reported as not run`() {
         start(RetrySafety.IDEMPOTENT, retryLimits = RetryLimits(ratio = 0.0, extra = 2.0))
