Entry hosts: an interrupted request is answered with 502 instead of 503

What callers saw: nothing reported. An entry host whose stop is cut short answers a running request with outcome "unknown", reason "interrupted" and status 503; a client that goes by the status alone takes it for a refusal and may repeat a request that has run. Change: 502, the status of the other unknown outcomes of a lost target; docs/CALLERS.md names 502 to 504 already. Evidence: OutcomeTest failed before ("interrupted: 503"). Why it works: no unknown outcome has one of the four statuses that state a refusal, and the test holds for reasons added later.

--- a/common/src/main/kotlin/Outcome.kt
+++ b/common/src/main/kotlin/Outcome.kt
@@ -61,7 +61,7 @@
     public val transient: Boolean get() = this in setOf(LEAVING, NO_RIGHT, NOT_READY, NO_TARGET)
 }
 
-/** Why the outcome of a request is not known. [httpStatus] is the status its caller gets. */
+/** Why the outcome of a request is not known. [httpStatus] is the status its caller gets; it is none of [RefusalStatus]. */
 public enum class UnknownReason(
     public val httpStatus: Int,
     public val title: String,
@@ -70,7 +70,7 @@
     TARGET_SILENT(504, "The target did not answer in time"),
     ANSWER_INCOMPLETE(502, "The target ended its answer early"),
     EARLIER_ATTEMPT(409, "An earlier attempt with this idempotency key has no known outcome"),
-    INTERRUPTED(503, "The process ended before the answer was complete"),
+    INTERRUPTED(502, "The process ended before the answer was complete"),
     ;
 
     /** Name used in metrics and problem documents. */
