Quotas: log which keeper a gateway asks in vain, and what that keeper knows of the lease

The log of an incident showed that gateways follow no coordinator of a shard, but not why: a keeper that cannot read the lease, one that reads it and names no holder, and a holder that does not answer looked the same. No behaviour changes; the tests of quotas of decisions, keeper and gateway pass.

--- a/decisions/src/main/kotlin/QuotaLease.kt
+++ b/decisions/src/main/kotlin/QuotaLease.kt
@@ -47,6 +47,9 @@
             ?.takeIf { it.requested.longestMsUntil(now) < DURATION_MS }
             ?.let { StableHash.of(holder, incarnation.toString(), it.record.term.toString(), era.toString()) }
 
+    /** Record of the lease that this keeper has last read; null if it has read none or holds the lease itself. */
+    public val observed: LeaseRecord? get() = sight?.record
+
     /** Host that holds the lease, as far as this keeper has seen, if it is another process. */
     public val other: String?
         get() =
--- a/decisions/src/main/kotlin/QuotaShard.kt
+++ b/decisions/src/main/kotlin/QuotaShard.kt
@@ -15,6 +15,9 @@
     /** Host of the coordinator, as far as this keeper knows, if it is another one. */
     public val other: String? get() = lease.other
 
+    /** Record of the lease that this keeper has last read; null if it has read none or is the coordinator. */
+    public val observed: LeaseRecord? get() = lease.observed
+
     /** Identity of the lease that this keeper holds at [now]; null if it is not the coordinator. */
     public fun heldId(now: HostTime): Long? = lease.heldId(now)
 
--- a/gateway/src/main/kotlin/QuotaShardClient.kt
+++ b/gateway/src/main/kotlin/QuotaShardClient.kt
@@ -27,6 +27,8 @@
     private var number = 0L
     private var lastAskedMs = Long.MIN_VALUE / 2
     private var followed: String? = null
+    private var loggedSearch: Pair<String?, String?>? = null
+    private var loggedSearchMs = Long.MIN_VALUE / 2
 
     /** Time of the last answer of a coordinator; null before the first one. */
     var answeredMs: Long? = null
@@ -90,6 +92,7 @@
         inFlight = null
         val lease = reply.lease
         if (lease == null) {
+            logSearch(reply.coordinator, now)
             search.redirected(reply.coordinator, reachable())
             follow(null)
             lastAskedMs = now.monotonicMs - HEARTBEAT_MS + REPEAT_WITHOUT_COORDINATOR_MS
@@ -101,6 +104,19 @@
         return reply.grants.flatMap { accounts[it.tenant]?.receive(it, lease, answered.asked, now).orEmpty() }
     }
 
+    /** Logs which keeper was asked in vain and which [named] host it knows as the coordinator, at most once in a heartbeat. */
+    private fun logSearch(
+        named: String?,
+        now: HostTime,
+    ) {
+        val asked = search.keeper(reachable())
+        if (asked to named == loggedSearch || now.monotonicMs - loggedSearchMs < HEARTBEAT_MS) return
+        loggedSearch = asked to named
+        loggedSearchMs = now.monotonicMs
+        val extra = mapOf("shard" to shard.toString(), "keeper" to asked, "named" to (named ?: "none"))
+        EventLog.info("quota coordinator searched", LogFields(extra = extra))
+    }
+
     private fun follow(keeper: String?) {
         if (keeper == followed) return
         followed = keeper
--- a/keeper/src/main/kotlin/QuotaCoordinator.kt
+++ b/keeper/src/main/kotlin/QuotaCoordinator.kt
@@ -8,6 +8,7 @@
 import org.almondjunction.common.LogFields
 import org.almondjunction.decisions.CoordinatorSearch
 import org.almondjunction.decisions.LeaseAnswer
+import org.almondjunction.decisions.LeaseRecord
 import org.almondjunction.decisions.QuotaShard
 import org.almondjunction.network.launchRestarting
 
@@ -22,10 +23,11 @@
     private val clock: HostClock,
     private val store: LeaseStore,
     private val host: String,
-    incarnation: Long,
+    private val incarnation: Long,
 ) {
     private val shards = List(CoordinatorSearch.SHARDS) { QuotaShard(host, incarnation) }
     private val logged = arrayOfNulls<Long>(CoordinatorSearch.SHARDS)
+    private val loggedHolders = arrayOfNulls<LeaseRecord>(CoordinatorSearch.SHARDS)
     private var running = false
 
     /** Answers [request] of [gateway]; null if there is no such shard. */
@@ -71,6 +73,7 @@
     }
 
     private fun logChange(index: Int) {
+        logObserved(index)
         val held = shards[index].heldId(clock.now())
         if (held == logged[index]) return
         logged[index] = held
@@ -78,6 +81,23 @@
         EventLog.info(if (held != null) "quota coordinator: lease gained" else "quota coordinator: lease lost", LogFields(extra = extra))
     }
 
+    /** Logs another holder that was read from the store, without its renewals, with the host that gateways are told to ask instead. */
+    private fun logObserved(index: Int) {
+        val holder = shards[index].observed?.copy(renewals = 0) ?: return
+        if (holder == loggedHolders[index]) return
+        loggedHolders[index] = holder
+        val extra =
+            mapOf(
+                "shard" to index.toString(),
+                "holder" to holder.holder,
+                "incarnation" to holder.incarnation.toString(),
+                "term" to holder.term.toString(),
+                "ownIncarnation" to incarnation.toString(),
+                "named" to (shards[index].other ?: "none"),
+            )
+        EventLog.info("quota lease observed", LogFields(extra = extra))
+    }
+
     private companion object {
         const val NAME_PREFIX = "shard-"
 
