Quotas: a keeper names the coordinator also if both processes started in the same millisecond

Cause: a lease names its holder by host and incarnation, the start of the process in milliseconds. Incarnations are distinct only within a host, but QuotaLease compared them alone. A keeper whose process started in the same millisecond as the coordinator's took the lease that it read for its own, and named no coordinator. For the same reason a holder could have continued the lease of another host as its own.

Change: own records are those with this host and this incarnation, and a keeper names each holder on another host.

Tests: QuotaLeaseTest failed in both of its tests before. QuotaSimulation gave each process a number of its own and let all gateways begin at one keeper; now processes that start together have the same incarnation, as in production, and gateways connect to the keepers one after the other. With that, two of three tests of QuotaPropertyTest failed before and pass now; their bounds are unchanged.

--- a/decisions/src/main/kotlin/QuotaLease.kt
+++ b/decisions/src/main/kotlin/QuotaLease.kt
@@ -50,14 +50,9 @@
     /** Record of the lease that this keeper has last read; null if it has read none or holds the lease itself. */
     public val observed: LeaseRecord? get() = sight?.record
 
-    /** Host that holds the lease, as far as this keeper has seen, if it is another process. */
+    /** Host that holds the lease, as far as this keeper has seen, if it is another one. */
     public val other: String?
-        get() =
-            sight
-                ?.record
-                ?.takeIf { held == null && it.incarnation != incarnation }
-                ?.holder
-                ?.takeIf { it != holder }
+        get() = observed?.holder?.takeIf { held == null && it != holder }
 
     /** Returns the call that is due at [now]; null if none is. Its answer must be given to [receive]. */
     public fun next(now: HostTime): LeaseCall? {
@@ -157,7 +152,7 @@
                 sight = null
             }
             // A renewal that was thought lost was carried out later; the lease still counts from the last known one.
-            current != null && record?.incarnation == incarnation && record.term == current.record.term && revision != null ->
+            current != null && record != null && isOwn(record) && record.term == current.record.term && revision != null ->
                 heldRevision = revision
             else -> {
                 held = null
@@ -167,6 +162,9 @@
         }
     }
 
+    /** Whether this process wrote [record]; incarnations distinguish only processes of one host. */
+    private fun isOwn(record: LeaseRecord) = record.holder == holder && record.incarnation == incarnation
+
     public companion object {
         /** Duration of a lease, and the time for which a candidate must have seen it unchanged. */
         public const val DURATION_MS: Long = 2_000
--- a/decisions/src/test/kotlin/QuotaSimulation.kt
+++ b/decisions/src/test/kotlin/QuotaSimulation.kt
@@ -75,7 +75,8 @@
     ) : Host() {
         var shard = newShard()
 
-        fun newShard() = QuotaShard(name, ++incarnations)
+        /** Processes that start together have the same incarnation, which is the time of their start. */
+        fun newShard() = QuotaShard(name, incarnation = nowMs)
 
         fun tick() {
             val call = shard.next(now()) ?: return
@@ -171,9 +172,12 @@
         var requests = mutableListOf<Request>()
         private var number = 0L
         private var inFlight: Pair<Long, HostTime>? = null
-        private var sentMs = 0L
+        private var sentMs = -HEARTBEAT_MS
         private val arrivals = mutableMapOf<Keeper, Long>()
 
+        /** A gateway connects to the keepers one after the other, so that gateways begin their search at different ones. */
+        private val connectedMs = keepers.associateWith { random.nextLong(CONNECTION_MS) }
+
         fun request(cost: Long) {
             if (nowMs < frozenUntilMs) return
             asked += cost
@@ -219,14 +223,15 @@
 
         fun tick() {
             settle()
-            val names = keepers.map { it.name }
+            val names = connectedKeepers()
             inFlight?.let { (_, asked) ->
                 if (asked.longestMsUntil(now()) < CoordinatorSearch.ANSWER_TIMEOUT_MS) return
                 inFlight = null
                 search.unanswered(names)
             }
             if (!account.needsUnits(now()) && now().monotonicMs - sentMs < HEARTBEAT_MS) return
-            val keeper = keepers.first { it.name == search.keeper(names) }
+            val chosen = search.keeper(names) ?: return
+            val keeper = keepers.first { it.name == chosen }
             val asked = now()
             val current = ++number
             sentMs = asked.monotonicMs
@@ -235,6 +240,8 @@
             send(keeper) { keeper.deliver { answer(keeper, want) { grant, lease, other -> receive(current, grant, lease, other) } } }
         }
 
+        private fun connectedKeepers() = keepers.filter { nowMs >= connectedMs.getValue(it) }.map { it.name }
+
         private fun answer(
             keeper: Keeper,
             want: QuotaWant,
@@ -270,7 +277,7 @@
             val (awaited, asked) = inFlight ?: return
             if (awaited != current) return
             inFlight = null
-            if (lease == null || grant == null) return search.redirected(other, keepers.map { it.name })
+            if (lease == null || grant == null) return search.redirected(other, connectedKeepers())
             search.answered()
             account.receive(grant, lease, asked, now())
             settle()
@@ -292,7 +299,6 @@
         var untilMs: Long = Long.MAX_VALUE / 2,
     )
 
-    private var incarnations = 0L
     private val store = Store()
     private val keepers = List(3) { Keeper("k$it") }
     private val gateways = List(4) { Gateway("g$it") }
@@ -380,5 +386,8 @@
         private const val STORE_TIMEOUT_MS = 500L
         private const val HEARTBEAT_MS = 1_000L
         private const val APPLY_MS = 4_000L
+
+        /** Time in which a gateway connects to all keepers. */
+        private const val CONNECTION_MS = 500L
     }
 }
