Loads: an engine that crashed is awaited if only its host has the weights

Cause: while an engine does not answer, its keeper reported no copies of weights, although the disk of its host keeps them over a restart. Gateways then loaded models from the weight store whose only copy was on a host that was back two seconds later, and could have loaded them in 0.8 s.

Change: a keeper goes on reporting the copies on its disk while its engine does not answer. A gateway that would load from the store waits for such a host instead, for as long as the load would take, so that callers wait at most twice as long if it does not return.

Tests: "the only engine whose host has the weights has crashed" in TargetSelectorTest failed before (in 6000 ms instead of 3000), and the new one in KeeperTest without the keeper's part.

--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -45,6 +45,7 @@
     private var health: ConnectionHealth? = null
     private var lastInFlightMs = 0L
     private var loadingSinceMs = 0L
+    private var unreachableSinceMs = 0L
     private var recentFailures = 0.0
     private var recentRequests = 0.0
     private var decayedMs = clock.nowMs()
@@ -71,6 +72,9 @@
         return current.models.filter { it.model !in current.draining }.associate { it.model to it.adapters.toSet() }
     }
 
+    /** Time for which its keeper has got no answer from it; meaningful only unless [answering]. */
+    val unreachableForMs: Long get() = clock.nowMs() - unreachableSinceMs
+
     /** Duration so far of the load that its keeper reports. */
     val loadingForMs: Long get() = clock.nowMs() - loadingSinceMs
 
@@ -86,7 +90,10 @@
         val wasAnswering = answering
         status = newStatus?.copy(gateways = newStatus.gateways ?: status?.gateways)
         models = usableModels()
-        if (wasAnswering && !answering) inFlight.toList().forEach { it.cancelIfRetryable() }
+        if (wasAnswering && !answering) {
+            unreachableSinceMs = clock.nowMs()
+            inFlight.toList().forEach { it.cancelIfRetryable() }
+        }
         if (newStatus != null) {
             recordActivity()
             load = newStatus.load
--- a/gateway/src/main/kotlin/TargetRegistry.kt
+++ b/gateway/src/main/kotlin/TargetRegistry.kt
@@ -223,13 +223,12 @@
     }
 
     /** Returns the targets of [service] that run, including those that have asked for no requests. */
-    fun running(service: ServiceId): List<Target> =
-        targets.values.filter {
-            it.entry.service == service &&
-                it.entry.ready &&
-                !it.closed &&
-                it.answering
-        }
+    fun running(service: ServiceId): List<Target> = listed(service).filter { it.answering }
+
+    /** Returns the targets of [service] that are listed but do not answer their keepers, as after a crash. */
+    fun unreachable(service: ServiceId): List<Target> = listed(service).filterNot { it.answering }
+
+    private fun listed(service: ServiceId) = targets.values.filter { it.entry.service == service && it.entry.ready && !it.closed }
 
     /** Returns the other targets that accept requests for the service of [target]. */
     fun otherTargets(target: Target): List<Target> = ready(target.entry.service).filter { it !== target }
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -2,6 +2,7 @@
 
 import org.almondjunction.common.Clock
 import org.almondjunction.common.ModelId
+import org.almondjunction.common.ServiceId
 import org.almondjunction.decisions.EvictionCandidate
 import org.almondjunction.decisions.EvictionPlan
 import org.almondjunction.decisions.LoadValue
@@ -214,6 +215,7 @@
         if (withLocalCopy.isEmpty() && connected.size < ready.size && nowMs - startedMs < KEEPER_DISCOVERY_MS) {
             return Choice.Later(KEEPER_DISCOVERY_MS)
         }
+        if (withLocalCopy.isEmpty()) restartMs(connected.first().entry.service, model)?.let { return Choice.Later(it) }
         if (withLocalCopy.isEmpty() && tooLateForCallers) return Choice.Later(model.loadMs)
         val demand = demandFor(model)
         val maximumLoads =
@@ -240,6 +242,21 @@
         return Choice.Later(expectedMs)
     }
 
+    /**
+     * Returns the expected time until a target of [service] that does not answer has restarted and loaded [model] from its host's disk; null
+     * if there is none.
+     *
+     * It is awaited for as long as a load from the weight store takes, so that callers wait at most twice as long as without it.
+     */
+    private fun restartMs(
+        service: ServiceId,
+        model: ModelConfiguration,
+    ): Long? =
+        registry
+            .unreachable(service)
+            .filter { it.hasLocalCopy(model.model.value) && it.unreachableForMs < model.loadMs }
+            .minOfOrNull { (RESTART_MS - it.unreachableForMs).coerceAtLeast(MINIMUM_REMAINING_LOAD_MS) + model.loadFromDiskMs }
+
     /** Number of loads from the weight store that this gateway has requested and their keepers do not report yet. */
     val requestedStoreLoads: Int get() =
         pendingLoads.count { (name, load) -> load.fromStore && load.untilMs > clock.nowMs() && load.target.status?.loading != name }
@@ -457,6 +474,9 @@
         /** Share of a target's requests that are delayed by a model load, since they need an adapter that is not loaded. */
         const val DELAYED_SHARE = 0.15
 
+        /** Typical time from the crash of an engine until it answers again. */
+        const val RESTART_MS = 2_500L
+
         /** Minimum of the expected remaining time of a load in progress. */
         const val MINIMUM_REMAINING_LOAD_MS = 100L
 
--- a/gateway/src/test/kotlin/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/TargetSelectorTest.kt
@@ -46,7 +46,8 @@
         vararg models: HeldModel,
         loading: String? = null,
         onDisk: List<String> = emptyList(),
-    ) = KeeperMessage.Status(models = models.toList(), loading = loading, onDisk = onDisk)
+        reachable: Boolean = true,
+    ) = KeeperMessage.Status(models = models.toList(), loading = loading, onDisk = onDisk, engineReachable = reachable)
 
     private data class Case(
         val pattern: String,
@@ -89,6 +90,18 @@
                 "m",
                 "in 500 ms",
             ),
+            Case(
+                "the only engine whose host has the weights has crashed: awaited, since it returns sooner than the weight store loads",
+                listOf(status(held("a")), status(onDisk = listOf("m"), reachable = false)),
+                "m",
+                "in 3000 ms",
+            ),
+            Case(
+                "an engine has crashed, but another host has the weights",
+                listOf(status(onDisk = listOf("m")), status(onDisk = listOf("m"), reachable = false)),
+                "m",
+                "in 500 ms",
+            ),
             Case("restart of all hosts: one is not connected yet", listOf(status(), null), "m", "in 2000 ms"),
             Case("the model is being loaded", listOf(status(held("a"), loading = "m", onDisk = listOf("m")), status()), "m", "in 500 ms"),
             Case("an adapter that is loaded", listOf(status(held("m", adapters = listOf("a1"))), status(held("m"))), "m/a1", "t0"),
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -68,6 +68,9 @@
     private var snapshot: EngineSnapshot? = null
     private var missedReports = 0
 
+    /** Copies on the disk of the host when the engine last reported; they outlive a restart of the engine. */
+    private var lastOnDisk = emptyList<String>()
+
     /** Notifies all gateways once of connections and disconnections that occur close together. */
     private val gatewaysChanged = CoalescedAction(scope, GATEWAY_CHANGE_WINDOW_MS) { markDirty() }
 
@@ -197,7 +200,10 @@
             EventLog.info("engine is responding", LogFields(extra = describe(now)))
         }
         snapshot = now
-        if (now != null) lastContactMs = clock.nowMs()
+        if (now != null) {
+            lastContactMs = clock.nowMs()
+            lastOnDisk = now.onDisk
+        }
         val crashesBefore = crashLog.version
         crashLog.settle(now, askedMs)
         reported.forEach { (session, reports) -> tellSettled(session, reports) }
@@ -292,7 +298,7 @@
             loading = loading,
             pendingLoads = loadQueue.models(nowMs),
             inMemory = current?.inMemory.orEmpty(),
-            onDisk = current?.onDisk.orEmpty(),
+            onDisk = lastOnDisk,
             gateways = gateways,
             load = engineLoad(),
             busy = current?.busy ?: false,
--- a/keeper/src/main/kotlin/KeeperMessage.kt
+++ b/keeper/src/main/kotlin/KeeperMessage.kt
@@ -65,6 +65,7 @@
      * @property draining models that are being unloaded and take no new requests
      * @property loading model that is being loaded
      * @property pendingLoads models that are queued to be loaded after it
+     * @property onDisk copies on the disk of the host; while the engine does not answer, those that it last reported
      * @property engineReachable whether the engine answers its keeper
      * @property gateways names of all gateways that are connected; null when unchanged since the last status
      * @property crashes crashes of the engine under requests; null when unchanged since the last status
--- a/keeper/src/test/kotlin/KeeperTest.kt
+++ b/keeper/src/test/kotlin/KeeperTest.kt
@@ -27,6 +27,9 @@
     val faults = mutableListOf<String>()
     var orders = 0
 
+    /** Whether it answers reports. */
+    var answering = true
+
     /** Models with requests in progress; unloading one of them is a fault. */
     var inUse = emptySet<String>()
 
@@ -37,7 +40,8 @@
     private var busy = false
     private var fence = 0L
 
-    override suspend fun report() = EngineSnapshot(held.mapValues { it.value.toSet() }, busy, sequence, onDisk = listOf("m1", "m2", "m3"))
+    override suspend fun report(): EngineSnapshot? =
+        EngineSnapshot(held.mapValues { it.value.toSet() }, busy, sequence, onDisk = listOf("m1", "m2", "m3")).takeIf { answering }
 
     override suspend fun order(order: EngineOrder): EngineOrderReply {
         orders++
@@ -361,6 +365,23 @@
         assertTrue(engine.orders > 0)
     }
 
+    // Guards against models loaded from the weight store although the host of a crashed engine has a copy, while others wait for the store.
+    @Test
+    fun `while the engine does not answer, gateways are told of the copies on the disk of its host`() {
+        var last: KeeperMessage.Status? = null
+        withKeeper(seed = 1) { loop, port, engine ->
+            val channel = MessageChannel(checkNotNull(TcpConnection.connect(loop, Address("127.0.0.1", port), HANG_TIMEOUT_MS)))
+            channel.send(KeeperMessage.Greeting("g"))
+            withTimeoutOrNull(HANG_TIMEOUT_MS) {
+                while ((channel.receive() as? KeeperMessage.Status)?.models.isNullOrEmpty()) continue
+                engine.answering = false
+                while (last?.engineReachable != false) last = channel.receive() as? KeeperMessage.Status ?: continue
+            }
+        }
+        assertEquals(listOf("m1", "m2", "m3"), last?.onDisk)
+        assertEquals(emptyList(), last?.models)
+    }
+
     private companion object {
         const val REPORTS = 10
         const val STATUSES = 2
