Loads: a load from the weight store displaces no other model's last copy if it can be avoided

Cause: weights from the store take the place of the least recently used copy on the host's disk. The choice of the engine did not look at it, so that the last copy of another model in the fleet could go, which then needed a load from the store itself: for each model that became servable another stopped being so.

Change: among the engines that can load, one whose first copy is the last of its model costs the load of that model besides.

Test: the displacement cases of TargetSelectorTest; without the new cost they failed (t0 instead of t1).

--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -231,7 +231,8 @@
         val best =
             candidates
                 .mapNotNull { target ->
-                    costOfLoad(target, engine, model, mayEvict, valueMs)?.let { target to it }
+                    val costMs = costOfLoad(target, engine, model, mayEvict, valueMs) ?: return@mapNotNull null
+                    target to costMs + if (withLocalCopy.isEmpty()) displacementCostMs(target, connected, engine) else 0
                 }.minByOrNull { it.second }
         val target = best?.first ?: return if (mayEvict) Choice.Later(model.loadFromDiskMs) else Choice.None("no room")
         // A model with high demand is loaded before other pending load requests.
@@ -257,6 +258,9 @@
             .filter { it.hasLocalCopy(model.model.value) && it.unreachableForMs < model.loadMs }
             .minOfOrNull { (RESTART_MS - it.unreachableForMs).coerceAtLeast(MINIMUM_REMAINING_LOAD_MS) + model.loadFromDiskMs }
 
+    /** Returns the target that was last asked to load [model]; null if none was. */
+    fun requestedTarget(model: String): Target? = pendingLoads[model]?.target
+
     /** Number of loads from the weight store that this gateway has requested and their keepers do not report yet. */
     val requestedStoreLoads: Int get() =
         pendingLoads.count { (name, load) -> load.fromStore && load.untilMs > clock.nowMs() && load.target.status?.loading != name }
@@ -334,6 +338,23 @@
             delayOfOthersMs
     }
 
+    /**
+     * Returns the cost of displacing the last copy of another model from the disk of [target], which is a later load from the weight store;
+     * 0 if one of the [others] has a copy too.
+     *
+     * Hosts list the copies on their disk with the least recently used first, and displace that one for weights from the store.
+     */
+    private fun displacementCostMs(
+        target: Target,
+        others: List<Target>,
+        engine: EngineConfiguration,
+    ): Long {
+        val displaced = target.status?.onDisk?.firstOrNull() ?: return 0
+        val model = engine.models[ModelId(displaced)] ?: return 0
+        val elsewhere = others.any { it !== target && it.hasLocalCopy(displaced) }
+        return if (elsewhere) 0 else model.loadMs + STORE_LOAD_COST_MS
+    }
+
     private fun evictionCandidates(
         target: Target,
         status: KeeperMessage.Status,
--- a/gateway/src/test/kotlin/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/TargetSelectorTest.kt
@@ -112,6 +112,31 @@
     fun `a request is sent to a holder of the model, or the model is loaded from the nearest copy of its weights`() =
         cases.forEach { check(it) }
 
+    /** Copies on the disks of the hosts of t0 and t1, the least recently used first, and the one that loads m from the weight store. */
+    private class DisplacementCase(
+        val pattern: String,
+        val onDisk: List<List<String>>,
+        val expected: String,
+    )
+
+    private val displacementCases =
+        listOf(
+            DisplacementCase("the last copy of a would be displaced on t0", listOf(listOf("a", "b"), listOf("b", "c")), "t1"),
+            DisplacementCase("the last copy of a would be displaced on t1", listOf(listOf("b", "c"), listOf("a", "b")), "t0"),
+            DisplacementCase("the last copy of a or of c would be displaced", listOf(listOf("a"), listOf("c")), "t0"),
+            DisplacementCase("a disk without copies", listOf(listOf("a"), emptyList()), "t1"),
+        )
+
+    // Guards against models that are never served since the weights of another one displace their last copy from the disks of all hosts.
+    @Test
+    fun `a load from the weight store displaces the last copy of another model only if each choice does`() =
+        displacementCases.forEach { case ->
+            val selector = selector(case.onDisk.map { status(held("b"), onDisk = it) })
+            selector.choose("m")
+            val actual = selector.requestedTarget("m")?.entry?.target?.value
+            assertEquals(case.expected, actual, case.pattern)
+        }
+
     private val loop = EventLoop(Clock { 1_000L })
     private val topology = Topology(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r")))
 
@@ -137,13 +162,21 @@
         return registry
     }
 
-    private fun check(case: Case) {
+    private fun selector(statuses: List<KeeperMessage.Status?>): TargetSelector {
         val state = GatewayState(CrashTracker(loop.clock, "g"))
-        val registry = registry(case.targets, state)
+        val registry = registry(statuses, state)
         state.configuration = GatewayConfiguration(1, listOf(route), mapOf(service to ServiceConfiguration(service, 9, engine)))
-        val head = RequestHead("POST", "/", HttpHeaders(listOf(HttpHeader(GatewayFixture.NAMES.model, case.model))))
+        return TargetSelector(loop.clock, registry, topology, state)
+    }
+
+    private fun TargetSelector.choose(model: String): TargetSelector.Choice {
+        val head = RequestHead("POST", "/", HttpHeaders(listOf(HttpHeader(GatewayFixture.NAMES.model, model))))
         val request = ForwardedRequest.of(head, ByteArray(0), route, loop.clock.nowMs(), GatewayFixture.NAMES)
-        val choice = runBlocking { TargetSelector(loop.clock, registry, topology, state).choose(request, emptyMap()) }
+        return runBlocking { choose(request, emptyMap()) }
+    }
+
+    private fun check(case: Case) {
+        val choice = selector(case.targets).choose(case.model)
         val actual =
             when (choice) {
                 is TargetSelector.Choice.Selected -> choice.target.entry.target.value
