Loads: a load is awaited and reported until it ends, however slow the weight store is

Cause: a keeper gave up a load after twice its usual time ("timed out"), although the engine cannot take the order back and goes on. From then on the load counted neither as loading its model nor as one of those that the store serves, so that gateways began the same load on another engine, and further ones beside it. The store serves two at full speed; with more, each takes longer, so more of them time out.

Change: the time limit of a load request counts until the engine carries out its order; then the load ends when the engine holds the model, is no longer busy, or does not answer. Test: "a load that takes longer than its time limit" in KeeperTest failed before.

--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -379,14 +379,14 @@
         step: suspend () -> Step,
     ): String {
         val deadlineMs = clock.nowMs() + request.timeoutMs
-        while (clock.nowMs() < deadlineMs) {
+        while (true) {
             when (val outcome = orderLock.withLock { step() }) {
                 Step.Done -> return "held"
                 is Step.Impossible -> return outcome.reason
-                Step.Wait -> delay(BUSY_POLL_MS)
+                Step.InProgress -> delay(BUSY_POLL_MS)
+                Step.Wait -> if (clock.nowMs() < deadlineMs) delay(BUSY_POLL_MS) else return "timed out"
             }
         }
-        return "timed out"
     }
 
     private sealed class Step {
@@ -394,6 +394,9 @@
 
         data object Wait : Step()
 
+        /** The engine carries out the order; it cannot be taken back, so it is awaited without a time limit. */
+        data object InProgress : Step()
+
         data class Impossible(
             val reason: String,
         ) : Step()
@@ -425,8 +428,8 @@
         val victim = draining.keys.firstOrNull { it in report.models }
         return when {
             missingMb > 0 && request.mayEvict && victim == null -> chooseVictim(load, report, missingMb)
-            report.busy -> Step.Wait
-            missingMb <= 0 -> order(request, report, EngineOrder.Kind.LOAD, request.model, null)
+            report.busy -> if (load.ordered) Step.InProgress else Step.Wait
+            missingMb <= 0 -> order(request, report, EngineOrder.Kind.LOAD, request.model, null).also { load.ordered = true }
             victim == null -> Step.Impossible("not enough memory")
             else -> unloadOnceDrained(request, report, victim)
         }
--- a/keeper/src/main/kotlin/LoadQueue.kt
+++ b/keeper/src/main/kotlin/LoadQueue.kt
@@ -73,4 +73,7 @@
 internal class ValuedLoad(
     val request: KeeperMessage.LoadRequest,
     val valueMs: Double,
-)
+) {
+    /** Whether the engine was ordered to load it. */
+    var ordered = false
+}
--- a/keeper/src/test/kotlin/KeeperTest.kt
+++ b/keeper/src/test/kotlin/KeeperTest.kt
@@ -27,6 +27,9 @@
     val faults = mutableListOf<String>()
     var orders = 0
 
+    /** Time that a load of a model takes. */
+    var loadMs = 5L
+
     /** Whether it answers reports. */
     var answering = true
 
@@ -103,7 +106,7 @@
         busy = true
         if ((held.size + 1) * MODEL_MB > MEMORY_MB) faults += "ordered to load $model beside ${held.keys}"
         scope.launch {
-            delay(5)
+            delay(loadMs)
             held[model] = mutableSetOf()
             busy = false
         }
@@ -382,8 +385,32 @@
         assertEquals(emptyList(), last?.models)
     }
 
+    // Guards against models never served since the weight store is slow: a load was given up while the engine went on, and begun elsewhere.
+    @Test
+    fun `a load that takes longer than its time limit is reported until it ends`() {
+        val reported = mutableListOf<String?>()
+        withKeeper(seed = 3) { loop, port, engine ->
+            engine.loadMs = SLOW_LOAD_MS
+            val channel = MessageChannel(checkNotNull(TcpConnection.connect(loop, Address("127.0.0.1", port), HANG_TIMEOUT_MS)))
+            channel.send(KeeperMessage.Greeting("g"))
+            channel.send(request("m2").copy(timeoutMs = SLOW_LOAD_MS / 3))
+            withTimeoutOrNull(HANG_TIMEOUT_MS) {
+                while (true) {
+                    val status = channel.receive() as? KeeperMessage.Status ?: continue
+                    if (status.models.any { it.model == "m2" }) break
+                    if (status.models.isNotEmpty()) reported += status.loading
+                }
+            }
+        }
+        assertEquals(listOf<String?>("m2"), reported.dropWhile { it == null }.distinct())
+    }
+
     private companion object {
         const val REPORTS = 10
+
+        /** Longer than the random delays of orders and their repetition. */
+        const val SLOW_LOAD_MS = 1_500L
+
         const val STATUSES = 2
 
         /** Far longer than closing a connection takes. */
