Loads: callers are not held for weights whose load is long overdue

Cause: a load that takes longer than usual was expected to end within 100 ms, however late it was.

Change: an overdue load is expected to take as long again as it is late by now. Test: the one of overdue loads in TargetSelectorTest failed before (Later(100) instead of Later(2000)).

--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -14,6 +14,7 @@
 import org.almondjunction.decisions.TargetChoice
 import org.almondjunction.keeper.KeeperMessage
 import org.almondjunction.keeper.ModelSize
+import kotlin.math.abs
 
 /** Selects the target for a request, and sends load requests to keepers for missing models and adapters. */
 internal class TargetSelector(
@@ -299,7 +300,8 @@
     ): Long {
         val name = target.status?.loading ?: return 0
         val model = engine.models[ModelId(name)] ?: return 0
-        return (loadMs(target, model) - target.loadingForMs).coerceAtLeast(MINIMUM_REMAINING_LOAD_MS)
+        // An overdue load is expected to take as long again as it is late by now.
+        return abs(loadMs(target, model) - target.loadingForMs).coerceAtLeast(MINIMUM_REMAINING_LOAD_MS)
     }
 
     private fun loadMs(
--- a/gateway/src/test/kotlin/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/TargetSelectorTest.kt
@@ -137,7 +137,17 @@
             assertEquals(case.expected, actual, case.pattern)
         }
 
-    private val loop = EventLoop(Clock { 1_000L })
+    // Guards against callers that are held to their end for weights whose load is overdue.
+    @Test
+    fun `a load that is overdue is expected to take as long again as it is late`() {
+        val selector = selector(listOf(status(held("a"), loading = "m")))
+        assertEquals(TargetSelector.Choice.Later(6_000), selector.choose("m"))
+        nowMs += 8_000
+        assertEquals(TargetSelector.Choice.Later(2_000), selector.choose("m"))
+    }
+
+    private var nowMs = 1_000L
+    private val loop = EventLoop(Clock { nowMs })
     private val topology = Topology(Location(RegionId("r"), ZoneId("z")), mapOf(ZoneId("z") to RegionId("r")))
 
     private fun registry(
