Loads: one gateway orders the loads of models without a copy on every deployment

Cause: where callers wait longer than a load takes, each of the gateways ordered the loads of the models assigned to it, without seeing the others' requests. This was mended before for the deployments whose callers do not wait for such a load; the cause is the same here.

Change: one gateway of a service orders these loads by demand, within a limit that it lowers when loads are slow. Where callers wait for such loads the limit begins at four, otherwise at two as before. Loads for callers that wait are requested by their own gateway, as before.

--- a/decisions/src/main/kotlin/StoreLoadLimit.kt
+++ b/decisions/src/main/kotlin/StoreLoadLimit.kt
@@ -34,11 +34,17 @@
         slowMs = nowMs
     }
 
-    private companion object {
+    public companion object {
+        /** Concurrent loads from the weight store over all engines: the fewest that any of the users' stores supports at full speed. */
+        public const val FEWEST: Int = 2
+
+        /** The most that any of the users' stores supports at full speed, for models that callers wait for. */
+        public const val MOST: Int = 4
+
         /** Loads at full speed take up to a tenth longer than configured. */
-        const val SLOW_FACTOR = 1.25
+        private const val SLOW_FACTOR = 1.25
 
         /** A store that was slow is tried again after some loads. */
-        const val MEMORY_MS = 60_000L
+        private const val MEMORY_MS = 60_000L
     }
 }
--- a/gateway/src/main/kotlin/ModelPreloader.kt
+++ b/gateway/src/main/kotlin/ModelPreloader.kt
@@ -1,17 +1,18 @@
 package org.almondjunction.gateway
 
 import kotlinx.coroutines.delay
+import org.almondjunction.common.ServiceId
 import org.almondjunction.decisions.Rendezvous
 import org.almondjunction.decisions.ReplicaPlan
+import org.almondjunction.decisions.StoreLoadLimit
 
 /**
  * Preloads models that no target holds or that need more replicas, before callers request them.
  *
  * A model that no target holds is loaded where memory is free; if no host has a copy of its weights, the load may evict another model,
  * so that a copy is on the disk of a host when the model is requested. Each model is assigned to one gateway by rendezvous hashing over
- * the gateways connected to keepers. Models without any copy whose load no caller waits for are all assigned to the same gateway: gateways
- * that act at the same moment do not see each other's requests, and together would begin more loads from the weight store than it serves
- * at full speed.
+ * the gateways connected to keepers. Models without any copy are all assigned to the same gateway: gateways that act at the same moment do
+ * not see each other's requests, and together would begin more loads from the weight store than it serves at full speed.
  */
 internal class ModelPreloader(
     private val registry: TargetRegistry,
@@ -19,6 +20,9 @@
     private val state: GatewayState,
     private val gateway: String,
 ) {
+    /** Limits by service and initial maximum. */
+    private val storeLoadLimits = mutableMapOf<Pair<ServiceId, Int>, StoreLoadLimit>()
+
     suspend fun run() {
         delay(STARTUP_DELAY_MS)
         while (true) {
@@ -36,18 +40,27 @@
             val ready = registry.ready(service.service)
             val connected = ready.count { it.status != null }
             if (connected < ready.size * MINIMUM_CONNECTED_SHARE) return@forEach
-            val (ordered, others) =
-                engine.models.values.partition { model ->
-                    configuration.loadsTooLateForCallers(service.service, model) && ready.none { it.holdsOrHasCopy(model.model.value) }
-                }
+            val (ordered, others) = engine.models.values.partition { model -> ready.none { it.holdsOrHasCopy(model.model.value) } }
             others.filter { isAssigned(it.model.value, gateways) }.forEach { preload(it, engine, ready) }
             if (ordered.isNotEmpty() && isAssigned("$STORE_LOADS${service.service.value}", gateways)) {
-                selector.observeStoreLoads(ready, engine)
-                ordered.sortedByDescending { selector.demandFor(it) }.forEach { preload(it, engine, ready, ordering = true) }
+                val limit = storeLoadLimit(configuration, service.service, ordered)
+                selector.observeStoreLoads(ready, engine, limit)
+                ordered.sortedByDescending { selector.demandFor(it) }.forEach { preload(it, engine, ready, limit) }
             }
         }
     }
 
+    /** Returns the limit for the loads of [models]; higher if callers wait for such loads, since each gateway then requests some itself. */
+    private fun storeLoadLimit(
+        configuration: GatewayConfiguration,
+        service: ServiceId,
+        models: List<ModelConfiguration>,
+    ): StoreLoadLimit {
+        val tooLate = models.any { configuration.loadsTooLateForCallers(service, it) }
+        val maximum = if (tooLate) StoreLoadLimit.FEWEST else StoreLoadLimit.MOST
+        return storeLoadLimits.getOrPut(service to maximum) { StoreLoadLimit(maximum) }
+    }
+
     private fun isAssigned(
         work: String,
         gateways: Set<String>,
@@ -61,13 +74,13 @@
         model: ModelConfiguration,
         engine: EngineConfiguration,
         ready: List<Target>,
-        ordering: Boolean = false,
+        limit: StoreLoadLimit? = null,
     ) {
         val name = model.model.value
         val (holders, others) = ready.partition { it.holds(name) }
         if (holders.isEmpty()) {
             val withLocalCopy = ready.filter { it.hasLocalCopy(name) }
-            selector.requestModel(withLocalCopy.ifEmpty { ready }, engine, model, mayEvict = withLocalCopy.isEmpty(), ordering = ordering)
+            selector.requestModel(withLocalCopy.ifEmpty { ready }, engine, model, mayEvict = withLocalCopy.isEmpty(), limit = limit)
             return
         }
         val load = selector.loadOf(name, holders, engine)
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -54,7 +54,6 @@
     )
 
     private val pendingLoads = mutableMapOf<String, PendingLoad>()
-    private val storeLoadLimit = StoreLoadLimit(MAXIMUM_STORE_LOADS)
     private val startedMs = clock.nowMs()
 
     /** Chooses a target for [request] that is not in [tried]; requests with [confinedPart] use one target only. */
@@ -193,8 +192,8 @@
     /**
      * Requests that one of [ready] loads [model] for [callers], the number of waiting callers weighted by [LoadValue].
      *
-     * If loads from the weight store are [tooLateForCallers], they are left to [ModelPreloader], which orders them for all gateways; it sets
-     * [ordering].
+     * If loads from the weight store are [tooLateForCallers], they are left to [ModelPreloader], which orders them for all gateways within its
+     * [limit].
      */
     suspend fun requestModel(
         ready: List<Target>,
@@ -203,7 +202,7 @@
         mayEvict: Boolean,
         callers: Double = 0.0,
         tooLateForCallers: Boolean = false,
-        ordering: Boolean = false,
+        limit: StoreLoadLimit? = null,
     ): Choice {
         val name = model.model.value
         val nowMs = clock.nowMs()
@@ -221,11 +220,11 @@
         val demand = demandFor(model)
         val maximumLoads =
             when {
-                demand >= BUSY_REQUESTS_PER_SECOND -> MAXIMUM_STORE_LOADS_FOR_BUSY_MODELS
-                ordering -> storeLoadLimit.current(nowMs)
-                else -> MAXIMUM_STORE_LOADS
+                demand >= BUSY_REQUESTS_PER_SECOND -> StoreLoadLimit.MOST
+                limit != null -> limit.current(nowMs)
+                else -> StoreLoadLimit.FEWEST
             }
-        val loads = connected.count { it.loadsFromStore } + if (ordering) requestedStoreLoads else 0
+        val loads = connected.count { it.loadsFromStore } + if (limit != null) requestedStoreLoads else 0
         if (withLocalCopy.isEmpty() && loads >= maximumLoads) return Choice.Later(model.loadMs * 2)
         val valueMs = LoadValue.valueMs(callers, demand)
         val candidates = withLocalCopy.ifEmpty { connected }
@@ -266,15 +265,16 @@
     val requestedStoreLoads: Int get() =
         pendingLoads.count { (name, load) -> load.fromStore && load.untilMs > clock.nowMs() && load.target.status?.loading != name }
 
-    /** Learns from the loads in progress on [ready] how many the weight store serves at full speed. */
+    /** Records in [limit] how long the loads from the weight store in progress on [ready] have taken. */
     fun observeStoreLoads(
         ready: List<Target>,
         engine: EngineConfiguration,
+        limit: StoreLoadLimit,
     ) {
         val loading = ready.filter { it.loadsFromStore }
         loading.forEach { target ->
             val model = target.status?.loading?.let { engine.models[ModelId(it)] } ?: return@forEach
-            storeLoadLimit.record(target.loadingForMs, model.loadMs, loading.size, clock.nowMs())
+            limit.record(target.loadingForMs, model.loadMs, loading.size, clock.nowMs())
         }
     }
 
@@ -506,12 +506,6 @@
         /** Time after a start in which the gateway connects to keepers, some of which may have local copies of the weights. */
         const val KEEPER_DISCOVERY_MS = 2_000L
 
-        /** Concurrent loads from the weight store over all engines: the fewest that any of the users' stores supports at full speed. */
-        const val MAXIMUM_STORE_LOADS = 2
-
-        /** The same limit for models with high demand, so that rarely requested models never delay them. */
-        const val MAXIMUM_STORE_LOADS_FOR_BUSY_MODELS = 4
-
         /** Demand over all gateways from which a model counts as busy: above that of any rarely requested model. */
         const val BUSY_REQUESTS_PER_SECOND = 1.0
 
