Streams: the rest of a broken stream is written only by the software version that began it

Cause: a stream that breaks off was continued at any engine with the weights; the version in the entries of engines was not read at all.

Change: entries carry the version; the first event fixes it for the answer, and only engines of that version are chosen for the rest, also for a silent stream that would be moved and for a hedged one. If there is none, the stream is broken off. Its log line has softwareVersion. A caller that takes its stream up by itself is not covered by this commit.

--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -183,6 +183,7 @@
                         request,
                         context.tried,
                         (admission as? CrashTracker.Admission.Confined)?.part ?: context.endedTargetPart,
+                        context.streamVersion,
                     )
             ) {
                 is TargetSelector.Choice.Selected -> return choice.target
@@ -254,13 +255,15 @@
         context.tried[target] = clock.nowMs()
         context.lastTarget = target
         context.sends++
+        // The entry may change while the answer arrives; it is this incarnation that writes it.
+        val version = target.softwareVersion
         try {
             target.promptCache.add(request.weights, request.parts)
             val maximumIdleMs = if (request.route.retryKind == RetrySafety.ONCE) MAXIMUM_IDLE_FOR_ONCE_MS else MAXIMUM_IDLE_MS
             val answer = exchange.send(request, headersFor(target, context), maximumIdleMs, context.timeLeftMs)
             return when (answer) {
                 is ExchangeResult.Unusable -> handleUnusable(target, exchange, context, answer, inFlight)
-                is ExchangeResult.Response -> handleResponse(target, exchange, context, answer, inFlight)
+                is ExchangeResult.Response -> handleResponse(target, exchange, context, answer, inFlight, version)
             }
         } finally {
             context.endExchange(exchange)
@@ -350,9 +353,10 @@
         context: ForwardingContext,
         answer: ExchangeResult.Response,
         inFlight: InFlightRequest,
+        version: SoftwareVersion,
     ): ForwardingStep? {
         val succeeded = answer.head.status in SUCCESS
-        if (succeeded && context.request.route.streaming) return relayStream(target, exchange, context, answer, inFlight)
+        if (succeeded && context.request.route.streaming) return relayStream(target, exchange, context, answer, inFlight, version)
         if (context.answer.begun) {
             context.detail = "status ${answer.head.status} instead of the rest of a stream"
             target.recordResult(failed = true)
@@ -403,6 +407,7 @@
         context: ForwardingContext,
         answer: ExchangeResult.Response,
         inFlight: InFlightRequest,
+        version: SoftwareVersion,
     ): ForwardingStep? {
         while (true) {
             val part = nextPart(context, answer, inFlight)
@@ -414,6 +419,7 @@
                         return handleBrokenStream(target, context, inFlight, "an event does not end")
                     }
                     if (complete.isEmpty()) continue
+                    if (context.streamVersion == null) context.streamVersion = version
                     target.recordActivity()
                     context.lastProgressMs = clock.nowMs()
                     if (!inFlight.answering) hedging.recordDuration(context, inFlight)
@@ -494,6 +500,7 @@
             context.runs + 1 < route.maximumTargets &&
             context.endedTargetPart == null &&
             !state.crashes.isSuspect(context.request) &&
+            context.streamVersion?.let { registry.mayContinue(context.request.service, context.lastTarget, it) } != false &&
             retryBudget.allows(clock.nowMs(), registry.gateways.size)
     }
 
--- a/gateway/src/main/kotlin/ForwardingContext.kt
+++ b/gateway/src/main/kotlin/ForwardingContext.kt
@@ -49,6 +49,9 @@
     var failure: ExchangeResult.Response? = null
     var failureBody: ByteArray? = null
 
+    /** Version of the target that wrote the first event, the only one that may write the rest; null before the first event. */
+    var streamVersion: SoftwareVersion? = null
+
     /** Time until the first part of the response; null until it has arrived. */
     var firstPartMs: Long? = null
 
@@ -151,6 +154,7 @@
                         "tenant" to request.tenant?.name,
                         "model" to request.model?.let { request.weights },
                         "sends" to sends.toString(),
+                        "softwareVersion" to streamVersion?.name,
                         "hedged" to hedged,
                         "tookMs" to (clock.nowMs() - request.arrivedMs).toString(),
                         "leftMs" to timeLeftMs.toString(),
--- a/gateway/src/main/kotlin/HedgedExchange.kt
+++ b/gateway/src/main/kotlin/HedgedExchange.kt
@@ -87,7 +87,7 @@
         val request = context.request
         val nowMs = clock.nowMs()
         val ready = registry.ready(request.service)
-        val other = selector.chooseFree(request, context.tried.keys)
+        val other = selector.chooseFree(request, context.tried.keys, context.streamVersion)
         val situation =
             HedgeSituation(
                 runsLeft = request.route.maximumTargets - context.runs - 1,
--- a/gateway/src/main/kotlin/TargetDirectory.kt
+++ b/gateway/src/main/kotlin/TargetDirectory.kt
@@ -15,6 +15,7 @@
  * @property startedMs calendar time of its start, in milliseconds; distinguishes incarnations with the same identity
  * @property sequence increases with each report of one incarnation
  * @property models models that it held at its last report, with their adapters
+ * @property softwareVersion version of its software; null if it tells none. What targets of two versions write does not fit together
  */
 public data class TargetEntry(
     val target: TargetId,
@@ -26,6 +27,7 @@
     val startedMs: Long,
     val sequence: Long,
     val models: Map<String, Set<String>>,
+    val softwareVersion: String? = null,
 )
 
 /**
--- a/gateway/src/main/kotlin/TargetRegistry.kt
+++ b/gateway/src/main/kotlin/TargetRegistry.kt
@@ -225,6 +225,13 @@
     /** Returns the targets of [service] that run, including those that have asked for no requests. */
     fun running(service: ServiceId): List<Target> = listed(service).filter { it.answering }
 
+    /** Whether a target of [service] other than [target] may continue a stream of [version]. */
+    fun mayContinue(
+        service: ServiceId,
+        target: Target?,
+        version: SoftwareVersion,
+    ): Boolean = running(service).any { it !== target && it.softwareVersion == version }
+
     /** Returns the targets of [service] that are listed but do not answer their keepers, as after a crash. */
     fun unreachable(service: ServiceId): List<Target> = listed(service).filterNot { it.answering }
 
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -56,14 +56,19 @@
     private val pendingLoads = mutableMapOf<String, PendingLoad>()
     private val startedMs = clock.nowMs()
 
-    /** Chooses a target for [request] that is not in [tried]; requests with [confinedPart] use one target only. */
+    /**
+     * Chooses a target for [request] that is not in [tried]; requests with [confinedPart] use one target only, and the rest of a stream only
+     * targets of the [version] that began it.
+     */
     suspend fun choose(
         request: ForwardedRequest,
         tried: Map<Target, Long>,
         confinedPart: Long? = null,
+        version: SoftwareVersion? = null,
     ): Choice {
-        val ready = registry.ready(request.service)
+        val ready = registry.ready(request.service).filter { version == null || it.softwareVersion == version }
         if (ready.isEmpty()) {
+            if (version != null) return Choice.None("no target of the version that began the stream")
             return registry.waitMs(request.service)?.let { Choice.AskedToWait(it.coerceAtLeast(1)) }
                 ?: Choice.None("no target")
         }
@@ -114,10 +119,11 @@
         val expectedMs: Double,
     )
 
-    /** Chooses a free target for [request] that holds its model and is not in [excluded]; orders no load. */
+    /** Chooses a free target of [version] for [request] that holds its model and is not in [excluded]; orders no load. */
     fun chooseFree(
         request: ForwardedRequest,
         excluded: Set<Target>,
+        version: SoftwareVersion? = null,
     ): FreeTarget? {
         val adapter = request.adapter
         val candidates =
@@ -126,7 +132,7 @@
                 .filter { target ->
                     val adapters = target.models[request.model]
                     val holdsWeights = request.model == null || (adapters != null && (adapter == null || adapter in adapters))
-                    target.free && target !in excluded && holdsWeights
+                    target.free && target !in excluded && holdsWeights && (version == null || target.softwareVersion == version)
                 }.associateBy { candidate(it, request) }
         return TargetChoice.choose(candidates.keys.toList())?.let { FreeTarget(candidates.getValue(it), it.expectedMs) }
     }
--- a/gateway/src/test/kotlin/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/GatewayFixture.kt
@@ -54,7 +54,7 @@
         engine: EngineConfiguration? = null,
         hosts: List<String> = List(TARGETS) { LOOPBACK },
         target: suspend (TcpConnection) -> Unit,
-    ): Unit = start(listOf(route), engine, hosts, target)
+    ): Unit = start(listOf(route), engine, hosts, target = target)
 
     /**
      * Starts the gateway with [routes] and a target on each of [hosts]; [target] serves their connections.
@@ -64,6 +64,7 @@
         routes: List<Route>,
         engine: EngineConfiguration? = null,
         hosts: List<String> = List(TARGETS) { LOOPBACK },
+        softwareVersions: List<String?> = hosts.map { null },
         target: suspend (TcpConnection) -> Unit,
     ) {
         val started =
@@ -73,7 +74,8 @@
                 hosts.forEachIndexed { index, host ->
                     val listener = TcpListener(loop, Address(host, 0)) { connection -> scope.launch { target(connection) } }
                     val address = Address(host, listener.port)
-                    val entry = TargetEntry(TargetId("t$index"), SERVICE, address, ZoneId("z"), true, 4, 1, 1, emptyMap())
+                    val entry =
+                        TargetEntry(TargetId("t$index"), SERVICE, address, ZoneId("z"), true, 4, 1, 1, emptyMap(), softwareVersions[index])
                     entries += entry
                     gateway.directory.put(entry)
                 }
