Streams: a stream that its caller takes up goes on only at the software version that began it

Cause: a gateway knew nothing of the request that brought the first event, and did not read Resumes.

If the version is unknown and the service has engines of several, it answers 503 at once. Messages have new fields that programs of earlier builds ignore.

Evidence: by tests.

--- a/gateway/src/main/kotlin/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/ForwardedRequest.kt
@@ -1,5 +1,6 @@
 package org.almondjunction.gateway
 
+import org.almondjunction.decisions.RetrySafety
 import org.almondjunction.network.RequestHead
 
 /**
@@ -8,6 +9,7 @@
  * @property arrivedMs when its first byte was read
  * @property deadlineMs when its caller stops waiting; null if not given
  * @property answerTokens maximum number of tokens of the response; 0 if not given
+ * @property resumedRequest request that brought the first event of the stream which this one takes up; null if it names none
  * @property tenant tenant that holds the caller's API key; null if the route needs none
  */
 internal class ForwardedRequest(
@@ -22,8 +24,14 @@
     val promptTokens: Long,
     val answerTokens: Long,
     val parts: PromptParts,
+    val resumedRequest: String? = null,
     val tenant: Tenant? = null,
+    private val lastEvent: String? = null,
 ) {
+    /** Whether it takes up a stream that another request began. */
+    val resumes: Boolean get() =
+        route.streaming && route.retryKind == RetrySafety.RESUMABLE && (resumedRequest != null || lastEvent != null)
+
     val service = route.serviceFor(id)
 
     /** Rank of the request, 0 is the highest. */
@@ -61,7 +69,14 @@
                 promptTokens = tokens.substringBefore(',').trim().toLongOrNull() ?: 0,
                 answerTokens = tokens.substringAfter(',', "").trim().toLongOrNull() ?: 0,
                 parts = PromptParts.parse(head.headers[names.promptParts].orEmpty()),
+                resumedRequest =
+                    head.headers
+                        .all(names.resumes)
+                        .singleOrNull()
+                        ?.trim()
+                        ?.ifEmpty { null },
                 tenant = tenant,
+                lastEvent = head.headers[names.lastEvent],
             )
         }
     }
--- a/gateway/src/main/kotlin/Forwarder.kt
+++ b/gateway/src/main/kotlin/Forwarder.kt
@@ -14,8 +14,10 @@
 import org.almondjunction.decisions.RetrySafety
 import org.almondjunction.decisions.SendResult
 import org.almondjunction.decisions.SharedRetryBudget
+import org.almondjunction.decisions.SoftwareVersion
 import org.almondjunction.decisions.StopAdmission
 import org.almondjunction.decisions.StoppingRequest
+import org.almondjunction.decisions.StreamContinuation
 import org.almondjunction.network.BodyPart
 import org.almondjunction.network.BodyResult
 import org.almondjunction.network.HttpHeader
@@ -33,6 +35,7 @@
     private val quotas: QuotaClient,
     private val hedging: HedgedExchange,
     private val signals: SignalReader,
+    private val origins: StreamOriginClient,
 ) {
     private val active = mutableSetOf<ForwardingContext>()
     private val targetEndCheck = TargetEndCheck(clock, state)
@@ -101,6 +104,7 @@
     }
 
     private suspend fun run(context: ForwardingContext) {
+        if (!mayContinue(context)) return
         while (true) {
             val target = awaitTarget(context) ?: return
             val step =
@@ -119,6 +123,22 @@
         }
     }
 
+    /** Confines a stream that its caller takes up to the version that began it; returns false if it was refused. */
+    private suspend fun mayContinue(context: ForwardingContext): Boolean {
+        val request = context.request
+        if (!request.resumes) return true
+        val origin = request.resumedRequest?.let { origins.find(it) }
+        when (val continuation = StreamContinuation.of(origin, registry.versions(request.service))) {
+            StreamContinuation.AnyTarget -> Unit
+            is StreamContinuation.SameVersion -> context.streamVersion = continuation.version
+            StreamContinuation.Impossible -> {
+                giveUp(context, "the version that began the stream is unknown", RETRY_AFTER_REFUSAL_MS)
+                return false
+            }
+        }
+        return true
+    }
+
     /** A resumable stream that was broken off at its beginning is confined to one target if it may have ended the last one. */
     private suspend fun awaitTargetEnd(context: ForwardingContext) {
         val broken = context.brokenOff ?: return
@@ -257,6 +277,7 @@
         context.sends++
         // The entry may change while the answer arrives; it is this incarnation that writes it.
         val version = target.softwareVersion
+        if (request.route.streaming && request.route.retryKind == RetrySafety.RESUMABLE) origins.record(request.id, version)
         try {
             target.promptCache.add(request.weights, request.parts)
             val maximumIdleMs = if (request.route.retryKind == RetrySafety.ONCE) MAXIMUM_IDLE_FOR_ONCE_MS else MAXIMUM_IDLE_MS
--- a/gateway/src/main/kotlin/ForwardingContext.kt
+++ b/gateway/src/main/kotlin/ForwardingContext.kt
@@ -10,6 +10,7 @@
 import org.almondjunction.common.LogFields
 import org.almondjunction.common.RequestId
 import org.almondjunction.common.TargetId
+import org.almondjunction.decisions.SoftwareVersion
 import org.almondjunction.network.ByteBudget
 
 /** State of a request while it is forwarded. */
--- a/gateway/src/main/kotlin/Gateway.kt
+++ b/gateway/src/main/kotlin/Gateway.kt
@@ -52,7 +52,8 @@
     private val hedgePolicy = HedgePolicy(settings.hedgedShare)
     private val hedging = HedgedExchange(clock, selector, registry, state, hedgePolicy, retryBudget, metrics)
     private val signals = SignalReader(clock, state, names, metrics)
-    private val forwarder = Forwarder(clock, selector, registry, state, names, retryBudget, metrics, quotas, hedging, signals)
+    private val origins = StreamOriginClient(clock, registry, state.changed)
+    private val forwarder = Forwarder(clock, selector, registry, state, names, retryBudget, metrics, quotas, hedging, signals, origins)
     private val connections = mutableSetOf<CallerConnection>()
     private var targetsKnown = false
 
--- a/gateway/src/main/kotlin/HeaderNames.kt
+++ b/gateway/src/main/kotlin/HeaderNames.kt
@@ -18,6 +18,7 @@
  * @property tenant name of the tenant, set by the gateway only
  * @property serverLeaving present with the value 1 if the target that responds is shutting down
  * @property retryAfter seconds for which a target that responds with 503 wants no request
+ * @property resumes request that brought the first event of the stream which its caller takes up
  * @property reserved headers that only the system may set, in lower case; they are removed from callers' requests
  */
 public data class HeaderNames(
@@ -36,5 +37,6 @@
     val tenant: String,
     val serverLeaving: String,
     val retryAfter: String,
+    val resumes: String,
     val reserved: Set<String>,
 )
--- a/gateway/src/main/kotlin/KeeperLink.kt
+++ b/gateway/src/main/kotlin/KeeperLink.kt
@@ -12,6 +12,7 @@
 import org.almondjunction.keeper.Demand
 import org.almondjunction.keeper.KeeperMessage
 import org.almondjunction.keeper.MessageChannel
+import org.almondjunction.keeper.SentStream
 import org.almondjunction.network.EventLoop
 import org.almondjunction.network.TcpConnection
 import org.almondjunction.network.launchRestarting
@@ -25,6 +26,7 @@
     private val target: Target,
     private val state: GatewayState,
     private val onQuotaReply: (KeeperMessage.QuotaReply) -> Unit,
+    private val onResumedStreams: (List<SentStream>) -> Unit,
     private val demand: () -> List<Demand>,
 ) : AutoCloseable {
     private var channel: MessageChannel? = null
@@ -99,7 +101,10 @@
             lastMessageMs = loop.clock.nowMs()
             when (message) {
                 is KeeperMessage.Status -> receive(opened, message)
-                is KeeperMessage.EngineLoad -> target.update(message)
+                is KeeperMessage.EngineLoad -> {
+                    target.update(message)
+                    if (message.resumedStreams.isNotEmpty()) onResumedStreams(message.resumedStreams)
+                }
                 is KeeperMessage.QuotaReply -> onQuotaReply(message)
                 is KeeperMessage.Greeting, is KeeperMessage.Usage, is KeeperMessage.LoadRequest, is KeeperMessage.QuotaRequest -> return
             }
--- a/gateway/src/main/kotlin/Target.kt
+++ b/gateway/src/main/kotlin/Target.kt
@@ -5,6 +5,7 @@
 import org.almondjunction.common.LogFields
 import org.almondjunction.decisions.ConnectionAction
 import org.almondjunction.decisions.ConnectionHealth
+import org.almondjunction.decisions.SoftwareVersion
 import org.almondjunction.keeper.KeeperMessage
 import org.almondjunction.keeper.Use
 import org.almondjunction.network.EventLoop
@@ -58,6 +59,9 @@
     /** Whether it can begin another request at once, by the requests of this gateway and the last report of its load. */
     val free: Boolean get() = !silent && maxOf(inFlight.size, load.active + load.queued) < entry.slots
 
+    /** Version of its software, as listed. */
+    val softwareVersion: SoftwareVersion get() = SoftwareVersion(entry.softwareVersion)
+
     /** Models that accept requests now, with the loaded adapters. */
     var models: Map<String, Set<String>> = entry.models
         private set
--- a/gateway/src/main/kotlin/TargetRegistry.kt
+++ b/gateway/src/main/kotlin/TargetRegistry.kt
@@ -8,9 +8,11 @@
 import org.almondjunction.common.LogFields
 import org.almondjunction.common.ServiceId
 import org.almondjunction.common.TargetId
+import org.almondjunction.decisions.SoftwareVersion
 import org.almondjunction.keeper.BrokenOff
 import org.almondjunction.keeper.Demand
 import org.almondjunction.keeper.KeeperMessage
+import org.almondjunction.keeper.SentStream
 import org.almondjunction.network.EventLoop
 import org.almondjunction.network.launchRestarting
 
@@ -34,6 +36,9 @@
     /** Receives the answers of keepers to requests for units of quotas. */
     var onQuotaReply: (KeeperMessage.QuotaReply) -> Unit = {}
 
+    /** Receives from the keeper at an address what it remembers of streams that callers take up. */
+    var onResumedStreams: (keeper: String, answers: List<SentStream>) -> Unit = { _, _ -> }
+
     /** Addresses of the keepers that are connected. */
     val connectedKeepers: Set<String>
         get() = targets.values.filter { it.keeper?.connected == true }.mapTo(mutableSetOf()) { it.entry.address.ip }
@@ -122,7 +127,18 @@
             return
         }
         val address = Address(target.entry.address.ip, keeperPort)
-        target.keeper = KeeperLink(loop, scope, gateway, address, target, state, { onQuotaReply(it) }) { demandAt(target) }
+        target.keeper =
+            KeeperLink(
+                loop = loop,
+                scope = scope,
+                gateway = gateway,
+                address = address,
+                target = target,
+                state = state,
+                onQuotaReply = { onQuotaReply(it) },
+                onResumedStreams = { onResumedStreams(address.ip, it) },
+                demand = { demandAt(target) },
+            )
     }
 
     /** Whether all keepers have reported their state since this gateway started. */
@@ -158,13 +174,13 @@
     }
 
     /** Sends [message] on any connection to the keeper at [ip], since targets that ended no longer have one. */
-    private fun send(
+    fun send(
         ip: String,
         message: KeeperMessage,
     ) {
         val link = connectedKeeper(ip)
         if (link == null) {
-            EventLog.warn("keeper not connected; report of a crash is lost", LogFields(extra = mapOf("keeper" to ip)))
+            EventLog.warn("keeper not connected; a report to it is lost", LogFields(extra = mapOf("keeper" to ip)))
         } else {
             scope.launch { link.send(message) }
         }
@@ -225,6 +241,10 @@
     /** Returns the targets of [service] that run, including those that have asked for no requests. */
     fun running(service: ServiceId): List<Target> = listed(service).filter { it.answering }
 
+    /** Returns the versions of the software of the targets that are listed for [service]. */
+    fun versions(service: ServiceId): Set<SoftwareVersion> =
+        targets.values.filter { it.entry.service == service }.mapTo(mutableSetOf()) { it.softwareVersion }
+
     /** Whether a target of [service] other than [target] may continue a stream of [version]. */
     fun mayContinue(
         service: ServiceId,
--- a/gateway/src/main/kotlin/TargetSelector.kt
+++ b/gateway/src/main/kotlin/TargetSelector.kt
@@ -9,6 +9,7 @@
 import org.almondjunction.decisions.ModelWorkload
 import org.almondjunction.decisions.Rendezvous
 import org.almondjunction.decisions.ReplicaPlan
+import org.almondjunction.decisions.SoftwareVersion
 import org.almondjunction.decisions.StoreLoadLimit
 import org.almondjunction.decisions.TargetCandidate
 import org.almondjunction.decisions.TargetChoice
--- a/gateway/src/test/kotlin/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/GatewayFixture.kt
@@ -118,6 +118,7 @@
                 "Tenant",
                 "Server-Leaving",
                 "Retry-After",
+                "Resumes",
                 setOf("target", "key", "tenant"),
             )
 
--- a/gateway/src/test/kotlin/QuotaGatewayTest.kt
+++ b/gateway/src/test/kotlin/QuotaGatewayTest.kt
@@ -103,6 +103,7 @@
             quotas,
             HedgedExchange(loop.clock, selector, registry, state, HedgePolicy(0.0), retryBudget, metrics),
             SignalReader(loop.clock, state, GatewayFixture.NAMES, metrics),
+            StreamOriginClient(loop.clock, registry, state.changed),
         )
     private val tenants =
         listOf(
--- a/gateway/src/test/kotlin/TargetSelectorTest.kt
+++ b/gateway/src/test/kotlin/TargetSelectorTest.kt
@@ -133,7 +133,12 @@
         displacementCases.forEach { case ->
             val selector = selector(case.onDisk.map { status(held("b"), onDisk = it) })
             selector.choose("m")
-            val actual = selector.requestedTarget("m")?.entry?.target?.value
+            val actual =
+                selector
+                    .requestedTarget("m")
+                    ?.entry
+                    ?.target
+                    ?.value
             assertEquals(case.expected, actual, case.pattern)
         }
 
--- a/keeper/src/main/kotlin/Keeper.kt
+++ b/keeper/src/main/kotlin/Keeper.kt
@@ -13,6 +13,8 @@
 import org.almondjunction.decisions.EvictionCandidate
 import org.almondjunction.decisions.EvictionPlan
 import org.almondjunction.decisions.LoadValue
+import org.almondjunction.decisions.SoftwareVersion
+import org.almondjunction.decisions.StreamOrigins
 import org.almondjunction.network.TcpConnection
 import org.almondjunction.network.launchRestarting
 
@@ -46,6 +48,7 @@
         var gatewaysSent: List<String>? = null
         var crashesSent = -1
         var answeringQuotas = 0
+        var answeringStreams = 0
 
         /** Requests that the gateway reported as broken off, and those of them for which it is known whether the engine has ended. */
         var reports = 0
@@ -56,6 +59,9 @@
     private val usage = UsageStatistics()
     private val demand = ReportedDemand()
     private val crashLog = CrashLog()
+
+    /** Streams of all engines, kept for gateways at which callers take them up. */
+    private val streams = StreamOrigins()
     private val orderLock = Mutex()
     private val activeAdapterRequests = mutableSetOf<Pair<String, String?>>()
 
@@ -138,7 +144,9 @@
                 message.demand.forEach { demand.record(session.gateway, it, clock.nowMs()) }
                 session.reports += message.brokenOff.size
                 updateCrashes(message)
+                message.sentStreams.forEach { streams.record(it.request, SoftwareVersion(it.version)) }
                 answerUsage(session)
+                if (message.resumedStreams.isNotEmpty()) answerResumed(session, message.resumedStreams)
             }
             is KeeperMessage.LoadRequest -> submit(session.gateway, message)
             is KeeperMessage.QuotaRequest -> answerQuotas(session, message)
@@ -168,6 +176,22 @@
         push(session)
     }
 
+    private fun answerResumed(
+        session: Session,
+        requests: List<String>,
+    ) {
+        if (session.answeringStreams >= MAXIMUM_STREAM_ANSWERS) return
+        val answers = requests.map { request -> streams.versionOf(request).let { SentStream(request, it?.name, known = it != null) } }
+        session.answeringStreams++
+        scope.launch {
+            try {
+                session.channel.send(engineLoad().copy(resumedStreams = answers))
+            } finally {
+                session.answeringStreams--
+            }
+        }
+    }
+
     /** Answers that wait to be written are limited in number, so that a gateway that reads nothing holds no memory. */
     private fun answerQuotas(
         session: Session,
@@ -559,6 +583,9 @@
         /** One for each shard, with room for requests that were repeated. */
         const val MAXIMUM_QUOTA_ANSWERS = 16
 
+        /** Gateways ask for each stream that is taken up at once, as after the loss of an engine. */
+        const val MAXIMUM_STREAM_ANSWERS = 64
+
         /** Poll interval while no load request is carried out; a report from the engine's own host is fresh and cheap. */
         const val IDLE_POLL_MS = 100L
 
--- a/keeper/src/main/kotlin/KeeperMessage.kt
+++ b/keeper/src/main/kotlin/KeeperMessage.kt
@@ -23,6 +23,8 @@
      * @property brokenOff requests that the engine broke off
      * @property answered prompt parts of complete answers that the gateway's copy of the engine's crashes contained
      * @property crashes the gateway's copy of the engine's crashes; only sent after a connection was opened
+     * @property sentStreams streams that the gateway has sent to targets, for the keepers to remember
+     * @property resumedStreams requests whose streams callers take up; the keeper answers what it remembers of each with an [EngineLoad]
      */
     @Serializable
     @SerialName("u")
@@ -32,6 +34,8 @@
         val brokenOff: List<BrokenOff> = emptyList(),
         val answered: List<AnsweredPart> = emptyList(),
         val crashes: List<EngineCrash> = emptyList(),
+        val sentStreams: List<SentStream> = emptyList(),
+        val resumedStreams: List<String> = emptyList(),
     ) : KeeperMessage()
 
     /**
@@ -118,16 +122,34 @@
         val grants: List<QuotaGrant> = emptyList(),
     ) : KeeperMessage()
 
-    /** Current load of the engine. */
+    /**
+     * Current load of the engine.
+     *
+     * @property resumedStreams answers to [Usage.resumedStreams]
+     */
     @Serializable
     @SerialName("l")
     public data class EngineLoad(
         val queued: Int = 0,
         val active: Int = 0,
         val kvUsed: Long = 0,
+        val resumedStreams: List<SentStream> = emptyList(),
     ) : KeeperMessage()
 }
 
+/**
+ * A stream that was sent to a target of any engine.
+ *
+ * @property version version of the target's software; null if it tells none
+ * @property known false in an answer if the keeper does not remember the request
+ */
+@Serializable
+public data class SentStream(
+    @SerialName("r") val request: String,
+    @SerialName("v") val version: String? = null,
+    @SerialName("k") val known: Boolean = true,
+)
+
 /** Uses of [model], or of [adapter] on it. */
 @Serializable
 public data class Use(
--- a/keeper/src/test/kotlin/KeeperTest.kt
+++ b/keeper/src/test/kotlin/KeeperTest.kt
@@ -368,6 +368,27 @@
         assertTrue(engine.orders > 0)
     }
 
+    // Guards against streams with events from two software versions: the gateway that sent a stream may be gone when its caller takes it up.
+    @Test
+    fun `a gateway is told the versions of streams that another gateway sent`() {
+        val answers = mutableListOf<SentStream>()
+        withKeeper(seed = 1) { loop, port, _ ->
+            val channels =
+                List(2) { MessageChannel(checkNotNull(TcpConnection.connect(loop, Address("127.0.0.1", port), HANG_TIMEOUT_MS))) }
+            channels.forEachIndexed { index, channel -> channel.send(KeeperMessage.Greeting("g$index")) }
+            withTimeoutOrNull(HANG_TIMEOUT_MS) {
+                channels[0].send(KeeperMessage.Usage(emptyList(), sentStreams = listOf(SentStream("a", "1"), SentStream("b", null))))
+                // Messages on two connections may overtake each other.
+                while (answers.firstOrNull()?.known != true) {
+                    channels[1].send(KeeperMessage.Usage(emptyList(), resumedStreams = listOf("a", "b", "c")))
+                    answers.clear()
+                    while (answers.isEmpty()) answers += (channels[1].receive() as? KeeperMessage.EngineLoad)?.resumedStreams.orEmpty()
+                }
+            }
+        }
+        assertEquals(listOf(SentStream("a", "1"), SentStream("b", null), SentStream("c", null, known = false)), answers)
+    }
+
     // Guards against models loaded from the weight store although the host of a crashed engine has a copy, while others wait for the store.
     @Test
     fun `while the engine does not answer, gateways are told of the copies on the disk of its host`() {
