--- a/gateway/src/main/kotlin/ForwardingContext.kt
+++ b/gateway/src/main/kotlin/ForwardingContext.kt
@@ -156,6 +156,7 @@
                         "model" to request.model?.let { request.weights },
                         "sends" to sends.toString(),
                         "softwareVersion" to streamVersion?.name,
+                        "resumes" to request.resumedRequest,
                         "hedged" to hedged,
                         "tookMs" to (clock.nowMs() - request.arrivedMs).toString(),
                         "leftMs" to timeLeftMs.toString(),
